--- /dev/null
+++ b/src/core/cell.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+
+namespace dottereltrack {
+
+// An IP address and a TCP port.
+struct Endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+// An entry process that belongs to the cell.
+struct Member {
+  EntryId id;
+  Endpoint peer_address;
+  std::string data_centre;
+  friend auto operator<=>(const Member&, const Member&) = default;
+};
+
+// An agent incarnation that may receive starts.
+struct RosterAgent {
+  AgentId id;
+  std::string minion;
+  std::string data_centre;
+  std::string rack;
+  friend auto operator<=>(const RosterAgent&, const RosterAgent&) = default;
+};
+
+// The one value that says who dispatches for a cell. It is kept in the store
+// and replaced only by compare-and-swap.
+struct CellTable {
+  std::uint64_t generation = 0;
+  EntryId dispatcher;
+  std::vector<Member> members;
+  std::vector<RosterAgent> roster;
+  // Tells the writer, after a lost answer, whether this value is its own.
+  std::uint64_t writer_nonce = 0;
+  friend bool operator==(const CellTable&, const CellTable&) = default;
+};
+
+// A cell table with the store's revision. A higher revision is newer.
+struct StoredTable {
+  std::uint64_t revision = 0;
+  CellTable table;
+  friend bool operator==(const StoredTable&, const StoredTable&) = default;
+};
+
+// What operators set for one team.
+struct TeamConfig {
+  // Slots that the team may hold at once; 0 means no limit.
+  std::uint32_t max_in_progress = 0;
+  // Share of the slots relative to other teams that wait; at least 1.
+  std::uint32_t weight = 1;
+  friend auto operator<=>(const TeamConfig&, const TeamConfig&) = default;
+};
+
+// The operators' configuration. An empty teams map admits every team with the
+// default settings; otherwise unknown teams are refused.
+struct CellConfig {
+  std::uint64_t version = 0;
+  std::map<std::string, TeamConfig> teams;
+  // Labels per minion name that replace or add to the announced ones.
+  std::map<std::string, std::map<std::string, std::string>> label_overrides;
+  std::vector<std::string> drained_minions;
+  std::uint64_t writer_nonce = 0;
+  friend bool operator==(const CellConfig&, const CellConfig&) = default;
+};
+
+// A configuration with the store's revision, which a writer must name.
+struct StoredConfig {
+  std::uint64_t revision = 0;
+  CellConfig config;
+  friend bool operator==(const StoredConfig&, const StoredConfig&) = default;
+};
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/ids.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace dottereltrack {
+
+// Identifies one job under one idempotency key of one team: SHA-256 over team
+// and key, cut to 128 bits, so that two teams never share a submission.
+struct SubmissionId {
+  std::array<std::uint8_t, 16> bytes{};
+  friend auto operator<=>(const SubmissionId&, const SubmissionId&) = default;
+};
+
+// Identifies one task by its submission and its position in the job.
+struct TaskId {
+  SubmissionId submission;
+  std::uint32_t index = 0;
+  friend auto operator<=>(const TaskId&, const TaskId&) = default;
+};
+
+// Random 64-bit id of one run of an entry process.
+struct EntryId {
+  std::uint64_t value = 0;
+  friend auto operator<=>(const EntryId&, const EntryId&) = default;
+};
+
+// Random 64-bit id of one run of an agent process.
+struct AgentId {
+  std::uint64_t value = 0;
+  friend auto operator<=>(const AgentId&, const AgentId&) = default;
+};
+
+// Identifies one connection within this process. Ids are never reused.
+struct LinkId {
+  std::uint64_t value = 0;
+  friend auto operator<=>(const LinkId&, const LinkId&) = default;
+};
+
+// Identifies one open HTTP call of a caller within this process.
+struct CallId {
+  std::uint64_t value = 0;
+  friend auto operator<=>(const CallId&, const CallId&) = default;
+};
+
+// Orders what an agent accepts: the dispatcher's term, then the connection
+// between that dispatcher and the agent. An agent refuses all starts that carry
+// any fence but its newest.
+struct Fence {
+  std::uint64_t generation = 0;
+  std::uint64_t session = 0;
+  friend auto operator<=>(const Fence&, const Fence&) = default;
+};
+
+// Derives the submission id of a team's idempotency key.
+SubmissionId MakeSubmissionId(std::string_view team, std::string_view key);
+
+// Digest of a job's body; tells a resubmission from a reuse of the key.
+std::uint64_t DigestOf(std::string_view bytes);
+
+// Lower-case hexadecimal, 32 characters for a submission, 16 for a process.
+std::string ToHex(const SubmissionId& id);
+std::string ToHex(std::uint64_t value);
+
+// Parses 32 hexadecimal characters; empty if the text is anything else.
+std::optional<SubmissionId> ParseSubmissionId(std::string_view text);
+
+}  // namespace dottereltrack
+
+template <>
+struct std::hash<dottereltrack::SubmissionId> {
+  std::size_t operator()(const dottereltrack::SubmissionId& id) const noexcept;
+};
+template <>
+struct std::hash<dottereltrack::TaskId> {
+  std::size_t operator()(const dottereltrack::TaskId& id) const noexcept;
+};
--- /dev/null
+++ b/src/core/job.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/outcome.h"
+#include "core/shared.h"
+#include "core/time.h"
+
+namespace dottereltrack {
+
+// What a task takes from a minion while it runs, beside one slot.
+struct Needs {
+  std::uint64_t memory_bytes = 0;
+  std::uint32_t accelerators = 0;
+  friend auto operator<=>(const Needs&, const Needs&) = default;
+};
+
+// One task as the caller describes it.
+struct TaskSpec {
+  Bytes payload;
+  // Declared run time on a minion of speed 1; often far off.
+  milliseconds declared_time{200};
+  Needs needs;
+  friend bool operator==(const TaskSpec&, const TaskSpec&) = default;
+};
+
+// Restricts where tasks may run: each named label of the minion must have one
+// of the listed values. An empty selector matches every minion.
+struct Selector {
+  std::map<std::string, std::vector<std::string>> allowed;
+  friend bool operator==(const Selector&, const Selector&) = default;
+};
+
+// A job as a caller submits it.
+struct SubmitRequest {
+  std::string team;
+  std::string key;
+  // Kind of work; run times are learned per kind and minion.
+  std::string kind;
+  Selector selector;
+  // Time from acceptance until the job must have its answer.
+  milliseconds deadline{60'000};
+  std::vector<TaskSpec> tasks;
+  // Digest of the body as received; tells a resubmission from a reused key.
+  std::uint64_t body_digest = 0;
+  friend bool operator==(const SubmitRequest&, const SubmitRequest&) = default;
+};
+
+// Where a task stands at the dispatcher. A task with an outcome is kFinal.
+enum class TaskState { kQueued, kSent, kFinal };
+
+// One task of a job that the dispatcher has accepted.
+struct Task {
+  TaskId id;
+  TaskState state = TaskState::kQueued;
+  // The agent and the fence of the newest start; meaningful once sent.
+  AgentId agent;
+  Fence fence;
+  std::uint64_t start_seq = 0;
+  BootTime sent_at{0};
+  // Starts that were proved not to have happened.
+  std::uint32_t refused_starts = 0;
+  std::optional<TaskOutcome> outcome;
+
+  const TaskId& Key() const { return id; }
+  friend bool operator==(const Task&, const Task&) = default;
+};
+
+enum class JobState { kWitnessing, kOpen, kComplete, kFailed };
+
+// A submission that the dispatcher has accepted.
+struct Job {
+  SubmissionId id;
+  std::string team;
+  std::uint64_t body_digest = 0;
+  std::uint32_t task_count = 0;
+  JobState state = JobState::kOpen;
+  // Order of acceptance at this dispatcher.
+  std::uint64_t arrival_seq = 0;
+  BootTime accepted_at{0};
+  BootTime deadline_at{0};
+  BootTime finished_at{0};
+  // The body; emptied when the job has its answer.
+  Shared<SubmitRequest> body;
+  std::uint32_t final_tasks = 0;
+  std::uint32_t bad_tasks = 0;
+  // Stable code of the reason of a failed job; empty for a complete one.
+  std::string failure;
+  // Witness acknowledgements that an opaque key still waits for.
+  std::uint32_t witnesses_missing = 0;
+
+  const SubmissionId& Key() const { return id; }
+  friend bool operator==(const Job&, const Job&) = default;
+};
+
+// The whole answer to a submission. It is made once and never changes.
+struct Answer {
+  SubmissionId id;
+  bool complete = false;
+  std::string failure;
+  std::vector<TaskOutcome> outcomes;
+  friend bool operator==(const Answer&, const Answer&) = default;
+};
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/outcome.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "core/shared.h"
+#include "core/time.h"
+
+namespace dottereltrack {
+
+struct Task;
+struct TaskRefused;
+struct InventoryStatus;
+
+// Evidence that a task was never handed to a minion. Only the functions below
+// make one, so code that has no evidence cannot state that a task did not run.
+class ProofNotStarted {
+ public:
+  enum class Ground { kNeverSent, kRefusedByAgent, kAbsentFromInventory };
+
+  Ground ground() const { return ground_; }
+  friend bool operator==(const ProofNotStarted&,
+                         const ProofNotStarted&) = default;
+
+ private:
+  explicit ProofNotStarted(Ground ground) : ground_(ground) {}
+  friend std::optional<ProofNotStarted> ProveNeverSent(const Task& task);
+  friend std::optional<ProofNotStarted> ProveRefused(
+      const Task& task, const TaskRefused& refusal);
+  friend std::optional<ProofNotStarted> ProveAbsent(
+      const Task& task, const InventoryStatus& inventory);
+  friend ProofNotStarted ProveNeverAccepted();
+
+  Ground ground_;
+};
+
+// The task ran and the minion answered with success.
+struct Done {
+  Bytes result;
+  friend bool operator==(const Done&, const Done&) = default;
+};
+
+// The task started and the minion reported an error.
+struct Failed {
+  std::string message;
+  friend bool operator==(const Failed&, const Failed&) = default;
+};
+
+// The task did not start and never will.
+struct NotRun {
+  std::string reason;
+  ProofNotStarted proof;
+  friend bool operator==(const NotRun&, const NotRun&) = default;
+};
+
+// The task may or may not have run.
+struct Unknown {
+  std::string reason;
+  friend bool operator==(const Unknown&, const Unknown&) = default;
+};
+
+using TaskOutcome = std::variant<Done, Failed, NotRun, Unknown>;
+
+// Why a request was refused. ToString gives the stable code for callers.
+enum class RefusalKind {
+  kInvalidRequest,
+  kUnknownTeam,
+  kKeyReused,
+  kKeyExpired,
+  kKeyInFuture,
+  kOverloaded,
+  kQuotaExceeded,
+  kDeadlineTooShort,
+  kNoDispatcher,
+  kStopping,
+  kNotFound,
+  kVersionConflict,
+  kStoreUnavailable,
+  kUndecided,
+};
+
+// The stable code of a refusal, as callers see it.
+const char* ToString(RefusalKind kind);
+
+// A request that was not served. With a proof it says not_run, without one
+// unknown. The message names the remedy.
+struct Refusal {
+  RefusalKind kind = RefusalKind::kInvalidRequest;
+  std::string message;
+  std::optional<ProofNotStarted> not_run;
+  std::optional<milliseconds> retry_after;
+  friend bool operator==(const Refusal&, const Refusal&) = default;
+};
+
+// A task that still waits in the queue was never sent.
+std::optional<ProofNotStarted> ProveNeverSent(const Task& task);
+
+// The agent that got this very start, under the same fence, refused it.
+std::optional<ProofNotStarted> ProveRefused(const Task& task,
+                                            const TaskRefused& refusal);
+
+// The agent was fenced after the start was sent and its ledger lacks the task.
+std::optional<ProofNotStarted> ProveAbsent(const Task& task,
+                                           const InventoryStatus& inventory);
+
+// For a request that is turned away before any of its tasks exists here.
+ProofNotStarted ProveNeverAccepted();
+
+}  // namespace dottereltrack
