--- /dev/null
+++ b/src/core/agent/changes.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/agent/board.h"
+#include "core/agent/events.h"
+
+namespace dottereltrack {
+
+struct SetMinion {
+  MinionDescription minion;
+};
+struct SetFence {
+  Fence fence;
+  LinkId link;
+};
+struct SetHandledSeq {
+  std::uint64_t seq = 0;
+  BootTime at{0};
+};
+struct SetAckedSeq {
+  std::uint64_t seq = 0;
+};
+struct SetAgentTable {
+  StoredTable table;
+};
+struct SetAgentConfig {
+  StoredConfig config;
+};
+struct SetAgentStopping {
+  BootTime since{0};
+};
+struct SetLeaveSent {
+  bool sent = false;
+};
+struct CountAgent {
+  AgentCounter counter;
+  std::uint64_t n = 1;
+};
+
+using AgentRowChange =
+    std::variant<Put<LedgerRow>, Erase<LedgerRow>, Put<WitnessRow>,
+                 Erase<WitnessRow>, Put<EntryLink>, Erase<EntryLink>,
+                 Put<EntryDial>, Erase<EntryDial>, SetMinion, SetFence,
+                 SetHandledSeq, SetAckedSeq, SetAgentTable, SetAgentConfig,
+                 SetAgentStopping, SetLeaveSent, CountAgent>;
+
+struct SendToEntry {
+  LinkId link;
+  AgentToEntry message;
+};
+// Sends the task to the minion, once, on a fresh connection.
+struct StartOnMinion {
+  TaskStart start;
+};
+struct AbortOnMinion {
+  TaskId task;
+};
+struct DialEntry {
+  Endpoint address;
+};
+struct CloseEntryLink {
+  LinkId link;
+};
+struct ExitAgent {};
+
+using AgentEffect = std::variant<SendToEntry, StartOnMinion, AbortOnMinion,
+                                 DialEntry, CloseEntryLink, ExitAgent>;
+
+// What a controller of the agent wants changed and sent.
+struct AgentChanges {
+  std::vector<AgentRowChange> rows;
+  std::vector<AgentEffect> effects;
+
+  template <typename Change>
+  void Add(Change change) {
+    if constexpr (std::is_constructible_v<AgentRowChange, Change>) {
+      rows.emplace_back(std::move(change));
+    } else {
+      effects.emplace_back(std::move(change));
+    }
+  }
+  void Append(AgentChanges other) {
+    for (auto& row : other.rows) rows.push_back(std::move(row));
+    for (auto& effect : other.effects) effects.push_back(std::move(effect));
+  }
+};
+
+// Applies the row changes in order and keeps the indexes.
+void Apply(AgentBoard* board, const AgentChanges& changes);
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/agent/draining.cpp
@@ -0,0 +1,82 @@
+#include "core/agent/draining.h"
+
+#include <algorithm>
+
+#include "core/agent/results.h"
+
+namespace dottereltrack {
+namespace {
+
+AgentChanges TellEntries(const AgentBoard& board,
+                         const MinionDescription& minion, bool leaving) {
+  AgentChanges changes;
+  for (const auto& [id, link] : board.links) {
+    changes.Add(SendToEntry{id, MinionUpdate{AckOf(board), minion, leaving}});
+    changes.Add(CountAgent{AgentCounter::kMessagesSent});
+  }
+  return changes;
+}
+
+bool IsInRoster(const AgentBoard& board) {
+  const auto& roster = board.table.table.roster;
+  return std::any_of(roster.begin(), roster.end(), [&](const RosterAgent& it) {
+    return it.id == board.settings.id;
+  });
+}
+
+}  // namespace
+
+bool IsDraining(const AgentBoard& board) {
+  if (board.stopping || !board.minion || board.minion->draining) return true;
+  const auto& drained = board.config.config.drained_minions;
+  return std::find(drained.begin(), drained.end(), board.minion->name) !=
+         drained.end();
+}
+
+AgentChanges HandleMinionAnnounces(const AgentBoard& board,
+                                   const MinionAnnounces& event,
+                                   const Now& now) {
+  AgentChanges changes;
+  if (board.minion == event.minion) return changes;
+  if (board.minion && board.minion->instance != event.minion.instance) {
+    changes.Append(EndRunningTasks(board, now));
+  }
+  changes.Add(SetMinion{event.minion});
+  changes.Append(TellEntries(board, event.minion, false));
+  return changes;
+}
+
+AgentChanges HandleMinionLeaves(const AgentBoard& board) {
+  AgentChanges changes;
+  if (!board.minion || board.minion->draining) return changes;
+  MinionDescription minion = *board.minion;
+  minion.draining = true;
+  changes.Add(SetMinion{minion});
+  changes.Append(TellEntries(board, minion, false));
+  return changes;
+}
+
+AgentChanges HandleAgentStop(const AgentBoard& board, const Now& now) {
+  AgentChanges changes;
+  if (board.stopping) return changes;
+  changes.Append(HandleMinionLeaves(board));
+  changes.Add(SetAgentStopping{now.boot});
+  return changes;
+}
+
+AgentChanges LeaveWhenIdle(const AgentBoard& board, const Now& now) {
+  AgentChanges changes;
+  if (!board.stopping) return changes;
+  const bool waited =
+      board.stopping_since + board.settings.leave_timeout <= now.boot;
+  if (!board.running.empty()) return changes;
+  if (!board.minion || !IsInRoster(board) || waited) {
+    changes.Add(ExitAgent{});
+  } else if (!board.leave_sent) {
+    changes.Append(TellEntries(board, *board.minion, true));
+    changes.Add(SetLeaveSent{true});
+  }
+  return changes;
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/agent/starts.cpp
@@ -0,0 +1,82 @@
+#include "core/agent/starts.h"
+
+#include <algorithm>
+
+#include "core/agent/draining.h"
+#include "core/agent/results.h"
+
+namespace dottereltrack {
+namespace {
+
+// Whether slots, connections, memory and accelerators are free for the task.
+bool HasRoom(const AgentBoard& board, const Needs& needs) {
+  const MinionDescription& minion = *board.minion;
+  if (board.running.size() >= std::min(minion.slots, minion.connections)) {
+    return false;
+  }
+  Needs used;
+  for (const TaskId& id : board.running) {
+    const LedgerRow& row = *board.ledger.Find(id);
+    used.memory_bytes += row.needs.memory_bytes;
+    used.accelerators += row.needs.accelerators;
+  }
+  return used.memory_bytes + needs.memory_bytes <= minion.memory_bytes &&
+         used.accelerators + needs.accelerators <= minion.accelerators;
+}
+
+}  // namespace
+
+std::optional<StartRefusal> CheckStart(const AgentBoard& board,
+                                       const Fence& fence,
+                                       const TaskStart& start) {
+  if (fence != board.fence) return StartRefusal::kStaleFence;
+  if (!board.minion || board.minion->instance != start.minion_instance) {
+    return StartRefusal::kStaleInstance;
+  }
+  if (IsDraining(board)) return StartRefusal::kDraining;
+  if (!HasRoom(board, start.needs)) return StartRefusal::kNoSlot;
+  return std::nullopt;
+}
+
+AgentChanges HandleStart(const AgentBoard& board, LinkId link,
+                         const Fence& fence, const TaskStart& start,
+                         const Now& now) {
+  AgentChanges changes;
+  const auto refusal = CheckStart(board, fence, start);
+  if (refusal == StartRefusal::kStaleFence) {
+    changes.Add(CountAgent{AgentCounter::kStaleFenceMessages});
+    changes.Append(SendRefusal(board, link, {start.id, fence, *refusal}));
+    return changes;
+  }
+  if (const LedgerRow* row = board.ledger.Find(start.id)) {
+    changes.Add(CountAgent{AgentCounter::kDuplicateStartsDropped});
+    if (row->entry.state != LedgerState::kRunning) {
+      changes.Append(SendResult(board, *row));
+    }
+    return changes;
+  }
+  if (refusal) {
+    changes.Append(SendRefusal(board, link, {start.id, fence, *refusal}));
+    return changes;
+  }
+  LedgerRow row;
+  row.entry.id = start.id;
+  row.entry.job_size = start.job_size;
+  row.entry.body_digest = start.body_digest;
+  row.recorded_at = now.boot;
+  row.needs = start.needs;
+  changes.Add(Put<LedgerRow>{row});
+  changes.Add(CountAgent{AgentCounter::kStarts});
+  changes.Add(StartOnMinion{start});
+  return changes;
+}
+
+AgentChanges HandleCancel(const AgentBoard& board, const Fence& fence,
+                          const TaskId& task) {
+  AgentChanges changes;
+  if (fence != board.fence || board.running.count(task) == 0) return changes;
+  changes.Add(AbortOnMinion{task});
+  return changes;
+}
+
+}  // namespace dottereltrack
--- a/src/core/cell.h
+++ b/src/core/cell.h
@@ -33,6 +33,15 @@
   friend auto operator<=>(const RosterAgent&, const RosterAgent&) = default;
 };
 
+// An agent that left the roster before its records were copied elsewhere.
+struct LostAgent {
+  AgentId id;
+  std::string rack;
+  // Unix time in milliseconds after which its records would have expired.
+  std::int64_t expires_wall_ms = 0;
+  friend auto operator<=>(const LostAgent&, const LostAgent&) = default;
+};
+
 // The one value that says who dispatches for a cell. It is kept in the store
 // and replaced only by compare-and-swap.
 struct CellTable {
@@ -40,6 +49,10 @@
   EntryId dispatcher;
   std::vector<Member> members;
   std::vector<RosterAgent> roster;
+  std::vector<LostAgent> lost;
+  // Unix time in milliseconds since which the roster has spanned two racks;
+  // zero while it does not. Opaque keys have two witnesses only since then.
+  std::int64_t two_racks_since_ms = 0;
   // Tells the writer, after a lost answer, whether this value is its own.
   std::uint64_t writer_nonce = 0;
   friend bool operator==(const CellTable&, const CellTable&) = default;
--- /dev/null
+++ b/src/core/entry/agent_messages.cpp
@@ -0,0 +1,54 @@
+#include "core/entry/agent_messages.h"
+
+#include <algorithm>
+
+namespace dottereltrack {
+namespace {
+
+// Marks closer together than this are merged into the earlier one, which only
+// makes the authority expire sooner.
+constexpr milliseconds kMarkSpacing{50};
+
+}  // namespace
+
+AgentRow AfterSend(const AgentRow& agent, const Now& now) {
+  AgentRow next = agent;
+  const std::uint64_t seq = next.next_seq++;
+  next.last_sent_at = now.boot;
+  const bool spaced = next.unacked.empty() ||
+                      next.unacked.back().sent_at + kMarkSpacing <= now.boot;
+  if (spaced) next.unacked.push_back({seq, now.boot});
+  return next;
+}
+
+AgentRow AfterAck(const AgentRow& agent, const AgentAck& ack) {
+  AgentRow next = agent;
+  if (ack.fence != agent.fence) return next;
+  auto it = next.unacked.begin();
+  while (it != next.unacked.end() && it->seq <= ack.seq) {
+    next.acked_sent_at = std::max(next.acked_sent_at, it->sent_at);
+    ++it;
+  }
+  next.unacked.erase(next.unacked.begin(), it);
+  return next;
+}
+
+const AgentRow* FindAgentByLink(const EntryBoard& board, LinkId link) {
+  for (const auto& [id, agent] : board.agents) {
+    if (agent.link == link && agent.phase != AgentPhase::kLost) return &agent;
+  }
+  return nullptr;
+}
+
+bool IsUsable(const EntryBoard& board, const AgentRow& agent) {
+  const auto& roster = board.table.table.roster;
+  return agent.phase == AgentPhase::kFenced &&
+         std::any_of(roster.begin(), roster.end(),
+                     [&](const RosterAgent& it) { return it.id == agent.id; });
+}
+
+std::string RackOf(const MinionDescription& minion) {
+  return minion.rack.empty() ? "minion:" + minion.name : minion.rack;
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/entry/apply.cpp
@@ -0,0 +1,205 @@
+#include <type_traits>
+
+#include "core/entry/changes.h"
+
+namespace dottereltrack {
+namespace {
+
+template <typename Row>
+Table<Row>& TableOf(EntryBoard* board) {
+  if constexpr (std::is_same_v<Row, Job>) return board->jobs;
+  if constexpr (std::is_same_v<Row, Task>) return board->tasks;
+  if constexpr (std::is_same_v<Row, ClosedSubmission>) return board->closed;
+  if constexpr (std::is_same_v<Row, Waiter>) return board->waiters;
+  if constexpr (std::is_same_v<Row, OpenCall>) return board->calls;
+  if constexpr (std::is_same_v<Row, AgentRow>) return board->agents;
+  if constexpr (std::is_same_v<Row, InventoryStatus>) {
+    return board->inventories;
+  }
+  if constexpr (std::is_same_v<Row, RecoveredTask>) return board->recovered;
+  if constexpr (std::is_same_v<Row, WitnessRecord>) return board->witnesses;
+  if constexpr (std::is_same_v<Row, MinionSpeed>) return board->speeds;
+  if constexpr (std::is_same_v<Row, MinionHealth>) return board->health;
+  if constexpr (std::is_same_v<Row, PeerRow>) return board->peers;
+  if constexpr (std::is_same_v<Row, Reprotection>) {
+    return board->reprotections;
+  }
+  if constexpr (std::is_same_v<Row, CancelRequest>) return board->cancels;
+  if constexpr (std::is_same_v<Row, PendingConfigChange>) {
+    return board->config_changes;
+  }
+}
+
+bool IsOpen(const Job& job) {
+  return job.state != JobState::kComplete && job.state != JobState::kFailed;
+}
+
+void IndexJob(EntryBoard* board, const Job& job) {
+  if (IsOpen(job)) {
+    board->open_by_deadline.emplace(job.deadline_at, job.id);
+    if (job.state == JobState::kOpen && job.final_tasks == job.task_count) {
+      board->decided_jobs.insert(job.id);
+    }
+  } else {
+    board->final_by_age.emplace(job.finished_at, job.id);
+  }
+}
+
+void UnindexJob(EntryBoard* board, const Job& job) {
+  board->open_by_deadline.erase({job.deadline_at, job.id});
+  board->final_by_age.erase({job.finished_at, job.id});
+  board->decided_jobs.erase(job.id);
+}
+
+void RemoveRecord(EntryBoard* board, AgentId holder, const TaskId& id) {
+  const auto it = board->records_by_holder.find(holder);
+  if (it == board->records_by_holder.end()) return;
+  it->second.erase(id);
+  if (it->second.empty()) board->records_by_holder.erase(it);
+}
+
+void IndexTask(EntryBoard* board, const Task& task) {
+  if (task.holder != AgentId{}) {
+    board->records_by_holder[task.holder].insert(task.id);
+  }
+  const Job* job = board->jobs.Find(task.id.submission);
+  if (job == nullptr) return;
+  if (task.state == TaskState::kQueued) {
+    board->queue_by_team[job->team].insert({job->arrival_seq, task.id});
+    ++board->queued_tasks;
+  } else if (task.state == TaskState::kSent) {
+    ++board->in_progress_by_team[job->team];
+    board->sent_by_agent[task.agent].insert(task.id);
+  }
+}
+
+void UnindexQueued(EntryBoard* board, const Job& job, const Task& task) {
+  const auto it = board->queue_by_team.find(job.team);
+  if (it == board->queue_by_team.end()) return;
+  it->second.erase({job.arrival_seq, task.id});
+  if (it->second.empty()) board->queue_by_team.erase(it);
+  --board->queued_tasks;
+}
+
+void UnindexSent(EntryBoard* board, const Job& job, const Task& task) {
+  const auto team = board->in_progress_by_team.find(job.team);
+  if (--team->second == 0) board->in_progress_by_team.erase(team);
+  const auto agent = board->sent_by_agent.find(task.agent);
+  agent->second.erase(task.id);
+  if (agent->second.empty()) board->sent_by_agent.erase(agent);
+}
+
+void UnindexTask(EntryBoard* board, const Task& task) {
+  RemoveRecord(board, task.holder, task.id);
+  const Job* job = board->jobs.Find(task.id.submission);
+  if (job == nullptr) return;
+  if (task.state == TaskState::kQueued) UnindexQueued(board, *job, task);
+  if (task.state == TaskState::kSent) UnindexSent(board, *job, task);
+}
+
+// Applies one change of the board. Job rows come before the task rows that
+// refer to them, and task rows are erased before their job.
+struct Applier {
+  EntryBoard* board;
+
+  template <typename Row>
+  void operator()(const Put<Row>& change) const {
+    TableOf<Row>(board).Put(change.row);
+  }
+  template <typename Row>
+  void operator()(const Erase<Row>& change) const {
+    TableOf<Row>(board).Erase(change.key);
+  }
+  void operator()(const Put<Job>& change) const {
+    if (const Job* old = board->jobs.Find(change.row.id)) {
+      UnindexJob(board, *old);
+    }
+    board->jobs.Put(change.row);
+    IndexJob(board, change.row);
+  }
+  void operator()(const Erase<Job>& change) const {
+    if (const Job* old = board->jobs.Find(change.key)) UnindexJob(board, *old);
+    board->jobs.Erase(change.key);
+  }
+  void operator()(const Put<Task>& change) const {
+    if (const Task* old = board->tasks.Find(change.row.id)) {
+      UnindexTask(board, *old);
+    }
+    board->tasks.Put(change.row);
+    IndexTask(board, change.row);
+  }
+  void operator()(const Erase<Task>& change) const {
+    if (const Task* old = board->tasks.Find(change.key)) {
+      UnindexTask(board, *old);
+    }
+    board->tasks.Erase(change.key);
+  }
+  void operator()(const Put<RecoveredTask>& change) const {
+    if (const auto* old = board->recovered.Find(change.row.entry.id)) {
+      RemoveRecord(board, old->holder, old->entry.id);
+    }
+    board->recovered.Put(change.row);
+    board->records_by_holder[change.row.holder].insert(change.row.entry.id);
+  }
+  void operator()(const Erase<RecoveredTask>& change) const {
+    if (const auto* old = board->recovered.Find(change.key)) {
+      RemoveRecord(board, old->holder, change.key);
+    }
+    board->recovered.Erase(change.key);
+  }
+  void operator()(const Put<OpenCall>& change) const {
+    const OpenCall& call = change.row;
+    board->calls.Put(call);
+    if (call.served_here || call.forwarded_to != LinkId{}) {
+      board->waiting_calls.erase(call.id);
+    } else {
+      board->waiting_calls.insert(call.id);
+    }
+  }
+  void operator()(const Erase<OpenCall>& change) const {
+    board->calls.Erase(change.key);
+    board->waiting_calls.erase(change.key);
+  }
+  void operator()(const Put<WitnessRecord>& change) const {
+    const SubmissionId& id = change.row.entry.submission;
+    board->witnesses.Put(change.row);
+    if (change.row.chosen.empty()) {
+      board->unsent_witnesses.erase(id);
+    } else {
+      board->unsent_witnesses.insert(id);
+    }
+  }
+  void operator()(const Erase<WitnessRecord>& change) const {
+    board->witnesses.Erase(change.key);
+    board->unsent_witnesses.erase(change.key);
+  }
+  void operator()(const SetAuthority& change) const {
+    board->authority = change.authority;
+  }
+  void operator()(const SetTable& change) const { board->table = change.table; }
+  void operator()(const SetConfig& change) const {
+    board->config = change.config;
+  }
+  void operator()(const SetStoreStatus& change) const {
+    board->store = change.status;
+  }
+  void operator()(const SetStopping&) const { board->stopping = true; }
+  void operator()(const SetConfirmedDead& change) const {
+    board->confirmed_dead = change.agents;
+  }
+  void operator()(const TakeArrivalSeq&) const { ++board->next_arrival_seq; }
+  void operator()(const TakeRequestId&) const { ++board->next_request_id; }
+  void operator()(const Count& change) const {
+    board->counters[static_cast<std::size_t>(change.counter)] += change.n;
+  }
+};
+
+}  // namespace
+
+void Apply(EntryBoard* board, const EntryChanges& changes) {
+  for (const EntryRowChange& change : changes.rows) {
+    std::visit(Applier{board}, change);
+  }
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/entry/authority.cpp
@@ -0,0 +1,139 @@
+#include "core/entry/authority.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "core/entry/agent_messages.h"
+
+namespace dottereltrack {
+namespace {
+
+// Whether the agent has acknowledged this generation recently.
+bool IsFresh(const EntryBoard& board, const RosterAgent& member,
+             const Now& now) {
+  const AgentRow* agent = board.agents.Find(member.id);
+  return agent != nullptr && agent->phase == AgentPhase::kFenced &&
+         agent->fence.generation == board.authority.generation &&
+         agent->acked_sent_at + board.settings.authority_timeout > now.boot;
+}
+
+bool HasMajority(const EntryBoard& board,
+                 const std::vector<RosterAgent>& roster, const Now& now) {
+  const auto fresh = std::count_if(
+      roster.begin(), roster.end(),
+      [&](const RosterAgent& it) { return IsFresh(board, it, now); });
+  return static_cast<std::size_t>(fresh) * 2 > roster.size();
+}
+
+// Agents whose acknowledgement is the newest come first.
+std::vector<const AgentRow*> FencedAgents(const EntryBoard& board) {
+  std::vector<const AgentRow*> agents;
+  for (const auto& [id, agent] : board.agents) {
+    if (IsUsable(board, agent)) agents.push_back(&agent);
+  }
+  std::stable_sort(agents.begin(), agents.end(),
+                   [](const AgentRow* a, const AgentRow* b) {
+                     return a->acked_sent_at > b->acked_sent_at;
+                   });
+  return agents;
+}
+
+EntryChanges SendHeartbeat(const AgentRow& agent, const Now& now) {
+  EntryChanges changes;
+  changes.Add(SendToAgent{agent.link, Heartbeat{agent.fence, agent.next_seq}});
+  changes.Add(Put<AgentRow>{AfterSend(agent, now)});
+  changes.Add(Count{Counter::kHeartbeatsSent});
+  changes.Add(Count{Counter::kMessagesToAgents});
+  return changes;
+}
+
+EntryChanges StepDown(const EntryBoard& board) {
+  EntryChanges changes;
+  Authority next;
+  next.next_session = board.authority.next_session;
+  next.generation = board.table.table.generation;
+  changes.Add(SetAuthority{next});
+  changes.Add(Count{Counter::kStepDowns});
+  for (const auto& [id, agent] : board.agents) {
+    if (agent.phase == AgentPhase::kLost) continue;
+    AgentRow row = agent;
+    row.phase = AgentPhase::kConnected;
+    changes.Add(Put<AgentRow>{row});
+  }
+  for (const auto& [key, waiter] : board.waiters) {
+    changes.Add(Erase<Waiter>{key});
+  }
+  for (const auto& [id, task] : board.tasks) changes.Add(Erase<Task>{id});
+  for (const auto& [id, job] : board.jobs) changes.Add(Erase<Job>{id});
+  for (const auto& [id, row] : board.closed) {
+    changes.Add(Erase<ClosedSubmission>{id});
+  }
+  for (const auto& [id, row] : board.recovered) {
+    changes.Add(Erase<RecoveredTask>{id});
+  }
+  for (const auto& [id, row] : board.witnesses) {
+    changes.Add(Erase<WitnessRecord>{id});
+  }
+  for (const auto& [id, row] : board.inventories) {
+    changes.Add(Erase<InventoryStatus>{id});
+  }
+  return changes;
+}
+
+EntryChanges TakeOver(const EntryBoard& board, const Now& now) {
+  Authority next = board.authority;
+  next.role = Role::kTakingOver;
+  next.generation = board.table.table.generation;
+  next.since_boot = now.boot;
+  next.since_wall = now.wall;
+  next.majority_at.reset();
+  next.inventory_settled = false;
+  next.uninventoried.clear();
+  for (const RosterAgent& agent : board.table.table.roster) {
+    next.uninventoried.insert(agent.id);
+  }
+  EntryChanges changes;
+  changes.Add(SetAuthority{next});
+  changes.Add(Count{Counter::kTakeovers});
+  return changes;
+}
+
+}  // namespace
+
+bool HasAuthority(const EntryBoard& board, const Now& now) {
+  const Authority& authority = board.authority;
+  if (authority.role != Role::kDispatcher || !authority.inventory_settled) {
+    return false;
+  }
+  if (!HasMajority(board, board.table.table.roster, now)) return false;
+  const auto& pending = board.store.pending_table;
+  return !pending || HasMajority(board, pending->roster, now);
+}
+
+EntryChanges SendHeartbeats(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  if (board.authority.role == Role::kMember) return changes;
+  const std::size_t majority = board.table.table.roster.size() / 2 + 1;
+  std::size_t rank = 0;
+  for (const AgentRow* agent : FencedAgents(board)) {
+    const milliseconds limit = rank++ < majority
+                                   ? board.settings.majority_heartbeat
+                                   : board.settings.agent_heartbeat;
+    if (agent->last_sent_at + limit > now.boot) continue;
+    changes.Append(SendHeartbeat(*agent, now));
+  }
+  return changes;
+}
+
+EntryChanges FollowTable(const EntryBoard& board, const Now& now) {
+  const CellTable& table = board.table.table;
+  const bool ours = table.dispatcher == board.settings.id;
+  const Role role = board.authority.role;
+  if (ours && table.generation > board.authority.generation) {
+    return TakeOver(board, now);
+  }
+  if (!ours && role != Role::kMember) return StepDown(board);
+  return {};
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/entry/cancellation.cpp
@@ -0,0 +1,108 @@
+#include "core/entry/cancellation.h"
+
+#include <map>
+
+#include "core/entry/agent_messages.h"
+#include "core/entry/outcomes.h"
+#include "core/entry/replies.h"
+
+namespace dottereltrack {
+namespace {
+
+Refusal NotFound() {
+  Refusal refusal;
+  refusal.kind = RefusalKind::kNotFound;
+  refusal.message =
+      "no job of that id is known here; submit again with the same key to "
+      "learn "
+      "its outcome";
+  return refusal;
+}
+
+bool IsFinal(const Job& job) {
+  return job.state == JobState::kComplete || job.state == JobState::kFailed;
+}
+
+// The answer of a job that an earlier dispatcher ran to its end, if the ledgers
+// hold all of it.
+std::optional<Answer> RecoveredAnswer(const EntryBoard& board,
+                                      const SubmissionId& submission) {
+  Answer answer;
+  answer.id = submission;
+  std::uint32_t job_size = 0;
+  for (auto it = board.recovered.LowerBound({submission, 0});
+       it != board.recovered.end() && it->first.submission == submission;
+       ++it) {
+    const LedgerEntry& entry = it->second.entry;
+    const bool next_done = entry.state == LedgerState::kDone &&
+                           !entry.output_dropped &&
+                           entry.id.index == answer.outcomes.size();
+    if (!next_done) return std::nullopt;
+    answer.outcomes.emplace_back(Done{entry.output});
+    job_size = entry.job_size;
+  }
+  if (job_size == 0 || answer.outcomes.size() != job_size) return std::nullopt;
+  answer.complete = true;
+  return answer;
+}
+
+}  // namespace
+
+EntryChanges FetchSubmission(const EntryBoard& board,
+                             const SubmissionId& submission,
+                             const ReplyTo& reply_to) {
+  if (const Job* job = board.jobs.Find(submission)) {
+    if (IsFinal(*job)) return SendReply(board, reply_to, AnswerOf(board, *job));
+    return SendReply(board, reply_to, StillOpen{submission});
+  }
+  if (const auto* closed = board.closed.Find(submission)) {
+    return SendReply(board, reply_to, closed->refusal);
+  }
+  if (auto answer = RecoveredAnswer(board, submission)) {
+    return SendReply(board, reply_to, std::move(*answer));
+  }
+  return SendReply(board, reply_to, NotFound());
+}
+
+EntryChanges CancelSubmission(const EntryBoard& board,
+                              const SubmissionId& submission,
+                              const ReplyTo& reply_to) {
+  const Job* job = board.jobs.Find(submission);
+  if (job == nullptr || IsFinal(*job)) {
+    return FetchSubmission(board, submission, reply_to);
+  }
+  EntryChanges changes;
+  std::vector<TaskDecision> decisions;
+  for (std::uint32_t n = 0; n < job->task_count; ++n) {
+    const Task& task = *board.tasks.Find({submission, n});
+    if (const auto proof = ProveNeverSent(task)) {
+      decisions.push_back({task.id, NotRun{"cancelled", *proof}});
+    } else if (task.state == TaskState::kSent) {
+      changes.Add(Put<CancelRequest>{{task.id, task.agent}});
+    }
+  }
+  changes.Append(FinishTasks(board, decisions));
+  changes.Add(Put<Waiter>{{submission, reply_to}});
+  return changes;
+}
+
+EntryChanges FlushCancels(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  std::map<AgentId, CancelTasks> messages;
+  for (const auto& [id, request] : board.cancels) {
+    messages[request.agent].tasks.push_back(id);
+    changes.Add(Erase<CancelRequest>{id});
+  }
+  for (auto& [id, message] : messages) {
+    const AgentRow* agent = board.agents.Find(id);
+    if (agent == nullptr || agent->phase != AgentPhase::kFenced) continue;
+    message.fence = agent->fence;
+    message.seq = agent->next_seq;
+    changes.Add(SendToAgent{agent->link, std::move(message)});
+    changes.Add(Put<AgentRow>{AfterSend(*agent, now)});
+    changes.Add(Count{Counter::kMessagesToAgents});
+  }
+  return changes;
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/entry/deadlines.cpp
@@ -0,0 +1,119 @@
+#include "core/entry/deadlines.h"
+
+#include <vector>
+
+#include "core/entry/agent_messages.h"
+#include "core/entry/outcomes.h"
+#include "core/entry/placement.h"
+
+namespace dottereltrack {
+namespace {
+
+void DecideAtDeadline(const EntryBoard& board, const Job& job,
+                      std::vector<TaskDecision>* decisions) {
+  for (std::uint32_t n = 0; n < job.task_count; ++n) {
+    const Task& task = *board.tasks.Find({job.id, n});
+    if (const auto proof = ProveNeverSent(task)) {
+      decisions->push_back({task.id, NotRun{"deadline_passed", *proof}});
+    } else if (task.state == TaskState::kSent) {
+      decisions->push_back(
+          {task.id, Unknown{"it still ran when the deadline passed"}});
+    }
+  }
+}
+
+bool AnyMinionFor(const EntryBoard& board, const Job& job, const Needs& needs) {
+  for (const auto& [id, agent] : board.agents) {
+    if (!IsUsable(board, agent)) continue;
+    if (CanEverFit(agent.minion, needs) &&
+        Matches(job.body->selector, board.config.config, agent.minion)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// A job without bodies of tasks of different needs asks once per distinct need.
+bool IsPlaceable(const EntryBoard& board, const Job& job, const Task& task,
+                 std::vector<Needs>* placeable) {
+  const Needs& needs = job.body->tasks[task.id.index].needs;
+  for (const Needs& known : *placeable) {
+    if (known == needs) return true;
+  }
+  if (!AnyMinionFor(board, job, needs)) return false;
+  placeable->push_back(needs);
+  return true;
+}
+
+void DecideUnplaceable(const EntryBoard& board, const Job& job,
+                       std::vector<TaskDecision>* decisions) {
+  std::vector<Needs> placeable;
+  for (std::uint32_t n = 0; n < job.task_count; ++n) {
+    const Task& task = *board.tasks.Find({job.id, n});
+    const auto proof = ProveNeverSent(task);
+    if (!proof || IsPlaceable(board, job, task, &placeable)) continue;
+    decisions->push_back({task.id, NotRun{"no_eligible_minion", *proof}});
+    return;
+  }
+}
+
+template <typename Row>
+void DropOlder(const Table<Row>& table, BootTime limit, BootTime Row::*time,
+               EntryChanges* changes) {
+  for (const auto& [key, row] : table) {
+    if (row.*time < limit) changes->Add(Erase<Row>{key});
+  }
+}
+
+}  // namespace
+
+EntryChanges ExpireDeadlines(const EntryBoard& board, const Now& now) {
+  std::vector<TaskDecision> decisions;
+  for (const auto& [deadline, id] : board.open_by_deadline) {
+    if (deadline > now.boot) break;
+    const Job& job = *board.jobs.Find(id);
+    if (job.final_tasks == job.task_count) continue;
+    DecideAtDeadline(board, job, &decisions);
+  }
+  return FinishTasks(board, decisions);
+}
+
+EntryChanges ExpireUnplaceable(const EntryBoard& board, const Now& now) {
+  std::vector<TaskDecision> decisions;
+  if (!board.authority.inventory_settled) return {};
+  for (const auto& [team, queue] : board.queue_by_team) {
+    auto it = queue.begin();
+    while (it != queue.end()) {
+      const SubmissionId id = it->task.submission;
+      const Job& job = *board.jobs.Find(id);
+      if (job.accepted_at + board.settings.no_minion_grace > now.boot) break;
+      DecideUnplaceable(board, job, &decisions);
+      it = queue.upper_bound({job.arrival_seq, {id, 0xffffffff}});
+    }
+  }
+  return FinishTasks(board, decisions);
+}
+
+EntryChanges DropExpiredRecords(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  const BootTime limit = now.boot - board.settings.retention;
+  for (const auto& [finished_at, id] : board.final_by_age) {
+    if (finished_at >= limit) break;
+    const std::uint32_t n = board.jobs.Find(id)->task_count;
+    for (std::uint32_t i = 0; i < n; ++i) changes.Add(Erase<Task>{{id, i}});
+    changes.Add(Erase<Job>{id});
+  }
+  DropOlder(board.closed, limit, &ClosedSubmission::closed_at, &changes);
+  DropOlder(board.recovered, limit, &RecoveredTask::seen_at, &changes);
+  DropOlder(board.witnesses, limit, &WitnessRecord::seen_at, &changes);
+  return changes;
+}
+
+EntryChanges ExpireWitnesses(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  (void)board;
+  (void)now;
+  return changes;
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/entry/outcomes.cpp
@@ -0,0 +1,210 @@
+#include "core/entry/outcomes.h"
+
+#include <map>
+#include <string>
+
+#include "core/entry/replies.h"
+#include "core/entry/witnesses.h"
+
+namespace dottereltrack {
+namespace {
+
+bool IsBad(const TaskOutcome& outcome) {
+  return !std::holds_alternative<Done>(outcome);
+}
+
+const char* FailureCodeOf(const TaskOutcome& outcome) {
+  if (std::holds_alternative<Failed>(outcome)) return "task_failed";
+  if (std::holds_alternative<Unknown>(outcome)) return "task_unknown";
+  return "task_not_run";
+}
+
+// Collects the outcomes of one call, so that a job whose tasks end together is
+// counted once for each task.
+class Decider {
+ public:
+  explicit Decider(const EntryBoard& board) : board_(board) {}
+
+  void Decide(const Task& task, const TaskOutcome& outcome) {
+    if (task.outcome || decided_.count(task.id) != 0) return;
+    Job* job = StageJob(task.id.submission);
+    if (job == nullptr) return;
+    Task next = task;
+    next.state = TaskState::kFinal;
+    next.outcome = outcome;
+    ++job->final_tasks;
+    if (IsBad(outcome)) CountBad(job, outcome);
+    if (std::holds_alternative<Unknown>(outcome)) ++unknown_;
+    decided_.emplace(task.id, std::move(next));
+  }
+
+  // Ends the queued tasks of each job that can no longer be complete.
+  void StopBadJobs() {
+    for (const auto& [id, job] : jobs_) {
+      if (job.bad_tasks == 0) continue;
+      for (std::uint32_t n = 0; n < job.task_count; ++n) {
+        const Task* task = board_.tasks.Find({id, n});
+        if (task == nullptr) continue;
+        const auto proof = ProveNeverSent(*task);
+        if (proof) Decide(*task, NotRun{"job_failed", *proof});
+      }
+    }
+  }
+
+  EntryChanges Take() {
+    EntryChanges changes;
+    for (auto& [id, task] : decided_) changes.Add(Put<Task>{std::move(task)});
+    for (auto& [id, job] : jobs_) changes.Add(Put<Job>{std::move(job)});
+    if (unknown_ > 0) changes.Add(Count{Counter::kOutcomesUnknown, unknown_});
+    return changes;
+  }
+
+ private:
+  Job* StageJob(const SubmissionId& id) {
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end()) return &it->second;
+    const Job* job = board_.jobs.Find(id);
+    if (job == nullptr) return nullptr;
+    return &jobs_.emplace(id, *job).first->second;
+  }
+
+  static void CountBad(Job* job, const TaskOutcome& outcome) {
+    ++job->bad_tasks;
+    if (!job->failure.empty()) return;
+    const auto* not_run = std::get_if<NotRun>(&outcome);
+    job->failure =
+        not_run != nullptr ? not_run->reason : FailureCodeOf(outcome);
+  }
+
+  const EntryBoard& board_;
+  std::map<SubmissionId, Job> jobs_;
+  std::map<TaskId, Task> decided_;
+  std::uint64_t unknown_ = 0;
+};
+
+bool HasUnrunTask(const EntryBoard& board, const Job& job) {
+  if (job.bad_tasks == 0) return false;
+  for (std::uint32_t n = 0; n < job.task_count; ++n) {
+    const Task* task = board.tasks.Find({job.id, n});
+    if (std::holds_alternative<NotRun>(*task->outcome)) return true;
+  }
+  return false;
+}
+
+EntryChanges CloseJob(const EntryBoard& board, const Job& job, const Now& now) {
+  Job next = job;
+  next.state = JobState::kClosing;
+  EntryChanges changes;
+  changes.Add(Put<Job>{next});
+  changes.Append(RequestWitnesses(board, {job.id, job.body_digest, true}, now));
+  return changes;
+}
+
+EntryChanges Drop(Counter counter) {
+  EntryChanges changes;
+  changes.Add(Count{counter});
+  return changes;
+}
+
+// A result of a task that an earlier dispatcher started and nobody has asked
+// about yet.
+EntryChanges UpdateRecovered(const EntryBoard& board, const AgentRow& agent,
+                             const TaskResult& result) {
+  const RecoveredTask* recovered = board.recovered.Find(result.id);
+  if (recovered == nullptr || recovered->holder != agent.id) {
+    return Drop(Counter::kLateResultsDropped);
+  }
+  RecoveredTask next = *recovered;
+  next.entry.state = result.state;
+  next.entry.output = result.output;
+  EntryChanges changes;
+  changes.Add(Put<RecoveredTask>{next});
+  return changes;
+}
+
+}  // namespace
+
+EntryChanges FinishTasks(const EntryBoard& board,
+                         const std::vector<TaskDecision>& decisions) {
+  Decider decider(board);
+  for (const TaskDecision& decision : decisions) {
+    const Task* task = board.tasks.Find(decision.id);
+    if (task != nullptr) decider.Decide(*task, decision.outcome);
+  }
+  decider.StopBadJobs();
+  return decider.Take();
+}
+
+EntryChanges EndDecidedJobs(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  for (const SubmissionId& id : board.decided_jobs) {
+    const Job& job = *board.jobs.Find(id);
+    changes.Append(HasUnrunTask(board, job) ? CloseJob(board, job, now)
+                                            : EndJob(board, job, now));
+  }
+  return changes;
+}
+
+EntryChanges EndJob(const EntryBoard& board, const Job& job, const Now& now) {
+  Job next = job;
+  next.state = job.bad_tasks == 0 ? JobState::kComplete : JobState::kFailed;
+  next.finished_at = now.boot;
+  next.body = {};
+  EntryChanges changes;
+  changes.Add(Put<Job>{next});
+  changes.Add(Count{job.bad_tasks == 0 ? Counter::kJobsComplete
+                                       : Counter::kJobsFailed});
+  changes.Append(AnswerWaiters(board, next));
+  return changes;
+}
+
+TaskOutcome OutcomeOf(LedgerState state, const Bytes& output) {
+  switch (state) {
+    case LedgerState::kDone:
+      return Done{output};
+    case LedgerState::kFailed:
+      return Failed{*output};
+    case LedgerState::kRunning:
+    case LedgerState::kUnknown:
+      break;
+  }
+  return Unknown{*output};
+}
+
+EntryChanges HandleResult(const EntryBoard& board, const AgentRow& agent,
+                          const TaskResult& result) {
+  const Task* task = board.tasks.Find(result.id);
+  if (task == nullptr) return UpdateRecovered(board, agent, result);
+  if (task->state != TaskState::kSent || task->agent != agent.id) {
+    return Drop(Counter::kLateResultsDropped);
+  }
+  EntryChanges changes =
+      FinishTasks(board, {{result.id, OutcomeOf(result.state, result.output)}});
+  changes.Add(Count{Counter::kResults});
+  return changes;
+}
+
+EntryChanges HandleRefusedStart(const EntryBoard& board, const AgentRow& agent,
+                                const TaskRefused& refusal) {
+  const Task* task = board.tasks.Find(refusal.id);
+  if (task == nullptr || task->agent != agent.id) {
+    return Drop(Counter::kLateResultsDropped);
+  }
+  const auto proof = ProveRefused(*task, refusal);
+  if (!proof) return Drop(Counter::kLateResultsDropped);
+  EntryChanges changes;
+  changes.Add(Count{Counter::kStartsRefused});
+  const bool job_failed = board.jobs.Find(task->id.submission)->bad_tasks > 0;
+  if (job_failed || task->refused_starts >= board.settings.max_start_retries) {
+    const char* reason = job_failed ? "job_failed" : "start_retries_used_up";
+    changes.Append(FinishTasks(board, {{task->id, NotRun{reason, *proof}}}));
+    return changes;
+  }
+  Task next = *task;
+  next.state = TaskState::kQueued;
+  ++next.refused_starts;
+  changes.Add(Put<Task>{next});
+  return changes;
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/core/entry/reprotection.cpp
@@ -0,0 +1,298 @@
+#include "core/entry/reprotection.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "core/entry/agent_messages.h"
+#include "core/entry/outcomes.h"
+
+namespace dottereltrack {
+namespace {
+
+// Limits of one LedgerCopy message, far below the frame limit.
+constexpr std::size_t kMaxEntriesPerPart = 1'000;
+constexpr std::size_t kMaxBytesPerPart = 1 << 20;
+
+// A roster agent of a takeover that has not come back for this long is removed.
+constexpr milliseconds kMissingTimeout{10'000};
+
+bool IsListed(const CellTable& table, AgentId id) {
+  return std::any_of(table.roster.begin(), table.roster.end(),
+                     [&](const RosterAgent& it) { return it.id == id; });
+}
+
+bool HasRunningTasks(const EntryBoard& board, AgentId id) {
+  return board.sent_by_agent.count(id) != 0;
+}
+
+// Whether the agent holds records that must go elsewhere.
+bool IsGone(const EntryBoard& board, const AgentRow& agent, const Now& now) {
+  if (!IsListed(board.table.table, agent.id)) return false;
+  if (board.authority.uninventoried.count(agent.id) != 0) return false;
+  if (agent.phase == AgentPhase::kLost) {
+    return agent.lost_at + board.settings.agent_timeout <= now.boot;
+  }
+  return agent.leaving && !HasRunningTasks(board, agent.id);
+}
+
+// An agent in another rack, if there is one.
+const AgentRow* ChooseTarget(const EntryBoard& board, const AgentRow& source) {
+  const AgentRow* best = nullptr;
+  for (const auto& [id, agent] : board.agents) {
+    if (id == source.id || agent.leaving || !IsUsable(board, agent)) continue;
+    const bool other_rack = RackOf(agent.minion) != RackOf(source.minion);
+    if (best == nullptr) best = &agent;
+    if (other_rack) return &agent;
+  }
+  return best;
+}
+
+LedgerEntry EntryOfTask(const EntryBoard& board, const Task& task) {
+  const Job& job = *board.jobs.Find(task.id.submission);
+  LedgerEntry entry;
+  entry.id = task.id;
+  entry.job_size = job.task_count;
+  entry.body_digest = job.body_digest;
+  entry.state = LedgerState::kUnknown;
+  entry.output = std::string("its agent was lost");
+  if (!task.outcome) return entry;
+  if (const auto* done = std::get_if<Done>(&*task.outcome)) {
+    entry.state = LedgerState::kDone;
+    entry.output = done->result;
+  } else if (const auto* failed = std::get_if<Failed>(&*task.outcome)) {
+    entry.state = LedgerState::kFailed;
+    entry.output = failed->message;
+  }
+  return entry;
+}
+
+LedgerEntry EntryOfRecord(const EntryBoard& board, const TaskId& id) {
+  if (const Task* task = board.tasks.Find(id)) {
+    return EntryOfTask(board, *task);
+  }
+  LedgerEntry entry = board.recovered.Find(id)->entry;
+  if (entry.state == LedgerState::kRunning) {
+    entry.state = LedgerState::kUnknown;
+  }
+  return entry;
+}
+
+std::vector<LedgerEntry> RecordsOf(const EntryBoard& board, AgentId holder) {
+  std::vector<LedgerEntry> entries;
+  const auto it = board.records_by_holder.find(holder);
+  if (it == board.records_by_holder.end()) return entries;
+  for (const TaskId& id : it->second) {
+    entries.push_back(EntryOfRecord(board, id));
+  }
+  return entries;
+}
+
+std::vector<WitnessEntry> WitnessesOf(const EntryBoard& board, AgentId holder) {
+  std::vector<WitnessEntry> entries;
+  for (const auto& [id, record] : board.witnesses) {
+    if (record.holders.count(holder) != 0) entries.push_back(record.entry);
+  }
+  return entries;
+}
+
+// Splits the records into messages of bounded size.
+std::vector<LedgerCopy> MakeParts(const EntryBoard& board, AgentId source) {
+  std::vector<LedgerCopy> parts;
+  std::size_t bytes = 0;
+  const auto part = [&](std::size_t size) -> LedgerCopy& {
+    const bool full =
+        parts.empty() || bytes + size > kMaxBytesPerPart ||
+        parts.back().entries.size() + parts.back().witnesses.size() >=
+            kMaxEntriesPerPart;
+    if (full) {
+      parts.emplace_back();
+      parts.back().source = source;
+      bytes = 0;
+    }
+    bytes += size;
+    return parts.back();
+  };
+  for (LedgerEntry& entry : RecordsOf(board, source)) {
+    part(entry.output->size()).entries.push_back(std::move(entry));
+  }
+  for (const WitnessEntry& entry : WitnessesOf(board, source)) {
+    part(0).witnesses.push_back(entry);
+  }
+  return parts;
+}
+
+EntryChanges MarkReprotected(const AgentRow& agent) {
+  AgentRow next = agent;
+  next.reprotected = true;
+  EntryChanges changes;
+  changes.Add(Put<AgentRow>{next});
+  return changes;
+}
+
+EntryChanges CopyTo(const AgentRow& source, const AgentRow& target,
+                    std::vector<LedgerCopy> parts, const Now& now) {
+  EntryChanges changes;
+  changes.Add(Put<Reprotection>{{source.id, target.id, target.fence,
+                                 static_cast<std::uint32_t>(parts.size())}});
+  AgentRow next = target;
+  for (LedgerCopy& part : parts) {
+    part.fence = next.fence;
+    part.seq = next.next_seq;
+    next = AfterSend(next, now);
+    changes.Add(SendToAgent{target.link, std::move(part)});
+    changes.Add(Count{Counter::kLedgerCopies});
+    changes.Add(Count{Counter::kMessagesToAgents});
+  }
+  changes.Add(Put<AgentRow>{next});
+  return changes;
+}
+
+bool IsUnderWay(const EntryBoard& board, AgentId source) {
+  const Reprotection* row = board.reprotections.Find(source);
+  if (row == nullptr) return false;
+  const AgentRow* target = board.agents.Find(row->target);
+  return target != nullptr && IsUsable(board, *target) &&
+         target->fence == row->target_fence;
+}
+
+EntryChanges MoveRecords(const EntryBoard& board, AgentId source,
+                         AgentId target) {
+  EntryChanges changes;
+  const auto it = board.records_by_holder.find(source);
+  if (it != board.records_by_holder.end()) {
+    for (const TaskId& id : it->second) {
+      if (const Task* task = board.tasks.Find(id)) {
+        Task next = *task;
+        next.holder = target;
+        changes.Add(Put<Task>{next});
+      }
+      if (const RecoveredTask* recovered = board.recovered.Find(id)) {
+        RecoveredTask next = *recovered;
+        next.holder = target;
+        if (next.entry.state == LedgerState::kRunning) {
+          next.entry.state = LedgerState::kUnknown;
+        }
+        changes.Add(Put<RecoveredTask>{next});
+      }
+    }
+  }
+  for (const auto& [id, record] : board.witnesses) {
+    if (record.holders.count(source) == 0) continue;
+    WitnessRecord next = record;
+    next.holders.erase(source);
+    next.holders.insert(target);
+    changes.Add(Put<WitnessRecord>{next});
+  }
+  return changes;
+}
+
+void NoteLost(const EntryBoard& board, const RosterAgent& agent, const Now& now,
+              CellTable* table) {
+  const std::int64_t expires =
+      now.wall.count() + board.settings.retention.count();
+  table->lost.push_back({agent.id, agent.rack, expires});
+}
+
+// A roster agent of the takeover that has not been seen since.
+bool IsMissingTooLong(const EntryBoard& board, const RosterAgent& agent,
+                      const Now& now) {
+  if (board.authority.uninventoried.count(agent.id) == 0) return false;
+  const AgentRow* row = board.agents.Find(agent.id);
+  const bool away = row == nullptr || row->phase == AgentPhase::kLost;
+  return away && board.authority.inventory_settled &&
+         board.authority.since_boot + kMissingTimeout <= now.boot;
+}
+
+void ForgetReturnedAgents(const EntryBoard& board, CellTable* table) {
+  std::erase_if(table->lost, [&](const LostAgent& it) {
+    const AgentRow* agent = board.agents.Find(it.id);
+    return agent != nullptr && agent->phase == AgentPhase::kFenced &&
+           board.authority.uninventoried.count(it.id) == 0;
+  });
+}
+
+}  // namespace
+
+EntryChanges Reprotect(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  if (!board.authority.inventory_settled) return changes;
+  for (const auto& [id, agent] : board.agents) {
+    if (agent.reprotected || !IsGone(board, agent, now)) continue;
+    if (IsUnderWay(board, id)) continue;
+    std::vector<LedgerCopy> parts = MakeParts(board, id);
+    if (parts.empty()) {
+      changes.Append(MarkReprotected(agent));
+      continue;
+    }
+    const AgentRow* target = ChooseTarget(board, agent);
+    if (target == nullptr) continue;
+    changes.Append(CopyTo(agent, *target, std::move(parts), now));
+    // One source at a time, because each copy changes its target's row.
+    break;
+  }
+  return changes;
+}
+
+EntryChanges HandleLedgerCopyAck(const EntryBoard& board, AgentId target,
+                                 const LedgerCopyAck& ack) {
+  EntryChanges changes;
+  const Reprotection* row = board.reprotections.Find(ack.source);
+  if (row == nullptr || row->target != target) return changes;
+  if (row->unacked_parts > 1) {
+    Reprotection next = *row;
+    --next.unacked_parts;
+    changes.Add(Put<Reprotection>{next});
+    return changes;
+  }
+  changes.Add(Erase<Reprotection>{ack.source});
+  changes.Append(MoveRecords(board, ack.source, target));
+  const AgentRow* source = board.agents.Find(ack.source);
+  if (source != nullptr) changes.Append(MarkReprotected(*source));
+  return changes;
+}
+
+void RemoveReprotectedAgents(const EntryBoard& board, const Now& now,
+                             CellTable* table) {
+  ForgetReturnedAgents(board, table);
+  std::erase_if(table->roster, [&](const RosterAgent& it) {
+    if (IsMissingTooLong(board, it, now)) {
+      NoteLost(board, it, now, table);
+      return true;
+    }
+    const AgentRow* agent = board.agents.Find(it.id);
+    return agent != nullptr && agent->reprotected;
+  });
+}
+
+void RemoveConfirmedDead(const EntryBoard& board, const Now& now,
+                         CellTable* table) {
+  std::erase_if(table->roster, [&](const RosterAgent& it) {
+    if (board.confirmed_dead.count(it.id) == 0) return false;
+    NoteLost(board, it, now, table);
+    return true;
+  });
+}
+
+EntryChanges HandleConfirmDead(const EntryBoard& board,
+                               const OperatorConfirmsDead& event,
+                               const Now& now) {
+  (void)now;
+  EntryChanges changes;
+  if (board.authority.role == Role::kMember) {
+    changes.Add(ReplyToOperator{
+        event.call,
+        Refusal{RefusalKind::kNoDispatcher,
+                "this entry is not the dispatcher; send the command to entry " +
+                    ToHex(board.table.table.dispatcher.value),
+                ProveNeverAccepted(), std::nullopt}});
+    return changes;
+  }
+  std::set<AgentId> dead = board.confirmed_dead;
+  dead.insert(event.agents.begin(), event.agents.end());
+  changes.Add(SetConfirmedDead{std::move(dead)});
+  changes.Add(ReplyToOperator{event.call, board.table});
+  return changes;
+}
+
+}  // namespace dottereltrack
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -62,6 +62,8 @@
   AgentId agent;
   Fence fence;
   std::uint64_t start_seq = 0;
+  // The agent whose ledger holds the record of this task.
+  AgentId holder;
   BootTime sent_at{0};
   // Starts that were proved not to have happened.
   std::uint32_t refused_starts = 0;
@@ -71,7 +73,10 @@
   friend bool operator==(const Task&, const Task&) = default;
 };
 
-enum class JobState { kWitnessing, kOpen, kComplete, kFailed };
+// kWitnessing: waits until the witnesses of an opaque key have answered.
+// kClosing: the outcome is fixed and waits until witnesses have recorded that
+// the submission is closed.
+enum class JobState { kWitnessing, kOpen, kClosing, kComplete, kFailed };
 
 // A submission that the dispatcher has accepted.
 struct Job {
@@ -91,8 +96,6 @@
   std::uint32_t bad_tasks = 0;
   // Stable code of the reason of a failed job; empty for a complete one.
   std::string failure;
-  // Witness acknowledgements that an opaque key still waits for.
-  std::uint32_t witnesses_missing = 0;
 
   const SubmissionId& Key() const { return id; }
   friend bool operator==(const Job&, const Job&) = default;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -30,10 +30,12 @@
   friend bool operator==(const LedgerEntry&, const LedgerEntry&) = default;
 };
 
-// Says that the job of an opaque key may have started.
+// Says that the job of an opaque key may have started, or that a submission is
+// closed: its tasks that no ledger knows must never start.
 struct WitnessEntry {
   SubmissionId submission;
   std::uint64_t body_digest = 0;
+  bool closed = false;
   friend auto operator<=>(const WitnessEntry&, const WitnessEntry&) = default;
 };
 
@@ -247,9 +249,8 @@
 using EntryToAgent =
     std::variant<EntryHello, FenceRequest, Starts, Heartbeat, CancelTasks,
                  WitnessRequest, LedgerCopy, ConfigUpdate, TableUpdate>;
-using AgentToEntry =
-    std::variant<AgentHello, Inventory, Results, HeartbeatAck, WitnessAck,
-                 LedgerCopyAck, MinionUpdate>;
+using AgentToEntry = std::variant<AgentHello, Inventory, Results, HeartbeatAck,
+                                  WitnessAck, LedgerCopyAck, MinionUpdate>;
 using EntryToEntry =
     std::variant<PeerHello, PeerHeartbeat, ForwardSubmit, ForwardFetch,
                  ForwardCancel, ForwardReply, TableUpdate, ConfigUpdate>;
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/support/test_cell.cpp
@@ -0,0 +1,550 @@
+#include "support/test_cell.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace dottereltrack::testing {
+namespace {
+
+constexpr BootTime kTickInterval{50'000};
+// Wall clock at the start of a run, in Unix milliseconds.
+constexpr WallTime kWallStart{1'800'000'000'000};
+// A call to a store that is down fails after this time.
+constexpr BootTime kStoreTimeout{100'000};
+
+}  // namespace
+
+TestCell::TestCell(const CellOptions& options)
+    : options_(options), random_(options.seed) {
+  // Boot time zero means "never" in several rows.
+  now_ = BootTime{1'000'000};
+  entries_.resize(options.entries);
+  agents_.resize(options.agents);
+  for (int n = 0; n < options.entries; ++n) BootEntry(n);
+  for (int n = 0; n < options.agents; ++n) {
+    const auto last = options.speeds.size() - 1;
+    agents_[n].speed = options.speeds[std::min<std::size_t>(n, last)];
+    BootAgent(n);
+  }
+}
+
+void TestCell::RunUntil(BootTime until) {
+  while (!queue_.empty() && queue_.top().at <= until) {
+    const Scheduled next = queue_.top();
+    queue_.pop();
+    now_ = next.at;
+    next.action();
+  }
+  now_ = until;
+}
+
+WallTime TestCell::wall() const {
+  return kWallStart + std::chrono::duration_cast<WallTime>(now_);
+}
+
+CallId TestCell::Submit(int entry, const SubmitRequest& request) {
+  const CallId call{next_id_++};
+  PostToEntry(entry, CallerSubmits{call, request, false});
+  return call;
+}
+
+CallId TestCell::Cancel(int entry, const SubmissionId& submission) {
+  const CallId call{next_id_++};
+  PostToEntry(entry, CallerCancels{call, submission});
+  return call;
+}
+
+CallId TestCell::Fetch(int entry, const SubmissionId& submission) {
+  const CallId call{next_id_++};
+  PostToEntry(entry, CallerFetches{call, submission});
+  return call;
+}
+
+CallId TestCell::SetConfig(int entry, std::uint64_t expected_version,
+                           const CellConfig& config) {
+  const CallId call{next_id_++};
+  PostToEntry(entry, OperatorSetsConfig{call, expected_version, config});
+  return call;
+}
+
+const CallerReply* TestCell::ReplyOf(CallId call) const {
+  const auto it = replies_.find(call);
+  return it == replies_.end() ? nullptr : &it->second;
+}
+
+const ReplyToOperator* TestCell::OperatorReplyOf(CallId call) const {
+  const auto it = operator_replies_.find(call);
+  return it == operator_replies_.end() ? nullptr : &it->second;
+}
+
+void TestCell::KillEntry(int entry) {
+  entries_[entry].alive = false;
+  CloseLinksOf(entry);
+}
+
+void TestCell::KillAgent(int agent) {
+  agents_[agent].alive = false;
+  CloseLinksOf(AgentEnd(agent));
+}
+
+void TestCell::RestartEntry(int entry) {
+  if (!entries_[entry].alive) BootEntry(entry);
+}
+
+void TestCell::RestartAgent(int agent) {
+  if (!agents_[agent].alive) BootAgent(agent);
+}
+
+void TestCell::FreezeEntry(int entry, bool frozen) {
+  EntryNode& node = entries_[entry];
+  node.frozen = frozen;
+  if (frozen || !node.alive) return;
+  RunEntry(entry, std::exchange(node.held, {}));
+}
+
+void TestCell::FreezeAgent(int agent, bool frozen) {
+  AgentNode& node = agents_[agent];
+  node.frozen = frozen;
+  if (frozen || !node.alive) return;
+  RunAgent(agent, std::exchange(node.held, {}));
+}
+
+void TestCell::StopEntry(int entry) { PostToEntry(entry, StopRequested{}); }
+
+void TestCell::StopAgent(int agent) {
+  PostToAgent(agent, AgentStopRequested{});
+}
+
+void TestCell::CutLinks(int entry, int agent) {
+  for (auto& [id, link] : links_) {
+    const bool between = (link.from == AgentEnd(agent) && link.to == entry) ||
+                         (link.to == AgentEnd(agent) && link.from == entry);
+    if (between && link.open) {
+      CloseOne(id, entry);
+      CloseOne(id, AgentEnd(agent));
+    }
+  }
+}
+
+void TestCell::SetMinionFailing(int agent, bool failing) {
+  agents_[agent].failing = failing;
+}
+
+void TestCell::SetMinionSpeed(int agent, double time_ratio) {
+  agents_[agent].speed = time_ratio;
+}
+
+int TestCell::Dispatcher() const {
+  for (int n = 0; n < entry_count(); ++n) {
+    const EntryNode& node = entries_[n];
+    const bool dispatches = node.alive && !node.frozen &&
+                            node.board.authority.role == Role::kDispatcher;
+    if (dispatches) return n;
+  }
+  return -1;
+}
+
+std::vector<TaskId> TestCell::DoubleStarts() const {
+  std::vector<TaskId> tasks;
+  for (const auto& [id, n] : starts_) {
+    if (n > 1) tasks.push_back(id);
+  }
+  return tasks;
+}
+
+void TestCell::At(BootTime at, std::function<void()> action) {
+  queue_.push({at, next_order_++, std::move(action)});
+}
+
+Now TestCell::MakeNow() { return {now_, wall(), random_()}; }
+
+std::uint64_t TestCell::IncarnationOf(int end) const {
+  return IsAgentEnd(end) ? agents_[end - entry_count()].incarnation
+                         : entries_[end].incarnation;
+}
+
+bool TestCell::IsAlive(int end) const {
+  return IsAgentEnd(end) ? agents_[end - entry_count()].alive
+                         : entries_[end].alive;
+}
+
+void TestCell::PostToEntry(int entry, EntryEvent event) {
+  EntryNode& node = entries_[entry];
+  if (!node.alive) return;
+  if (node.frozen) {
+    node.held.push_back(std::move(event));
+  } else {
+    RunEntry(entry, {std::move(event)});
+  }
+}
+
+void TestCell::PostToAgent(int agent, AgentEvent event) {
+  AgentNode& node = agents_[agent];
+  if (!node.alive) return;
+  if (node.frozen) {
+    node.held.push_back(std::move(event));
+  } else {
+    RunAgent(agent, {std::move(event)});
+  }
+}
+
+void TestCell::RunEntry(int entry, const std::vector<EntryEvent>& events) {
+  const auto effects = Advance(&entries_[entry].board, events, MakeNow());
+  for (const EntryEffect& effect : effects) Do(entry, effect);
+}
+
+void TestCell::RunAgent(int agent, const std::vector<AgentEvent>& events) {
+  std::vector<Endpoint> seeds;
+  for (int n = 0; n < entry_count(); ++n) {
+    seeds.push_back({"entry", static_cast<std::uint16_t>(n)});
+  }
+  const auto effects = Advance(&agents_[agent].board, seeds, events, MakeNow());
+  for (const AgentEffect& effect : effects) Do(agent, effect);
+}
+
+void TestCell::Do(int entry, const EntryEffect& effect) {
+  if (const auto* send = std::get_if<SendToAgent>(&effect)) {
+    Deliver(entry, send->link, send->message);
+  } else if (const auto* peer = std::get_if<SendToPeer>(&effect)) {
+    Deliver(entry, peer->link, peer->message);
+  } else if (const auto* reply = std::get_if<ReplyToCaller>(&effect)) {
+    replies_.insert_or_assign(reply->call, CallerReply{reply->reply, now_});
+  } else if (const auto* told = std::get_if<ReplyToOperator>(&effect)) {
+    operator_replies_.insert_or_assign(told->call, *told);
+  } else if (const auto* dial = std::get_if<DialPeer>(&effect)) {
+    const EntryId id = dial->peer;
+    Dial(entry, dial->address, [this, entry, id](bool ok, LinkId link) {
+      if (ok) {
+        PostToEntry(entry, PeerDialed{link, id});
+      } else {
+        PostToEntry(entry, PeerDialFailed{id});
+      }
+    });
+  } else if (const auto* close = std::get_if<CloseLink>(&effect)) {
+    CloseOne(close->link, entry);
+  } else if (std::holds_alternative<ReadTable>(effect)) {
+    ReadStore(entry, true);
+  } else if (std::holds_alternative<ReadConfig>(effect)) {
+    ReadStore(entry, false);
+  } else if (const auto* table = std::get_if<WriteTable>(&effect)) {
+    WriteStore(entry, *table);
+  } else if (const auto* config = std::get_if<WriteConfig>(&effect)) {
+    WriteStore(entry, *config);
+  } else if (std::holds_alternative<ExitProcess>(effect)) {
+    KillEntry(entry);
+  }
+}
+
+void TestCell::Do(int agent, const AgentEffect& effect) {
+  if (const auto* send = std::get_if<SendToEntry>(&effect)) {
+    Deliver(AgentEnd(agent), send->link, send->message);
+  } else if (const auto* start = std::get_if<StartOnMinion>(&effect)) {
+    StartTask(agent, start->start);
+  } else if (const auto* abort = std::get_if<AbortOnMinion>(&effect)) {
+    const TaskId task = abort->task;
+    const std::uint64_t incarnation = agents_[agent].incarnation;
+    At(now_, [this, agent, task, incarnation] {
+      if (agents_[agent].incarnation != incarnation) return;
+      PostToAgent(
+          agent, AttemptEnded{
+                     task, AttemptEnd::kUnknown, std::string("abandoned"), {}});
+    });
+  } else if (const auto* dial = std::get_if<DialEntry>(&effect)) {
+    const Endpoint address = dial->address;
+    Dial(AgentEnd(agent), address,
+         [this, agent, address](bool ok, LinkId link) {
+           if (ok) {
+             PostToAgent(agent, EntryDialed{address, link});
+           } else {
+             PostToAgent(agent, EntryDialFailed{address});
+           }
+         });
+  } else if (const auto* close = std::get_if<CloseEntryLink>(&effect)) {
+    CloseOne(close->link, AgentEnd(agent));
+  } else if (std::holds_alternative<ExitAgent>(effect)) {
+    KillAgent(agent);
+  }
+}
+
+void TestCell::Deliver(int from_end, LinkId link, EntryToAgent message) {
+  DeliverBy(from_end, link, [this, link, message](int to_end) {
+    PostToAgent(to_end - entry_count(), EntrySays{link, message});
+  });
+}
+
+void TestCell::Deliver(int from_end, LinkId link, EntryToEntry message) {
+  DeliverBy(from_end, link, [this, link, message](int to_end) {
+    PostToEntry(to_end, PeerSays{link, message});
+  });
+}
+
+void TestCell::Deliver(int from_end, LinkId link, AgentToEntry message) {
+  DeliverBy(from_end, link, [this, link, message](int to_end) {
+    PostToEntry(to_end, AgentSays{link, message});
+  });
+}
+
+void TestCell::DeliverBy(int from_end, LinkId id,
+                         std::function<void(int to_end)> action) {
+  const auto it = links_.find(id);
+  if (it == links_.end() || !it->second.open) return;
+  Link& link = it->second;
+  ++messages_;
+  const int direction = link.from == from_end ? 0 : 1;
+  const int to_end = direction == 0 ? link.to : link.from;
+  const BootTime at =
+      std::max(now_ + options_.delay, link.last_delivery[direction]);
+  link.last_delivery[direction] = at;
+  At(at, [this, id, to_end, action] {
+    const Link& now_link = links_.at(id);
+    const std::uint64_t expected = now_link.to == to_end
+                                       ? now_link.to_incarnation
+                                       : now_link.from_incarnation;
+    if (IncarnationOf(to_end) == expected && IsAlive(to_end)) action(to_end);
+  });
+}
+
+LinkId TestCell::OpenLink(int from_end, int to_end) {
+  const LinkId id{next_id_++};
+  Link link;
+  link.from = from_end;
+  link.to = to_end;
+  link.from_incarnation = IncarnationOf(from_end);
+  link.to_incarnation = IncarnationOf(to_end);
+  links_.emplace(id, link);
+  return id;
+}
+
+void TestCell::CloseLinksOf(int end) {
+  for (auto& [id, link] : links_) {
+    const bool ours =
+        (link.from == end && link.from_incarnation == IncarnationOf(end)) ||
+        (link.to == end && link.to_incarnation == IncarnationOf(end));
+    if (ours && link.open) CloseOne(id, end);
+  }
+}
+
+void TestCell::CloseOne(LinkId id, int closed_by) {
+  const auto it = links_.find(id);
+  if (it == links_.end()) return;
+  Link& link = it->second;
+  link.open = false;
+  const int other = link.from == closed_by ? link.to : link.from;
+  const std::uint64_t expected =
+      link.from == closed_by ? link.to_incarnation : link.from_incarnation;
+  const int direction = link.from == closed_by ? 0 : 1;
+  const BootTime at =
+      std::max(now_ + options_.delay, link.last_delivery[direction]);
+  At(at, [this, id, other, expected] {
+    if (IncarnationOf(other) != expected) return;
+    if (IsAgentEnd(other)) {
+      PostToAgent(other - entry_count(), EntryLinkClosed{id});
+    } else {
+      PostToEntry(other, LinkClosed{id});
+    }
+  });
+}
+
+void TestCell::Dial(int from_end, const Endpoint& address,
+                    std::function<void(bool, LinkId)> done) {
+  const std::uint64_t incarnation = IncarnationOf(from_end);
+  const int to_end = address.port;
+  At(now_ + 2 * options_.delay, [this, from_end, to_end, incarnation, done] {
+    if (IncarnationOf(from_end) != incarnation || !IsAlive(from_end)) return;
+    if (!IsAlive(to_end)) return done(false, LinkId{});
+    done(true, OpenLink(from_end, to_end));
+  });
+}
+
+void TestCell::StartTask(int agent, const TaskStart& start) {
+  AgentNode& node = agents_[agent];
+  ++starts_[start.id];
+  ++node.busy;
+  const MinionDescription& minion = *node.board.minion;
+  if (node.busy > minion.slots) {
+    overcommitted_slots_ =
+        std::max(overcommitted_slots_, node.busy - minion.slots);
+  }
+  // The payload is the run time in ms on a minion of speed 1, then the text.
+  const double declared_us = std::stod(*start.payload) * 1'000;
+  const bool failing = node.failing;
+  const BootTime run_time{
+      failing ? 1'000 : static_cast<std::int64_t>(declared_us * node.speed)};
+  const std::uint64_t incarnation = node.incarnation;
+  const std::string output = "result of " + *start.payload;
+  At(now_ + run_time, [this, agent, start, incarnation, failing, run_time,
+                       output] {
+    AgentNode& then = agents_[agent];
+    if (then.incarnation != incarnation) return;
+    --then.busy;
+    PostToAgent(agent,
+                AttemptEnded{
+                    start.id, failing ? AttemptEnd::kFailed : AttemptEnd::kDone,
+                    failing ? std::string("refused") : output, run_time});
+  });
+}
+
+void TestCell::ReadStore(int entry, bool table) {
+  ++store_calls_;
+  const std::uint64_t incarnation = entries_[entry].incarnation;
+  if (store_mode_ == StoreMode::kDown) {
+    At(now_ + kStoreTimeout, [this, entry, incarnation] {
+      if (entries_[entry].incarnation != incarnation) return;
+      PostToEntry(entry, StoreReadFailed{});
+    });
+    return;
+  }
+  At(now_ + options_.store_delay, [this, entry, table, incarnation] {
+    if (entries_[entry].incarnation != incarnation) return;
+    if (table) {
+      PostToEntry(entry, TableSeen{table_});
+    } else {
+      PostToEntry(entry, ConfigSeen{config_});
+    }
+  });
+}
+
+void TestCell::WriteStore(int entry, const WriteTable& write) {
+  ++store_calls_;
+  const std::uint64_t incarnation = entries_[entry].incarnation;
+  const auto answer = [this, entry, incarnation](BootTime after,
+                                                 TableWritten event) {
+    At(now_ + after, [this, entry, incarnation, event] {
+      if (entries_[entry].incarnation == incarnation) PostToEntry(entry, event);
+    });
+  };
+  if (store_mode_ == StoreMode::kDown) {
+    return answer(kStoreTimeout, {WriteStatus::kNotApplied, 0});
+  }
+  const bool lost = store_mode_ == StoreMode::kLosesAnswers;
+  At(now_ + options_.store_delay / 2, [this, write, answer, lost] {
+    const bool applies = table_.revision == write.expected_revision;
+    if (applies) {
+      table_ = {table_.revision + 1, write.table};
+      NotifyWatches();
+    }
+    if (lost) return answer(kStoreTimeout, {WriteStatus::kUndecided, 0});
+    const auto status =
+        applies ? WriteStatus::kApplied : WriteStatus::kConflict;
+    answer(options_.store_delay / 2, {status, table_.revision});
+  });
+}
+
+void TestCell::WriteStore(int entry, const WriteConfig& write) {
+  ++store_calls_;
+  const std::uint64_t incarnation = entries_[entry].incarnation;
+  const auto answer = [this, entry, incarnation](BootTime after,
+                                                 ConfigWritten event) {
+    At(now_ + after, [this, entry, incarnation, event] {
+      if (entries_[entry].incarnation == incarnation) PostToEntry(entry, event);
+    });
+  };
+  if (store_mode_ == StoreMode::kDown) {
+    return answer(kStoreTimeout, {write.call, WriteStatus::kNotApplied, 0});
+  }
+  const bool lost = store_mode_ == StoreMode::kLosesAnswers;
+  At(now_ + options_.store_delay / 2, [this, write, answer, lost] {
+    const bool applies = config_.revision == write.expected_revision;
+    if (applies) {
+      config_ = {config_.revision + 1, write.config};
+      NotifyWatches();
+    }
+    if (lost) {
+      return answer(kStoreTimeout, {write.call, WriteStatus::kUndecided, 0});
+    }
+    const auto status =
+        applies ? WriteStatus::kApplied : WriteStatus::kConflict;
+    answer(options_.store_delay / 2, {write.call, status, config_.revision});
+  });
+}
+
+void TestCell::NotifyWatches() {
+  for (int n = 0; n < entry_count(); ++n) {
+    const std::uint64_t incarnation = entries_[n].incarnation;
+    At(now_ + options_.store_delay, [this, n, incarnation] {
+      const bool reached = entries_[n].incarnation == incarnation &&
+                           store_mode_ != StoreMode::kDown;
+      if (!reached) return;
+      PostToEntry(n, TableSeen{table_});
+      PostToEntry(n, ConfigSeen{config_});
+    });
+  }
+}
+
+void TestCell::ScheduleTick(int end, std::uint64_t incarnation) {
+  At(now_ + kTickInterval, [this, end, incarnation] {
+    if (IncarnationOf(end) != incarnation || !IsAlive(end)) return;
+    if (IsAgentEnd(end)) {
+      // A paused process has one timer that fires late, not many.
+      if (!agents_[end - entry_count()].frozen) {
+        PostToAgent(end - entry_count(), AgentTick{});
+      }
+    } else if (!entries_[end].frozen) {
+      PostToEntry(end, Tick{});
+    }
+    ScheduleTick(end, incarnation);
+  });
+}
+
+void TestCell::BootEntry(int n) {
+  EntryNode& node = entries_[n];
+  node = EntryNode{};
+  node.incarnation = next_id_++;
+  node.board.settings = options_.entry_settings;
+  node.board.settings.id = EntryId{random_()};
+  node.board.settings.peer_address = {"entry", static_cast<std::uint16_t>(n)};
+  node.board.settings.data_centre = "dc-" + std::to_string(n);
+  PostToEntry(n, Tick{});
+  ScheduleTick(n, node.incarnation);
+}
+
+void TestCell::BootAgent(int n) {
+  AgentNode& node = agents_[n];
+  const double speed = node.speed;
+  const std::uint64_t instance = node.minion_instance;
+  node = AgentNode{};
+  node.speed = speed;
+  node.minion_instance = instance + 1;
+  node.incarnation = next_id_++;
+  node.board.settings.id = AgentId{random_()};
+  MinionDescription minion;
+  minion.name = "minion-" + std::to_string(n);
+  minion.instance = node.minion_instance;
+  minion.labels = {{"site", n % 2 == 0 ? "even" : "odd"}};
+  minion.slots = options_.slots;
+  minion.connections = 64;
+  minion.memory_bytes = 64ULL << 30;
+  minion.rack = "rack-" + std::to_string(n % options_.racks);
+  minion.data_centre = "dc-" + std::to_string(n % options_.racks);
+  PostToAgent(n, MinionAnnounces{minion});
+  ScheduleTick(AgentEnd(n), node.incarnation);
+}
+
+SubmitRequest MakeRequest(const std::string& team, const std::string& key,
+                          int count) {
+  SubmitRequest request;
+  request.team = team;
+  request.key = key;
+  request.kind = "test";
+  for (int n = 0; n < count; ++n) {
+    TaskSpec task;
+    task.declared_time = milliseconds{100};
+    task.payload = "100 " + team + "/" + key + "/" + std::to_string(n);
+    request.tasks.push_back(task);
+  }
+  request.body_digest = DigestOf(team + key + std::to_string(count));
+  return request;
+}
+
+std::string TimedKey(WallTime issued, std::uint64_t n) {
+  char buf[64];
+  const auto ms = static_cast<std::uint64_t>(issued.count());
+  std::snprintf(buf, sizeof(buf), "%08llx-%04llx-7000-8000-%012llx",
+                static_cast<unsigned long long>(ms >> 16),
+                static_cast<unsigned long long>(ms & 0xffff),
+                static_cast<unsigned long long>(n & 0xffffffffffffULL));
+  return buf;
+}
+
+}  // namespace dottereltrack::testing
--- /dev/null
+++ b/tests/support/test_cell.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/agent/advance.h"
+#include "core/entry/advance.h"
+
+namespace dottereltrack::testing {
+
+// What the fake store does with calls.
+enum class StoreMode {
+  kUp,
+  // Every call fails without effect.
+  kDown,
+  // Writes take effect, but their answers are lost.
+  kLosesAnswers,
+};
+
+struct CellOptions {
+  int entries = 2;
+  int agents = 3;
+  int racks = 3;
+  std::uint32_t slots = 8;
+  // One-way delay of every message.
+  BootTime delay{500};
+  BootTime store_delay{3'000};
+  EntrySettings entry_settings;
+  std::uint64_t seed = 1;
+  // Run time over declared time of each minion; the last one repeats.
+  std::vector<double> speeds{1.0};
+};
+
+// A caller's reply with the time at which it arrived.
+struct CallerReply {
+  Reply reply;
+  BootTime at{0};
+};
+
+// Runs the real decision code of a few entries and agents on a virtual clock,
+// with fakes of links, store and minions at its interfaces. Equal options and
+// calls give equal runs.
+class TestCell {
+ public:
+  explicit TestCell(const CellOptions& options);
+
+  // Runs until the given time on the virtual clock.
+  void RunUntil(BootTime until);
+  void RunFor(BootTime duration) { RunUntil(now_ + duration); }
+  BootTime now() const { return now_; }
+  WallTime wall() const;
+
+  // Submits through an entry; the call id names the reply.
+  CallId Submit(int entry, const SubmitRequest& request);
+  CallId Cancel(int entry, const SubmissionId& submission);
+  CallId Fetch(int entry, const SubmissionId& submission);
+  CallId SetConfig(int entry, std::uint64_t expected_version,
+                   const CellConfig& config);
+  const CallerReply* ReplyOf(CallId call) const;
+  const ReplyToOperator* OperatorReplyOf(CallId call) const;
+
+  void KillEntry(int entry);
+  void KillAgent(int agent);
+  // Starts a new incarnation in the place of a dead process.
+  void RestartEntry(int entry);
+  void RestartAgent(int agent);
+  void FreezeEntry(int entry, bool frozen);
+  void FreezeAgent(int agent, bool frozen);
+  void StopEntry(int entry);
+  void StopAgent(int agent);
+  // Closes all connections between an entry and an agent. They may dial again.
+  void CutLinks(int entry, int agent);
+  void SetStoreMode(StoreMode mode) { store_mode_ = mode; }
+  // All tasks of that minion fail, at once.
+  void SetMinionFailing(int agent, bool failing);
+  void SetMinionSpeed(int agent, double time_ratio);
+
+  int entry_count() const { return static_cast<int>(entries_.size()); }
+  int agent_count() const { return static_cast<int>(agents_.size()); }
+  bool IsEntryAlive(int entry) const { return entries_[entry].alive; }
+  bool IsAgentAlive(int agent) const { return agents_[agent].alive; }
+  const EntryBoard& entry(int n) const { return entries_[n].board; }
+  const AgentBoard& agent(int n) const { return agents_[n].board; }
+  // Index of the living entry that may place tasks; -1 if there is none.
+  int Dispatcher() const;
+
+  // How often a minion has begun each task, over all agents.
+  const std::map<TaskId, int>& starts() const { return starts_; }
+  // Tasks that were begun more than once.
+  std::vector<TaskId> DoubleStarts() const;
+  // Most tasks that ran at the same time on one minion beyond its slots.
+  std::uint32_t overcommitted_slots() const { return overcommitted_slots_; }
+  std::uint64_t messages() const { return messages_; }
+  std::uint64_t store_calls() const { return store_calls_; }
+
+ private:
+  struct EntryNode {
+    EntryBoard board;
+    bool alive = true;
+    bool frozen = false;
+    std::vector<EntryEvent> held;
+    std::uint64_t incarnation = 0;
+  };
+  struct AgentNode {
+    AgentBoard board;
+    bool alive = true;
+    bool frozen = false;
+    std::vector<AgentEvent> held;
+    std::uint64_t incarnation = 0;
+    std::uint64_t minion_instance = 1;
+    double speed = 1.0;
+    bool failing = false;
+    std::uint32_t busy = 0;
+  };
+  // Agents come after entries in the numbering of link ends.
+  struct Link {
+    int from = 0;
+    int to = 0;
+    bool open = true;
+    std::uint64_t from_incarnation = 0;
+    std::uint64_t to_incarnation = 0;
+    // Deliveries keep their order in each direction.
+    BootTime last_delivery[2] = {BootTime{0}, BootTime{0}};
+  };
+  struct Scheduled {
+    BootTime at{0};
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator<(const Scheduled& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+
+  void At(BootTime at, std::function<void()> action);
+  Now MakeNow();
+  int AgentEnd(int agent) const { return entry_count() + agent; }
+  bool IsAgentEnd(int end) const { return end >= entry_count(); }
+  std::uint64_t IncarnationOf(int end) const;
+  bool IsAlive(int end) const;
+
+  void PostToEntry(int entry, EntryEvent event);
+  void PostToAgent(int agent, AgentEvent event);
+  void RunEntry(int entry, const std::vector<EntryEvent>& events);
+  void RunAgent(int agent, const std::vector<AgentEvent>& events);
+  void Do(int entry, const EntryEffect& effect);
+  void Do(int agent, const AgentEffect& effect);
+  void Deliver(int from_end, LinkId link, EntryToAgent message);
+  void Deliver(int from_end, LinkId link, EntryToEntry message);
+  void Deliver(int from_end, LinkId link, AgentToEntry message);
+  void DeliverBy(int from_end, LinkId link,
+                 std::function<void(int to_end)> action);
+  LinkId OpenLink(int from_end, int to_end);
+  void CloseLinksOf(int end);
+  void CloseOne(LinkId link, int closed_by);
+  void Dial(int from_end, const Endpoint& address,
+            std::function<void(bool, LinkId)> done);
+  void StartTask(int agent, const TaskStart& start);
+  void ReadStore(int entry, bool table);
+  void WriteStore(int entry, const WriteTable& write);
+  void WriteStore(int entry, const WriteConfig& write);
+  void NotifyWatches();
+  void ScheduleTick(int end, std::uint64_t incarnation);
+  void BootEntry(int entry);
+  void BootAgent(int agent);
+
+  CellOptions options_;
+  std::mt19937_64 random_;
+  BootTime now_{0};
+  std::uint64_t next_order_ = 0;
+  std::uint64_t next_id_ = 1;
+  std::priority_queue<Scheduled> queue_;
+  std::vector<EntryNode> entries_;
+  std::vector<AgentNode> agents_;
+  std::map<LinkId, Link> links_;
+  std::map<CallId, CallerReply> replies_;
+  std::map<CallId, ReplyToOperator> operator_replies_;
+  std::map<TaskId, int> starts_;
+  StoredTable table_;
+  StoredConfig config_;
+  StoreMode store_mode_ = StoreMode::kUp;
+  std::uint32_t overcommitted_slots_ = 0;
+  std::uint64_t messages_ = 0;
+  std::uint64_t store_calls_ = 0;
+};
+
+// A job of `count` tasks of 100 ms whose payloads name their index. A timed key
+// carries the issue time; otherwise the key is opaque.
+SubmitRequest MakeRequest(const std::string& team, const std::string& key,
+                          int count);
+
+// A UUIDv7 key issued at that time.
+std::string TimedKey(WallTime issued, std::uint64_t n);
+
+}  // namespace dottereltrack::testing
