Encode and decode every message as a verified FlatBuffers frame

Cause: the processes of a cell need one wire format for the messages of core, and a receiver does not trust the sender. Ruled out: a schema with lists of strings inside list elements, because the verifier bounds the tables that it visits but not the strings; sharing strings within a frame, because one element named many times can expand a small frame without limit, so the reader takes all memory from a budget of 8 times the frame. Conclusion: ProofFromPeer is the one way for a codec to restore a proof that a peer has made.

--- a/src/core/outcome.cpp
+++ b/src/core/outcome.cpp
@@ -68,4 +68,8 @@
   return ProofNotStarted(ProofNotStarted::Ground::kNeverSent);
 }
 
+ProofNotStarted ProofFromPeer(ProofNotStarted::Ground ground) {
+  return ProofNotStarted(ground);
+}
+
 }  // namespace dottereltrack
--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -32,6 +32,7 @@
   friend std::optional<ProofNotStarted> ProveAbsent(
       const Task& task, const InventoryStatus& inventory);
   friend ProofNotStarted ProveNeverAccepted();
+  friend ProofNotStarted ProofFromPeer(Ground ground);
 
   Ground ground_;
 };
@@ -108,4 +109,8 @@
 // For a request that is turned away before any of its tasks exists here.
 ProofNotStarted ProveNeverAccepted();
 
+// Restores a proof that another process of the cell has made and sent. Only a
+// codec may call this, for a message in which the peer stated the proof.
+ProofNotStarted ProofFromPeer(ProofNotStarted::Ground ground);
+
 }  // namespace dottereltrack
--- /dev/null
+++ b/src/wire/write_values.cpp
@@ -0,0 +1,202 @@
+#include "wire/write_values.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace dottereltrack {
+namespace {
+
+// The enumerators of the schema have the values of those in core. `last` is the
+// last one in core; the assertion fails when only one side gets a new one.
+template <auto last, typename Wire, typename Core>
+Wire ToWireEnum(Core value) {
+  static_assert(static_cast<int>(last) == static_cast<int>(Wire::MAX));
+  return static_cast<Wire>(value);
+}
+
+using LabelOffsets = std::vector<flatbuffers::Offset<wire::LabelOverride>>;
+
+auto WriteTeams(FrameBuilder* to,
+                const std::map<std::string, TeamConfig>& teams) {
+  std::vector<flatbuffers::Offset<wire::Team>> offsets;
+  for (const auto& [name, team] : teams) {
+    const auto name_offset = to->CreateString(name);
+    offsets.push_back(
+        wire::CreateTeam(*to, name_offset, team.max_in_progress, team.weight));
+  }
+  return to->CreateVector(offsets);
+}
+
+void WriteOverridesOf(FrameBuilder* to, const std::string& minion,
+                      const std::map<std::string, std::string>& labels,
+                      LabelOffsets* offsets) {
+  if (labels.empty()) {
+    offsets->push_back(
+        wire::CreateLabelOverride(*to, to->CreateString(minion)));
+  }
+  for (const auto& [name, value] : labels) {
+    const auto minion_offset = to->CreateString(minion);
+    const auto name_offset = to->CreateString(name);
+    const auto value_offset = to->CreateString(value);
+    offsets->push_back(wire::CreateLabelOverride(*to, minion_offset,
+                                                 name_offset, value_offset));
+  }
+}
+
+auto WriteLabels(FrameBuilder* to,
+                 const std::map<std::string, std::string>& labels) {
+  std::vector<flatbuffers::Offset<wire::Label>> offsets;
+  for (const auto& [name, value] : labels) {
+    const auto name_offset = to->CreateString(name);
+    const auto value_offset = to->CreateString(value);
+    offsets.push_back(wire::CreateLabel(*to, name_offset, value_offset));
+  }
+  return to->CreateVector(offsets);
+}
+
+}  // namespace
+
+wire::SubmissionId ToWire(const SubmissionId& id) {
+  return wire::SubmissionId(
+      flatbuffers::span<const std::uint8_t, 16>(id.bytes));
+}
+
+wire::TaskId ToWire(const TaskId& id) {
+  return {ToWire(id.submission), id.index};
+}
+
+wire::Fence ToWire(const Fence& fence) {
+  return {fence.generation, fence.session};
+}
+
+wire::AgentAck ToWire(const AgentAck& ack) {
+  return {ToWire(ack.fence), ack.seq};
+}
+
+wire::Needs ToWire(const Needs& needs) {
+  return {needs.memory_bytes, needs.accelerators};
+}
+
+wire::WitnessEntry ToWire(const WitnessEntry& entry) {
+  return {ToWire(entry.submission), entry.body_digest, entry.closed};
+}
+
+wire::LedgerState ToWire(LedgerState state) {
+  return ToWireEnum<LedgerState::kUnknown, wire::LedgerState>(state);
+}
+
+wire::StartRefusal ToWire(StartRefusal reason) {
+  return ToWireEnum<StartRefusal::kTooLarge, wire::StartRefusal>(reason);
+}
+
+wire::RefusalKind ToWire(RefusalKind kind) {
+  return ToWireEnum<RefusalKind::kUndecided, wire::RefusalKind>(kind);
+}
+
+wire::Ground ToWire(const ProofNotStarted& proof) {
+  return ToWireEnum<ProofNotStarted::Ground::kAbsentFromInventory,
+                    wire::Ground>(proof.ground());
+}
+
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> WriteBytes(
+    FrameBuilder* to, const std::string& bytes) {
+  return to->CreateVector(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                          bytes.size());
+}
+
+flatbuffers::Offset<wire::Member> Write(FrameBuilder* to,
+                                        const Member& member) {
+  const auto host = to->CreateString(member.peer_address.host);
+  const auto data_centre = to->CreateString(member.data_centre);
+  return wire::CreateMember(*to, member.id.value, host,
+                            member.peer_address.port, data_centre);
+}
+
+flatbuffers::Offset<wire::RosterAgent> Write(FrameBuilder* to,
+                                             const RosterAgent& agent) {
+  const auto minion = to->CreateString(agent.minion);
+  const auto data_centre = to->CreateString(agent.data_centre);
+  const auto rack = to->CreateString(agent.rack);
+  return wire::CreateRosterAgent(*to, agent.id.value, minion, data_centre,
+                                 rack);
+}
+
+flatbuffers::Offset<wire::LostAgent> Write(FrameBuilder* to,
+                                           const LostAgent& agent) {
+  const auto rack = to->CreateString(agent.rack);
+  return wire::CreateLostAgent(*to, agent.id.value, rack,
+                               agent.expires_wall_ms);
+}
+
+flatbuffers::Offset<wire::StoredTable> Write(FrameBuilder* to,
+                                             const StoredTable& stored) {
+  const CellTable& table = stored.table;
+  const auto members = WriteList(to, table.members);
+  const auto roster = WriteList(to, table.roster);
+  const auto lost = WriteList(to, table.lost);
+  return wire::CreateStoredTable(*to, stored.revision, table.generation,
+                                 table.dispatcher.value, members, roster, lost,
+                                 table.two_racks_since_ms, table.writer_nonce);
+}
+
+flatbuffers::Offset<wire::StoredConfig> Write(FrameBuilder* to,
+                                              const StoredConfig& stored) {
+  const CellConfig& config = stored.config;
+  const auto teams = WriteTeams(to, config.teams);
+  LabelOffsets overrides;
+  for (const auto& [minion, labels] : config.label_overrides) {
+    WriteOverridesOf(to, minion, labels, &overrides);
+  }
+  const auto overrides_offset = to->CreateVector(overrides);
+  const auto drained = to->CreateVectorOfStrings(config.drained_minions);
+  return wire::CreateStoredConfig(*to, stored.revision, config.version, teams,
+                                  overrides_offset, drained,
+                                  config.writer_nonce);
+}
+
+flatbuffers::Offset<wire::Minion> Write(FrameBuilder* to,
+                                        const MinionDescription& minion) {
+  const auto name = to->CreateString(minion.name);
+  const auto labels = WriteLabels(to, minion.labels);
+  const auto data_centre = to->CreateString(minion.data_centre);
+  const auto rack = to->CreateString(minion.rack);
+  return wire::CreateMinion(*to, name, minion.instance, labels, minion.slots,
+                            minion.connections, minion.memory_bytes,
+                            minion.accelerators, data_centre, rack,
+                            minion.draining);
+}
+
+flatbuffers::Offset<wire::LedgerEntry> Write(FrameBuilder* to,
+                                             const LedgerEntry& entry) {
+  const auto id = ToWire(entry.id);
+  const auto output = WriteBytes(to, *entry.output);
+  return wire::CreateLedgerEntry(*to, &id, entry.job_size, entry.body_digest,
+                                 ToWire(entry.state), output,
+                                 entry.output_dropped);
+}
+
+flatbuffers::Offset<wire::Outcome> Write(FrameBuilder* to,
+                                         const TaskOutcome& outcome) {
+  struct Writer {
+    FrameBuilder* to;
+    auto operator()(const Done& it) const {
+      return wire::CreateOutcome(*to, wire::OutcomeKind::Done,
+                                 WriteBytes(to, *it.result));
+    }
+    auto operator()(const Failed& it) const {
+      return wire::CreateOutcome(*to, wire::OutcomeKind::Failed,
+                                 WriteBytes(to, it.message));
+    }
+    auto operator()(const NotRun& it) const {
+      return wire::CreateOutcome(*to, wire::OutcomeKind::NotRun,
+                                 WriteBytes(to, it.reason), ToWire(it.proof));
+    }
+    auto operator()(const Unknown& it) const {
+      return wire::CreateOutcome(*to, wire::OutcomeKind::Unknown,
+                                 WriteBytes(to, it.reason));
+    }
+  };
+  return std::visit(Writer{to}, outcome);
+}
+
+}  // namespace dottereltrack
