Carry frames between processes over TCP links on Asio

Cause: entries and agents exchange frames on one loop thread, without polling and with bounded memory. Ruled out: reserving the length that a peer announces, since 4 bytes could claim 8 MiB on each link; closing a socket at once, since unread bytes make the kernel discard what the peer has not read; an immediate retry after a failed accept, which would spin while no descriptor is free. Conclusion: a link ends once, for one of the listed reasons, and its end is never reported from inside a call. Send takes a string_view, since the frame is copied behind its prefix.

--- /dev/null
+++ b/src/runtime/link.cpp
@@ -0,0 +1,172 @@
+#include "runtime/link.h"
+
+#include <netinet/tcp.h>
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+namespace dottereltrack {
+namespace {
+
+using asio::ip::tcp;
+
+// Bytes that one read takes from a socket. A loop turn takes at most
+// kReadsPerTurn of them from one link, so that no peer starves the others.
+constexpr std::size_t kReadBytes = 64U << 10;
+constexpr int kReadsPerTurn = 4;
+
+// A written buffer above this size is freed, so that idle links stay small.
+constexpr std::size_t kKeptBytes = 4'096;
+
+// A machine that vanished without closing its connections is noticed after
+// 5 s + 3 * 2 s; the core's own timeouts cover the dispatcher's links only.
+constexpr int kKeepaliveIdleSeconds = 5;
+constexpr int kKeepaliveIntervalSeconds = 2;
+constexpr int kKeepaliveProbes = 3;
+
+template <int name>
+using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, name>;
+
+// Failures are ignored: the link works without these options, too.
+void SetOptions(tcp::socket* socket) {
+  asio::error_code ec;
+  socket->set_option(tcp::no_delay(true), ec);
+  socket->set_option(asio::socket_base::keep_alive(true), ec);
+  socket->set_option(TcpOption<TCP_KEEPIDLE>(kKeepaliveIdleSeconds), ec);
+  socket->set_option(TcpOption<TCP_KEEPINTVL>(kKeepaliveIntervalSeconds), ec);
+  socket->set_option(TcpOption<TCP_KEEPCNT>(kKeepaliveProbes), ec);
+}
+
+}  // namespace
+
+Link::Link(tcp::socket socket, const LinkLimits& limits, Handlers handlers)
+    : socket_(std::move(socket)),
+      close_timer_(socket_.get_executor()),
+      limits_(limits),
+      handlers_(std::move(handlers)),
+      incoming_(limits.max_frame_bytes) {
+  SetOptions(&socket_);
+  asio::error_code ec;
+  socket_.non_blocking(true, ec);
+}
+
+void Link::Open() { WaitForBytes(); }
+
+void Link::WaitForBytes() {
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](asio::error_code ec) {
+                       if (self->state_ == State::kEnded) return;
+                       if (ec) return self->End();
+                       self->ReadBytes();
+                     });
+}
+
+void Link::ReadBytes() {
+  // Shared by all links, since it is filled and emptied in one call.
+  static thread_local std::array<char, kReadBytes> buf;
+  for (int n = 0; n < kReadsPerTurn; ++n) {
+    asio::error_code ec;
+    const std::size_t count = socket_.read_some(asio::buffer(buf), ec);
+    if (ec == asio::error::would_block) break;
+    if (ec) return End();
+    if (state_ == State::kOpen) incoming_.Append({buf.data(), count});
+    DeliverFrames();
+    if (state_ == State::kEnded) return;
+    if (count < buf.size()) break;
+  }
+  WaitForBytes();
+}
+
+void Link::DeliverFrames() {
+  while (state_ == State::kOpen) {
+    auto frame = incoming_.Next();
+    if (!frame) break;
+    handlers_.on_frame(*std::move(frame));
+  }
+  if (state_ == State::kOpen && incoming_.too_large()) return End();
+  incoming_.Compact();
+}
+
+void Link::Send(std::string_view frame) {
+  if (state_ != State::kOpen) return;
+  const std::size_t unsent = queued_.size() + in_flight_.size();
+  // A frame that the peer would refuse ends the link as well, because a silent
+  // loss would leave its receiver waiting.
+  if (frame.size() > limits_.max_frame_bytes ||
+      unsent + frame.size() > limits_.max_unsent_bytes) {
+    return End();
+  }
+  AppendFrame(&queued_, frame);
+  ScheduleWrite();
+}
+
+// The write begins after the running handler, so that it takes all its frames.
+void Link::ScheduleWrite() {
+  if (write_scheduled_ || !in_flight_.empty()) return;
+  write_scheduled_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->write_scheduled_ = false;
+    self->Write();
+  });
+}
+
+void Link::Write() {
+  if (state_ == State::kEnded) return;
+  if (queued_.empty()) {
+    if (state_ == State::kDraining) EndOutput();
+    return;
+  }
+  std::swap(queued_, in_flight_);
+  asio::async_write(
+      socket_, asio::buffer(in_flight_),
+      [self = shared_from_this()](asio::error_code ec, std::size_t) {
+        self->in_flight_.clear();
+        if (self->in_flight_.capacity() > kKeptBytes) {
+          self->in_flight_.shrink_to_fit();
+        }
+        if (self->state_ == State::kEnded) return;
+        if (ec) return self->End();
+        self->Write();
+      });
+}
+
+void Link::Close() {
+  if (state_ != State::kOpen) return;
+  state_ = State::kDraining;
+  close_timer_.expires_after(limits_.dial_timeout);
+  close_timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
+    if (!ec) self->End();
+  });
+  ScheduleWrite();
+}
+
+void Link::EndOutput() {
+  asio::error_code ec;
+  socket_.shutdown(tcp::socket::shutdown_send, ec);
+  if (ec) End();
+}
+
+void Link::End() {
+  if (state_ == State::kEnded) return;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->handlers_.on_closed) self->handlers_.on_closed();
+    self->handlers_ = {};
+  });
+  state_ = State::kEnded;
+  asio::error_code ec;
+  close_timer_.cancel(ec);
+  socket_.close(ec);
+}
+
+void Link::Drop() {
+  state_ = State::kEnded;
+  handlers_ = {};
+  asio::error_code ec;
+  close_timer_.cancel(ec);
+  socket_.close(ec);
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/runtime/link_hub.cpp
@@ -0,0 +1,185 @@
+#include "runtime/link_hub.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <utility>
+
+#include "runtime/link.h"
+
+namespace dottereltrack {
+namespace {
+
+using asio::ip::tcp;
+using DialDone = std::function<void(std::optional<LinkId>)>;
+
+// Wait after a failed accept, for example while no descriptor is free; an
+// immediate retry would spin.
+constexpr milliseconds kAcceptRetry{100};
+
+// A dial that has not ended. Its timer closes the socket.
+struct PendingDial {
+  PendingDial(asio::io_context& loop, DialDone callback)
+      : socket(loop), timer(loop), done(std::move(callback)) {}
+  tcp::socket socket;
+  asio::steady_timer timer;
+  DialDone done;
+};
+
+std::optional<tcp::endpoint> ParseEndpoint(const Endpoint& address) {
+  asio::error_code ec;
+  const auto ip = asio::ip::make_address(address.host, ec);
+  if (ec) return std::nullopt;
+  return tcp::endpoint(ip, address.port);
+}
+
+}  // namespace
+
+class LinkHub::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& loop, const LinkLimits& limits, LinkHandlers handlers)
+      : loop_(loop),
+        limits_(limits),
+        handlers_(std::move(handlers)),
+        acceptor_(loop),
+        accept_timer_(loop) {}
+
+  std::optional<std::uint16_t> Listen(const Endpoint& address) {
+    const auto endpoint = ParseEndpoint(address);
+    if (!endpoint || !Bind(*endpoint)) {
+      asio::error_code ec;
+      acceptor_.close(ec);
+      return std::nullopt;
+    }
+    Accept();
+    return acceptor_.local_endpoint().port();
+  }
+
+  void Dial(const Endpoint& address, DialDone done) {
+    auto dial = std::make_shared<PendingDial>(loop_, std::move(done));
+    const auto endpoint = ParseEndpoint(address);
+    if (!endpoint || IsFull()) {
+      asio::post(loop_, [self = shared_from_this(), dial] {
+        if (!self->stopped_) dial->done(std::nullopt);
+      });
+      return;
+    }
+    ++dialing_;
+    dial->timer.expires_after(limits_.dial_timeout);
+    dial->timer.async_wait([dial](asio::error_code ec) {
+      asio::error_code ignored;
+      if (!ec) dial->socket.close(ignored);
+    });
+    dial->socket.async_connect(
+        *endpoint, [self = shared_from_this(), dial](asio::error_code ec) {
+          self->EndDial(dial.get(), ec);
+        });
+  }
+
+  Link* Find(LinkId id) {
+    const auto it = links_.find(id);
+    return it == links_.end() ? nullptr : it->second.get();
+  }
+
+  void Stop() {
+    stopped_ = true;
+    handlers_ = {};
+    asio::error_code ec;
+    acceptor_.close(ec);
+    accept_timer_.cancel(ec);
+    for (const auto& [id, link] : links_) link->Drop();
+    links_.clear();
+  }
+
+ private:
+  bool IsFull() const { return links_.size() + dialing_ >= limits_.max_links; }
+
+  bool Bind(const tcp::endpoint& endpoint) {
+    asio::error_code ec;
+    acceptor_.open(endpoint.protocol(), ec);
+    if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec) acceptor_.bind(endpoint, ec);
+    if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    return !ec;
+  }
+
+  void Accept() {
+    acceptor_.async_accept(
+        [self = shared_from_this()](asio::error_code ec, tcp::socket socket) {
+          if (self->stopped_) return;
+          if (ec) return self->RetryAccept();
+          // Beyond the limit the socket is closed, so that the peer sees at
+          // once that it must go elsewhere.
+          if (!self->IsFull()) self->Add(std::move(socket));
+          self->Accept();
+        });
+  }
+
+  void RetryAccept() {
+    accept_timer_.expires_after(kAcceptRetry);
+    accept_timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
+      if (!ec && !self->stopped_) self->Accept();
+    });
+  }
+
+  void EndDial(PendingDial* dial, asio::error_code ec) {
+    --dialing_;
+    dial->timer.cancel();
+    if (stopped_) return;
+    // The timer may have closed the socket after the connection was made.
+    if (ec || !dial->socket.is_open()) return dial->done(std::nullopt);
+    dial->done(Add(std::move(dial->socket)));
+  }
+
+  LinkId Add(tcp::socket socket) {
+    const LinkId id{next_id_++};
+    Link::Handlers handlers;
+    handlers.on_frame = [this, id](std::string frame) {
+      handlers_.on_frame(id, std::move(frame));
+    };
+    handlers.on_closed = [self = shared_from_this(), id] {
+      self->links_.erase(id);
+      if (self->handlers_.on_closed) self->handlers_.on_closed(id);
+    };
+    auto link =
+        std::make_shared<Link>(std::move(socket), limits_, std::move(handlers));
+    links_.emplace(id, link);
+    link->Open();
+    return id;
+  }
+
+  asio::io_context& loop_;
+  LinkLimits limits_;
+  LinkHandlers handlers_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
+  std::map<LinkId, std::shared_ptr<Link>> links_;
+  std::size_t dialing_ = 0;
+  std::uint64_t next_id_ = 1;
+  bool stopped_ = false;
+};
+
+LinkHub::LinkHub(asio::io_context& loop, const LinkLimits& limits,
+                 LinkHandlers handlers)
+    : impl_(std::make_shared<Impl>(loop, limits, std::move(handlers))) {}
+
+LinkHub::~LinkHub() { impl_->Stop(); }
+
+std::optional<std::uint16_t> LinkHub::Listen(const Endpoint& address) {
+  return impl_->Listen(address);
+}
+
+void LinkHub::Dial(const Endpoint& address, DialDone done) {
+  impl_->Dial(address, std::move(done));
+}
+
+void LinkHub::Send(LinkId link, std::string_view frame) {
+  if (Link* it = impl_->Find(link)) it->Send(frame);
+}
+
+void LinkHub::Close(LinkId link) {
+  if (Link* it = impl_->Find(link)) it->Close();
+}
+
+}  // namespace dottereltrack
--- a/src/runtime/link_hub.h
+++ b/src/runtime/link_hub.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/cell.h"
 #include "core/ids.h"
@@ -47,8 +48,8 @@
   void Dial(const Endpoint& address,
             std::function<void(std::optional<LinkId>)> done);
   // Sends a frame. A frame for a closed link is dropped; the closing has been
-  // or will be reported.
-  void Send(LinkId link, std::string frame);
+  // or will be reported. A frame beyond the limits closes the link.
+  void Send(LinkId link, std::string_view frame);
   // Sends what is queued, then closes.
   void Close(LinkId link);
 
