Add settings, logs, command line and HTTP server of the daemons

Cause: the daemons need settings whose faults can be repaired in one go, logs without a disk, one command line and one HTTP server on the loop that also serves the links.

Each daemon has a table of keys (name, meaning, limits, read and write) and a table of limits between keys; reading, printing and checking are free functions over them. Lines of keys come from a counting iterator under nlohmann's SAX parser. Ruled out: one request per connection in RESTinio, because it then does not read while a request is handled and a caller that leaves is noticed only at the reply. A body of up to twice the limit is answered with 413; RESTinio closes the connection of a larger one before the handler could answer.

Conclusion: the agent daemon can be built on this part now.

--- a/include/dottereltrack/runtime.h
+++ b/include/dottereltrack/runtime.h
@@ -1,6 +1,12 @@
 #pragma once
 
 // Public header of the runtime library: links between processes, settings, logs
-// and metrics. It moves bytes and decides nothing.
+// and HTTP. It moves bytes and decides nothing.
 
-#include "runtime/link_hub.h"  // IWYU pragma: export
+#include "runtime/clock.h"                    // IWYU pragma: export
+#include "runtime/command_line.h"             // IWYU pragma: export
+#include "runtime/http/http_server.h"         // IWYU pragma: export
+#include "runtime/link_hub.h"                 // IWYU pragma: export
+#include "runtime/log/log.h"                  // IWYU pragma: export
+#include "runtime/settings/agent_settings.h"  // IWYU pragma: export
+#include "runtime/settings/entry_settings.h"  // IWYU pragma: export
--- /dev/null
+++ b/src/runtime/http/http_server.cpp
@@ -0,0 +1,209 @@
+#include "runtime/http/http_server.h"
+
+#include <algorithm>
+#include <cctype>
+#include <exception>
+#include <restinio/all.hpp>
+#include <utility>
+
+namespace dottereltrack {
+namespace {
+
+constexpr std::size_t kMaxHeaderNameBytes = 256;
+constexpr std::size_t kMaxHeaderFields = 64;
+
+// With one request per connection RESTinio does not read while the request is
+// handled, and would notice a closed connection only when it writes.
+constexpr std::size_t kMaxPipelinedRequests = 4;
+
+// Reports closed connections.
+struct CloseListener {
+  std::function<void(std::uint64_t)> on_closed;
+
+  void state_changed(
+      const restinio::connection_state::notice_t& notice) noexcept {
+    if (!on_closed) return;
+    const auto cause = notice.cause();
+    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
+            cause)) {
+      on_closed(notice.connection_id());
+    }
+  }
+};
+
+struct Traits : restinio::default_single_thread_traits_t {
+  // The name is RESTinio's.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool use_connection_count_limiter = true;
+  using connection_state_listener_t = CloseListener;
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::request_handle_t)>;
+};
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+HttpRequest ReadRequest(const restinio::request_t& source) {
+  HttpRequest request;
+  request.connection = source.connection_id();
+  request.method = source.header().method().c_str();
+  request.path = std::string(source.header().path());
+  source.header().for_each_field([&](const auto& field) {
+    request.headers[LowerCase(field.name())] = field.value();
+  });
+  request.body = source.body();
+  return request;
+}
+
+const char* ReasonPhrase(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 202:
+      return "Accepted";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Payload Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return status < 400 ? "OK" : "Error";
+  }
+}
+
+void WriteResponse(const restinio::request_handle_t& request,
+                   HttpResponse response) {
+  auto builder = request->create_response(restinio::http_status_line_t{
+      restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
+      ReasonPhrase(response.status)});
+  builder.append_header(restinio::http_field::content_type,
+                        response.content_type);
+  for (const auto& [name, value] : response.headers) {
+    builder.append_header(name, value);
+  }
+  builder.set_body(std::move(response.body));
+  if (!request->header().should_keep_alive()) builder.connection_close();
+  builder.done();
+}
+
+HttpResponse BodyTooLarge(std::size_t size, std::size_t limit) {
+  HttpResponse response;
+  response.status = 413;
+  response.body =
+      R"({"error":{"code":"invalid_request","message":"the body has )" +
+      std::to_string(size) + " bytes; send at most " + std::to_string(limit) +
+      R"( bytes, for instance as several jobs","outcome":"not_run"}})"
+      "\n";
+  return response;
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(asio::io_context& loop, const HttpLimits& limits, HttpHandlers handlers)
+      : loop_(loop), limits_(limits), handlers_(std::move(handlers)) {}
+
+  std::optional<std::uint16_t> Listen(const Endpoint& address) {
+    std::uint16_t port = 0;
+    try {
+      server_ = std::make_unique<restinio::http_server_t<Traits>>(
+          restinio::external_io_context(loop_),
+          [&](auto& settings) { Configure(address, &port, settings); });
+      server_->open_sync();
+    } catch (const std::exception&) {
+      server_.reset();
+      return std::nullopt;
+    }
+    return port;
+  }
+
+  void StopListening() {
+    if (server_) server_->close_sync();
+  }
+
+ private:
+  template <typename Settings>
+  void Configure(const Endpoint& address, std::uint16_t* port,
+                 Settings& settings) {
+    settings.address(address.host)
+        .port(address.port)
+        .max_pipelined_requests(kMaxPipelinedRequests)
+        .read_next_http_message_timelimit(limits_.read_timeout)
+        .write_http_response_timelimit(limits_.write_timeout)
+        .handle_request_timeout(limits_.reply_timeout)
+        .max_parallel_connections(limits_.max_connections)
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(limits_.max_header_bytes)
+                .max_field_name_size(kMaxHeaderNameBytes)
+                .max_field_value_size(limits_.max_header_bytes)
+                .max_field_count(kMaxHeaderFields)
+                .max_body_size(2 * limits_.max_body_bytes))
+        .acceptor_post_bind_hook([port](asio::ip::tcp::acceptor& acceptor) {
+          *port = acceptor.local_endpoint().port();
+        })
+        .connection_state_listener(std::make_shared<CloseListener>(
+            CloseListener{handlers_.on_disconnect}))
+        .request_handler([this](const restinio::request_handle_t& request) {
+          return Handle(request);
+        });
+  }
+
+  restinio::request_handling_status_t Handle(
+      const restinio::request_handle_t& request) {
+    const std::size_t size = request->body().size();
+    if (size > limits_.max_body_bytes) {
+      WriteResponse(request, BodyTooLarge(size, limits_.max_body_bytes));
+      return restinio::request_accepted();
+    }
+    handlers_.on_request(
+        ReadRequest(*request), [request = restinio::request_handle_t(request)](
+                                   HttpResponse response) mutable {
+          if (!request) return;
+          WriteResponse(std::exchange(request, nullptr), std::move(response));
+        });
+    return restinio::request_accepted();
+  }
+
+  asio::io_context& loop_;
+  HttpLimits limits_;
+  HttpHandlers handlers_;
+  std::unique_ptr<restinio::http_server_t<Traits>> server_;
+};
+
+HttpServer::HttpServer(asio::io_context& loop, const HttpLimits& limits,
+                       HttpHandlers handlers)
+    : impl_(std::make_unique<Impl>(loop, limits, std::move(handlers))) {}
+
+HttpServer::~HttpServer() = default;
+
+std::optional<std::uint16_t> HttpServer::Listen(const Endpoint& address) {
+  return impl_->Listen(address);
+}
+
+void HttpServer::StopListening() { impl_->StopListening(); }
+
+std::string HeaderOf(const HttpRequest& request, const std::string& name) {
+  const auto it = request.headers.find(name);
+  return it == request.headers.end() ? std::string() : it->second;
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/runtime/settings/agent_settings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/agent/settings.h"
+#include "core/cell.h"
+#include "runtime/http/http_server.h"
+#include "runtime/log/log.h"
+#include "runtime/settings/keys.h"
+
+namespace dottereltrack {
+
+// All settings of dotterel-agent.
+struct AgentDaemonSettings {
+  // Where the minion announces itself by HTTP.
+  Endpoint http_listen{"127.0.0.1", 8090};
+  // Link addresses of entries; one that can be reached is enough.
+  std::vector<Endpoint> entry_seeds;
+  std::string data_centre;
+  // A worker that names no rack counts as a rack of its own.
+  std::string rack;
+  AgentSettings core;
+  HttpLimits http{64U << 10,
+                  4U << 10,
+                  64,
+                  milliseconds{60'000},
+                  milliseconds{10'000},
+                  milliseconds{10'000}};
+  LogSettings log;
+  friend bool operator==(const AgentDaemonSettings&,
+                         const AgentDaemonSettings&) = default;
+};
+
+const SettingsSchema<AgentDaemonSettings>& AgentSchema();
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/runtime/settings/document.cpp
@@ -0,0 +1,125 @@
+#include "runtime/settings/document.h"
+
+#include <iterator>
+
+namespace dottereltrack {
+namespace {
+
+using nlohmann::json;
+
+// Counts the lines that the parser has read.
+class LineCountingIterator {
+ public:
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char*;
+  using reference = const char&;
+
+  LineCountingIterator(const char* at, std::size_t* line)
+      : at_(at), line_(line) {}
+
+  reference operator*() const { return *at_; }
+  LineCountingIterator& operator++() {
+    if (*at_ == '\n') ++*line_;
+    ++at_;
+    return *this;
+  }
+  friend bool operator!=(const LineCountingIterator& a,
+                         const LineCountingIterator& b) {
+    return a.at_ != b.at_;
+  }
+
+ private:
+  const char* at_;
+  std::size_t* line_;
+};
+
+// Notes the line of each top-level key and the keys that occur twice.
+class KeyLines : public nlohmann::json_sax<json> {
+ public:
+  KeyLines(const std::size_t* line, SettingsDocument* document,
+           std::vector<SettingsFault>* faults)
+      : line_(line), document_(document), faults_(faults) {}
+
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override {
+    ++depth_;
+    return true;
+  }
+  bool end_object() override {
+    --depth_;
+    return true;
+  }
+  bool start_array(std::size_t) override {
+    ++depth_;
+    return true;
+  }
+  bool end_array() override {
+    --depth_;
+    return true;
+  }
+  bool key(string_t& name) override {
+    if (depth_ != 1) return true;
+    const auto [it, is_new] = document_->lines.emplace(name, *line_);
+    if (!is_new) {
+      faults_->push_back({name, *line_,
+                          "the key a second time (first in line " +
+                              std::to_string(it->second) + ")",
+                          "each key once", "remove one of the two lines"});
+    }
+    return true;
+  }
+  bool parse_error(std::size_t, const std::string& token,
+                   const nlohmann::detail::exception&) override {
+    faults_->push_back({"", *line_,
+                        "text that is not JSON near '" + token + "'",
+                        "one JSON object; comments are // and /* */",
+                        "look for a missing comma, quote or bracket here or in "
+                        "the line before"});
+    return false;
+  }
+
+ private:
+  const std::size_t* line_;
+  SettingsDocument* document_;
+  std::vector<SettingsFault>* faults_;
+  int depth_ = 0;
+};
+
+}  // namespace
+
+SettingsDocument ReadDocument(std::string_view text,
+                              std::vector<SettingsFault>* faults) {
+  SettingsDocument document;
+  std::size_t line = 1;
+  KeyLines key_lines(&line, &document, faults);
+  const char* end = text.data() + text.size();
+  const bool is_json = json::sax_parse(
+      LineCountingIterator(text.data(), &line),
+      LineCountingIterator(end, &line), &key_lines, json::input_format_t::json,
+      /*strict=*/true, /*ignore_comments=*/true);
+  if (!is_json) return document;
+  json values = json::parse(text, nullptr, /*allow_exceptions=*/true,
+                            /*ignore_comments=*/true);
+  if (!values.is_object()) {
+    faults->push_back({"", 1, std::string("a JSON ") + values.type_name(),
+                       "one JSON object", "put the keys between { and }"});
+    return document;
+  }
+  document.values = std::move(values);
+  return document;
+}
+
+std::size_t LineOf(const SettingsDocument& document, const std::string& key) {
+  const auto it = document.lines.find(key);
+  return it == document.lines.end() ? 0 : it->second;
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/runtime/settings/entry_settings.cpp
@@ -0,0 +1,127 @@
+#include "runtime/settings/entry_settings.h"
+
+#include "runtime/settings/entry_keys.h"
+#include "runtime/settings/key_kinds.h"
+
+namespace dottereltrack {
+namespace {
+
+using S = EntryDaemonSettings;
+using Key = SettingKey<S>;
+
+constexpr std::size_t kMaxNameBytes = 64;
+constexpr std::size_t kMaxUrlBytes = 256;
+constexpr std::size_t kMaxTokenBytes = 256;
+constexpr std::string_view kScheme = "http://";
+
+Key Required(Key key) {
+  key.required = true;
+  return key;
+}
+
+Key StoreUrlKey() {
+  Key key = TextKey<S>(
+      "store_url", [](auto& s) -> auto& { return s.store_url; }, kMaxUrlBytes,
+      "Address of the platform's store.");
+  key.allowed = "a text \"http://IP:PORT\"";
+  key.read = [](EntryDaemonSettings* settings, const nlohmann::json& value) {
+    if (!value.is_string()) return false;
+    const auto url = value.get<std::string>();
+    if (url.rfind(kScheme, 0) != 0) return false;
+    const auto endpoint =
+        ParseEndpoint(std::string_view(url).substr(kScheme.size()));
+    if (!endpoint || endpoint->port == 0) return false;
+    settings->store_url = url;
+    return true;
+  };
+  return key;
+}
+
+Key TokenKey() {
+  Key key = TextKey<S>(
+      "operator_token", [](auto& s) -> auto& { return s.operator_token; },
+      kMaxTokenBytes,
+      "Token of the operators' calls; they are refused without one.");
+  key.secret = true;
+  return key;
+}
+
+std::vector<Key> IdentityKeys() {
+  return {
+      EndpointKey<S>(
+          "http_listen", [](auto& s) -> auto& { return s.http_listen; }, 0,
+          "Where callers and operators connect by HTTP."),
+      EndpointKey<S>(
+          "link_listen", [](auto& s) -> auto& { return s.link_listen; }, 0,
+          "Where agents and other entries connect by TCP."),
+      EndpointKey<S>(
+          "link_advertise", [](auto& s) -> auto& { return s.link_advertise; },
+          0,
+          "Address by which others reach link_listen; by default the same, "
+          "with the port in use."),
+      Required(TextKey<S>(
+          "data_centre", [](auto& s) -> auto& { return s.core.data_centre; },
+          kMaxNameBytes, "Data centre of this VM.")),
+      Required(TextKey<S>(
+          "cell", [](auto& s) -> auto& { return s.cell; }, kMaxNameBytes,
+          "Name of the cell; its table and configuration have this name in "
+          "the store.")),
+      Required(StoreUrlKey()),
+      TokenKey(),
+  };
+}
+
+std::vector<Key> HttpKeys() {
+  return {
+      NumberKey<S>(
+          "http_max_body_bytes",
+          [](auto& s) -> auto& { return s.http.max_body_bytes; }, 1 << 10,
+          6 << 20,
+          "Largest body of a request. A forwarded job must fit into one frame "
+          "of 8 MiB."),
+      NumberKey<S>(
+          "http_max_header_bytes",
+          [](auto& s) -> auto& { return s.http.max_header_bytes; }, 256,
+          64 << 10, "Largest value of a header field."),
+      NumberKey<S>(
+          "http_max_connections",
+          [](auto& s) -> auto& { return s.http.max_connections; }, 1, 65'000,
+          "Connections of callers at the same time; more have to wait."),
+      TimeKey<S>(
+          "http_read_timeout_ms",
+          [](auto& s) -> auto& { return s.http.read_timeout; }, 100, 600'000,
+          "Longest time to receive a request or to be idle between two."),
+      TimeKey<S>(
+          "http_write_timeout_ms",
+          [](auto& s) -> auto& { return s.http.write_timeout; }, 100, 600'000,
+          "Longest time to send a response."),
+      TimeKey<S>(
+          "http_reply_timeout_ms",
+          [](auto& s) -> auto& { return s.http.reply_timeout; }, 1'000,
+          3'600'000, "Longest time from a request to its response."),
+  };
+}
+
+std::vector<Key> LogKeys() {
+  const auto log = [](auto& s) -> auto& { return s.log; };
+  return {LogLevelKey<S>(log), LogPartsKey<S>(log), LogFormatKey<S>(log)};
+}
+
+SettingsSchema<S> MakeSchema() {
+  SettingsSchema<S> schema;
+  for (const auto& part : {IdentityKeys(), HttpKeys(), EntryLimitKeys(),
+                           EntryTimeKeys(), LogKeys()}) {
+    schema.keys.insert(schema.keys.end(), part.begin(), part.end());
+  }
+  schema.rules = EntryRules();
+  return schema;
+}
+
+}  // namespace
+
+const SettingsSchema<EntryDaemonSettings>& EntrySchema() {
+  static const SettingsSchema<S> schema = MakeSchema();
+  return schema;
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/tests/runtime/http_server_test.cpp
@@ -0,0 +1,134 @@
+#include "runtime/http/http_server.h"
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
+
+namespace dottereltrack {
+namespace {
+
+using asio::ip::tcp;
+
+// A server that records its requests, on a loop with a time limit.
+struct Fixture {
+  asio::io_context loop;
+  std::vector<HttpRequest> requests;
+  std::vector<HttpReplier> repliers;
+  std::vector<std::uint64_t> gone;
+  HttpServer server;
+  std::uint16_t port = 0;
+
+  explicit Fixture(const HttpLimits& limits = {})
+      : server(loop, limits,
+               {[this](HttpRequest request, HttpReplier reply) {
+                  requests.push_back(std::move(request));
+                  repliers.push_back(std::move(reply));
+                },
+                [this](std::uint64_t connection) {
+                  gone.push_back(connection);
+                }}) {
+    port = server.Listen({"127.0.0.1", 0}).value();
+  }
+
+  // Runs the loop until the condition holds; false after two seconds.
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    asio::steady_timer limit(loop, seconds{2});
+    bool expired = false;
+    limit.async_wait([&](const asio::error_code&) { expired = true; });
+    while (!condition() && !expired) loop.run_one();
+    return condition();
+  }
+
+  tcp::socket Connect() {
+    tcp::socket socket(loop);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    return socket;
+  }
+
+  // All that the server sends until it closes the connection.
+  std::string ReadAll(tcp::socket* socket) {
+    std::string text;
+    bool ended = false;
+    asio::async_read(
+        *socket, asio::dynamic_buffer(text),
+        [&](const asio::error_code&, std::size_t) { ended = true; });
+    CHECK(RunUntil([&] { return ended; }));
+    return text;
+  }
+};
+
+std::string PostOf(std::size_t body_bytes) {
+  return "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+         "X-Mixed-Case: Value\r\nContent-Length: " +
+         std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x');
+}
+
+}  // namespace
+
+// Guards against a request whose parts get lost on the way to the handler.
+TEST_CASE("a request reaches the handler and its reply the caller", "[http]") {
+  Fixture it;
+  tcp::socket socket = it.Connect();
+  asio::write(socket, asio::buffer(PostOf(3)));
+  REQUIRE(it.RunUntil([&] { return it.requests.size() == 1; }));
+  CHECK(it.requests[0].method == "POST");
+  CHECK(it.requests[0].path == "/v1/jobs");
+  CHECK(it.requests[0].body == "xxx");
+  CHECK(HeaderOf(it.requests[0], "x-mixed-case") == "Value");
+  CHECK(HeaderOf(it.requests[0], "absent").empty());
+
+  it.repliers[0]({429, "{}", "application/json", {{"Retry-After", "1"}}});
+  it.repliers[0]({200, "second reply", "text/plain", {}});
+  const std::string text = it.ReadAll(&socket);
+  CHECK(text.find("HTTP/1.1 429 Too Many Requests") == 0);
+  CHECK(text.find("Retry-After: 1\r\n") != std::string::npos);
+  CHECK(text.find("second reply") == std::string::npos);
+}
+
+// Guards against a caller with a large body that learns nothing of the limit,
+// and against bodies that fill the memory.
+TEST_CASE("a body above the limit is refused", "[http]") {
+  struct Row {
+    std::size_t body_bytes;
+    std::string start;
+  };
+  const auto row = GENERATE(values<Row>({{101, "HTTP/1.1 413"}, {201, ""}}));
+  CAPTURE(row.body_bytes);
+  HttpLimits limits;
+  limits.max_body_bytes = 100;
+  Fixture it(limits);
+  tcp::socket socket = it.Connect();
+  asio::write(socket, asio::buffer(PostOf(row.body_bytes)));
+  const std::string text = it.ReadAll(&socket);
+  CHECK(text.substr(0, row.start.size()) == row.start);
+  CHECK(text.empty() == row.start.empty());
+  CHECK(it.requests.empty());
+}
+
+// Guards against work for a caller that has gone.
+TEST_CASE("a closed connection is reported while its call is open", "[http]") {
+  Fixture it;
+  tcp::socket socket = it.Connect();
+  asio::write(socket, asio::buffer(PostOf(1)));
+  REQUIRE(it.RunUntil([&] { return it.requests.size() == 1; }));
+  socket.close();
+  REQUIRE(it.RunUntil([&] { return it.gone.size() == 1; }));
+  CHECK(it.gone[0] == it.requests[0].connection);
+  it.repliers[0]({});
+}
+
+// Guards against a daemon that ends with an exception at a used address.
+TEST_CASE("an address that cannot be used is reported", "[http]") {
+  Fixture it;
+  HttpServer second(it.loop, {}, {});
+  const auto* host = GENERATE(values<const char*>({"127.0.0.1", "no-address"}));
+  CHECK_FALSE(second.Listen({host, it.port}).has_value());
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/tests/runtime/settings_test.cpp
@@ -0,0 +1,151 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "runtime/command_line.h"
+#include "runtime/settings/agent_settings.h"
+#include "runtime/settings/endpoint_text.h"
+#include "runtime/settings/entry_settings.h"
+#include "runtime/settings/nearest.h"
+
+namespace dottereltrack {
+namespace {
+
+std::string FaultsOf(const std::string& text) {
+  EntryDaemonSettings settings;
+  std::vector<SettingsFault> faults;
+  const SettingsDocument document = ReadDocument(text, &faults);
+  if (faults.empty()) ReadKeys(EntrySchema(), document, &settings, &faults);
+  return RenderFaults("f", faults);
+}
+
+// The required keys, in the first line of a file.
+std::string WithRequired(const std::string& rest) {
+  return R"({"data_centre": "a", "cell": "c", "store_url": "http://127.0.0.1:1")" +
+         rest + "}";
+}
+
+}  // namespace
+
+// Guards against a fault that hides the others, and against messages without
+// line, key, finding, limit or remedy. The whole list is an approved output.
+TEST_CASE("every fault of a settings file is listed", "[settings]") {
+  const std::string text = R"(// a comment
+{
+  "data_centre": "kgn-a",
+  /* two
+     lines */
+  "cell": 7,
+  "store_url": "https://store",
+  "operator_token": ["secret"],
+  "authority_timeout": 3000,
+  "peer_heartbeat_ms": 1500,
+  "max_deadline_ms": -1
+}
+)";
+  CHECK(
+      FaultsOf(text) ==
+      R"(f:6: 'cell': found 7; allowed: a text of 1 to 64 bytes; remedy: set it to an allowed value: Name of the cell; its table and configuration have this name in the store.
+f:7: 'store_url': found "https://store"; allowed: a text "http://IP:PORT"; remedy: set it to an allowed value: Address of the platform's store.
+f:8: 'operator_token': found a value of type array (not shown); allowed: a text of 1 to 256 bytes; remedy: set it to an allowed value: Token of the operators' calls; they are refused without one.
+f:9: 'authority_timeout': found a key that does not exist; allowed: the keys that --print-settings lists; remedy: use 'authority_timeout_ms', the nearest known key, or remove the line
+f:10: 'peer_heartbeat_ms': found 1500; allowed: at most half of peer_timeout_ms; remedy: lower it; else one late heartbeat starts a takeover
+f:11: 'max_deadline_ms': found -1; allowed: 1 to 86400000; remedy: set it to an allowed value: Longest deadline of a job.
+)");
+}
+
+// Guards against limits that hold for each key but not together.
+TEST_CASE("limits between keys are checked", "[settings]") {
+  struct Row {
+    const char* keys;
+    const char* fault_key;
+  };
+  const auto row = GENERATE(values<Row>({
+      {R"(, "default_deadline_ms": 700000)", "default_deadline_ms"},
+      {R"(, "retention_ms": 600000)", "retention_ms"},
+      {R"(, "clock_skew_ms": 900000)", "clock_skew_ms"},
+      {R"(, "max_queued_tasks": 1000)", "max_queued_tasks"},
+      {R"(, "max_payload_bytes": 5000000)", "max_payload_bytes"},
+      {R"(, "majority_heartbeat_ms": 1501)", "majority_heartbeat_ms"},
+      {R"(, "peer_heartbeat_ms": 1001)", "peer_heartbeat_ms"},
+      {R"(, "member_timeout_ms": 2000)", "member_timeout_ms"},
+      {R"(, "store_retry_ms": 5001)", "store_retry_ms"},
+      {R"(, "http_reply_timeout_ms": 615000)", "http_reply_timeout_ms"},
+  }));
+  CAPTURE(row.keys);
+  const std::string faults = FaultsOf(WithRequired(row.keys));
+  CHECK(faults.find("f:1: '" + std::string(row.fault_key) + "'") == 0);
+  CHECK(std::count(faults.begin(), faults.end(), '\n') == 1);
+}
+
+// Guards against a file that is accepted although a part of it has no effect.
+TEST_CASE("a file that is not one JSON object is refused", "[settings]") {
+  struct Row {
+    const char* text;
+    const char* start;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"", "f:1: found text that is not JSON"},
+      {"[]", "f:1: found a JSON array"},
+      {"{\n\"cell\": \"a\"\n\"x\": 1}", "f:3: found text that is not JSON"},
+      {"{\"cell\": \"a\",\n\"cell\": \"b\"}",
+       "f:2: 'cell': found the key a second time (first in line 1)"},
+  }));
+  CAPTURE(row.text);
+  CHECK(FaultsOf(row.text).find(row.start) == 0);
+}
+
+// Guards against a default that its own limits refuse, and against an example
+// that no longer matches the keys.
+TEST_CASE("the example settings have no fault", "[settings]") {
+  const DaemonCommand entry{DOTTERELTRACK_SOURCE "/settings/entry.jsonc", true,
+                            false};
+  const DaemonCommand agent{DOTTERELTRACK_SOURCE "/settings/agent.jsonc", true,
+                            false};
+  CHECK(std::get<EarlyExit>(LoadSettings(entry, EntrySchema())) == EarlyExit{});
+  CHECK(std::get<EarlyExit>(LoadSettings(agent, AgentSchema())) == EarlyExit{});
+}
+
+// Guards against printed settings that cannot be used as a file.
+TEST_CASE("printed settings are read back as the same settings", "[settings]") {
+  EntryDaemonSettings settings;
+  settings.core.data_centre = "kgn-a";
+  settings.cell = "brushwork";
+  settings.store_url = "http://127.0.0.1:8070";
+  settings.link_advertise =
+      GENERATE(values<Endpoint>({{}, {"127.0.0.1", 8081}}));
+  settings.log.part_levels[LogPart::kLinks] = LogLevel::kDebug;
+  settings.operator_token = "secret";
+  const std::string text = RenderSettings(EntrySchema(), settings);
+  CHECK(text.find("\"secret\"") == std::string::npos);
+
+  std::vector<SettingsFault> faults;
+  EntryDaemonSettings read;
+  ReadKeys(EntrySchema(), ReadDocument(text, &faults), &read, &faults);
+  CHECK(RenderFaults("f", faults).empty());
+  read.operator_token = settings.operator_token;
+  CHECK(read == settings);
+}
+
+// Guards against addresses that are accepted and then cannot be used.
+TEST_CASE("endpoints are IP addresses with a port", "[settings]") {
+  struct Row {
+    const char* text;
+    bool valid;
+  };
+  const auto row = GENERATE(values<Row>({{"127.0.0.1:80", true},
+                                         {"[::1]:80", true},
+                                         {"::1:80", false},
+                                         {"localhost:80", false},
+                                         {"127.0.0.1", false},
+                                         {"127.0.0.1:", false},
+                                         {"127.0.0.1:65536", false},
+                                         {"127.0.0.1:8x", false},
+                                         {"[127.0.0.1]:80", false}}));
+  CAPTURE(row.text);
+  const auto endpoint = ParseEndpoint(row.text);
+  CHECK(endpoint.has_value() == row.valid);
+  if (endpoint) CHECK(ToText(*endpoint) == row.text);
+}
+
+}  // namespace dottereltrack
