Add the JSON of callers and operators

Cause: callers and operators speak JSON over HTTP; the form must stay apart from the decisions and from the HTTP library, so that another front end can use both.

src/api parses and renders and decides nothing. Objects are read by tables of fields; the first fault is named with its path, what was found and the remedy. Ruled out: rendering counters through Counter objects of prometheus-cpp, which can only be incremented; the board's counters are exported as families.

The cell's name in the settings is limited to the characters that the store's keys take, and a body above the limit gets the JSON error of the process.

Conclusion: the entry daemon has its HTTP interface.

--- /dev/null
+++ b/include/dottereltrack/api.h
@@ -0,0 +1,13 @@
+#pragma once
+
+// Public header of the API library: the JSON of callers and operators, apart
+// from any HTTP library. It parses and renders, and decides nothing.
+
+#include "api/answer_json.h"    // IWYU pragma: export
+#include "api/job_json.h"       // IWYU pragma: export
+#include "api/metrics.h"        // IWYU pragma: export
+#include "api/operator_json.h"  // IWYU pragma: export
+#include "api/reply.h"          // IWYU pragma: export
+#include "api/routes.h"         // IWYU pragma: export
+#include "api/state_json.h"     // IWYU pragma: export
+#include "api/status_json.h"    // IWYU pragma: export
--- /dev/null
+++ b/src/api/json_fields.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace dottereltrack {
+
+// Reads a JSON value into a T. Returns what is wrong with the value and what to
+// do, or an empty text.
+template <typename T>
+using FieldReader = std::function<std::string(
+    const nlohmann::json& value, const std::string& path, T* target)>;
+
+// Describes one field of a JSON object whose values are kept in a T.
+template <typename T>
+struct JsonField {
+  std::string name;
+  bool required = false;
+  FieldReader<T> read;
+};
+
+// "'path' is VALUE; use EXPECTED". Long values are cut, since messages go to
+// logs of callers.
+std::string WrongValue(const std::string& path, const nlohmann::json& value,
+                       const std::string& expected);
+
+// A member of an object at `path`; the path of the whole body is empty.
+std::string MemberPath(const std::string& path, const std::string& name);
+
+// Reads a whole number of the range. Returns what is wrong, or nothing.
+std::string ReadNumber(const nlohmann::json& value, const std::string& path,
+                       std::int64_t min, std::int64_t max, std::int64_t* n);
+
+// Reads a text of 1 to `max_bytes` bytes. Returns what is wrong, or nothing.
+std::string ReadText(const nlohmann::json& value, const std::string& path,
+                     std::size_t max_bytes, std::string* text);
+
+// Reads all fields of an object. Returns the first thing that is wrong.
+template <typename T>
+std::string ReadFields(const nlohmann::json& object, const std::string& path,
+                       const std::vector<JsonField<T>>& fields, T* target) {
+  if (!object.is_object()) return WrongValue(path, object, "an object");
+  std::size_t n_known = 0;
+  for (const JsonField<T>& field : fields) {
+    const std::string place = MemberPath(path, field.name);
+    const auto it = object.find(field.name);
+    if (it == object.end()) {
+      if (field.required) return "'" + place + "' is missing; add it";
+      continue;
+    }
+    ++n_known;
+    std::string fault = field.read(*it, place, target);
+    if (!fault.empty()) return fault;
+  }
+  if (n_known == object.size()) return {};
+  std::string known;
+  for (const JsonField<T>& field : fields) known += " " + field.name;
+  for (const auto& item : object.items()) {
+    if ((known + " ").find(" " + item.key() + " ") == std::string::npos) {
+      return "'" + MemberPath(path, item.key()) +
+             "' is not known; remove it, or use one of:" + known;
+    }
+  }
+  return {};
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/src/api/routes.cpp
@@ -0,0 +1,84 @@
+#include "api/routes.h"
+
+#include <string_view>
+
+namespace dottereltrack {
+namespace {
+
+struct RouteRow {
+  std::string_view method;
+  std::string_view path;
+  RouteKind kind;
+  bool for_operators;
+};
+
+// A path that ends in '/' is followed by a submission id.
+constexpr RouteRow kRoutes[] = {
+    {"POST", "/v1/jobs", RouteKind::kSubmitJob, false},
+    {"GET", "/v1/jobs/", RouteKind::kFetchJob, false},
+    {"DELETE", "/v1/jobs/", RouteKind::kCancelJob, false},
+    {"GET", "/v1/config", RouteKind::kGetConfig, true},
+    {"PUT", "/v1/config", RouteKind::kPutConfig, true},
+    {"POST", "/v1/confirm-dead", RouteKind::kConfirmDead, true},
+    {"GET", "/v1/status", RouteKind::kGetStatus, true},
+    {"GET", "/healthz", RouteKind::kGetHealth, false},
+    {"GET", "/metrics", RouteKind::kGetMetrics, false},
+    {"GET", "/debug/state", RouteKind::kGetState, true},
+};
+
+bool MatchesPath(const RouteRow& row, std::string_view path) {
+  if (row.path.back() != '/') return path == row.path;
+  return path.size() > row.path.size() &&
+         path.substr(0, row.path.size()) == row.path;
+}
+
+std::variant<Route, ApiReply> MakeRoute(const RouteRow& row,
+                                        std::string_view path) {
+  Route route{row.kind, {}};
+  if (row.path.back() != '/') return route;
+  const auto id = ParseSubmissionId(path.substr(row.path.size()));
+  if (!id) {
+    return RenderError(404, "not_found",
+                       "the path ends in no job id; use the 32 hexadecimal "
+                       "digits of the field 'id' of an answer");
+  }
+  route.submission = *id;
+  return route;
+}
+
+}  // namespace
+
+std::variant<Route, ApiReply> RouteOf(const std::string& method,
+                                      const std::string& path) {
+  std::string methods;
+  for (const RouteRow& row : kRoutes) {
+    if (!MatchesPath(row, path)) continue;
+    if (row.method == method) return MakeRoute(row, path);
+    methods += " " + std::string(row.method);
+  }
+  if (!methods.empty()) {
+    return RenderError(405, "method_not_allowed",
+                       "the path does not take " + method + "; use" + methods);
+  }
+  std::string known;
+  for (const RouteRow& row : kRoutes) {
+    known += " " + std::string(row.method) + " " + std::string(row.path) + ",";
+  }
+  known.pop_back();
+  return RenderError(404, "not_found", "no such path; use one of:" + known);
+}
+
+bool IsForOperators(RouteKind kind) {
+  for (const RouteRow& row : kRoutes) {
+    if (row.kind == kind) return row.for_operators;
+  }
+  return true;
+}
+
+ApiReply RenderUnauthorized() {
+  return RenderError(401, "unauthorized",
+                     "operators' calls need the header 'Authorization: Bearer "
+                     "TOKEN' with the operator_token of the entry's settings");
+}
+
+}  // namespace dottereltrack
--- a/src/runtime/http/http_server.cpp
+++ b/src/runtime/http/http_server.cpp
@@ -104,14 +104,11 @@
 }
 
 HttpResponse BodyTooLarge(std::size_t size, std::size_t limit) {
-  HttpResponse response;
-  response.status = 413;
-  response.body =
-      R"({"error":{"code":"invalid_request","message":"the body has )" +
-      std::to_string(size) + " bytes; send at most " + std::to_string(limit) +
-      R"( bytes, for instance as several jobs","outcome":"not_run"}})"
-      "\n";
-  return response;
+  return {413,
+          "the body has " + std::to_string(size) + " bytes; send at most " +
+              std::to_string(limit) + "\n",
+          "text/plain",
+          {}};
 }
 
 }  // namespace
@@ -171,7 +168,10 @@
       const restinio::request_handle_t& request) {
     const std::size_t size = request->body().size();
     if (size > limits_.max_body_bytes) {
-      WriteResponse(request, BodyTooLarge(size, limits_.max_body_bytes));
+      const auto& render = handlers_.on_body_too_large;
+      WriteResponse(request, render
+                                 ? render(size, limits_.max_body_bytes)
+                                 : BodyTooLarge(size, limits_.max_body_bytes));
       return restinio::request_accepted();
     }
     handlers_.on_request(
--- a/src/runtime/http/http_server.h
+++ b/src/runtime/http/http_server.h
@@ -58,6 +58,9 @@
   std::function<void(HttpRequest, HttpReplier)> on_request;
   // The connection is gone; replies to its requests are dropped. May be empty.
   std::function<void(std::uint64_t connection)> on_disconnect;
+  // The response to a body above the limit; a line of text if empty.
+  std::function<HttpResponse(std::size_t size, std::size_t limit)>
+      on_body_too_large;
 };
 
 // The value of a header, or an empty text. The name is in lower case.
--- a/src/runtime/settings/entry_settings.cpp
+++ b/src/runtime/settings/entry_settings.cpp
@@ -1,5 +1,8 @@
 #include "runtime/settings/entry_settings.h"
 
+#include <algorithm>
+#include <cctype>
+
 #include "runtime/settings/entry_keys.h"
 #include "runtime/settings/key_kinds.h"
 
@@ -10,7 +13,6 @@
 using Key = SettingKey<S>;
 
 constexpr std::size_t kMaxNameBytes = 64;
-constexpr std::size_t kMaxUrlBytes = 256;
 constexpr std::size_t kMaxTokenBytes = 256;
 constexpr std::string_view kScheme = "http://";
 
@@ -19,24 +21,54 @@
   return key;
 }
 
+bool ReadStoreUrl(EntryDaemonSettings* settings, const nlohmann::json& value) {
+  if (!value.is_string()) return false;
+  const auto url = value.get<std::string>();
+  if (url.rfind(kScheme, 0) != 0) return false;
+  const auto endpoint =
+      ParseEndpoint(std::string_view(url).substr(kScheme.size()));
+  if (!endpoint || endpoint->port == 0) return false;
+  settings->store_address = *endpoint;
+  return true;
+}
+
+// The cell's name is part of the store's keys.
+bool ReadCellName(EntryDaemonSettings* settings, const nlohmann::json& value) {
+  constexpr auto is_allowed = [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_';
+  };
+  if (!value.is_string()) return false;
+  const auto name = value.get<std::string>();
+  const bool is_valid = !name.empty() && name.size() <= kMaxNameBytes &&
+                        std::all_of(name.begin(), name.end(), is_allowed);
+  if (is_valid) settings->cell = name;
+  return is_valid;
+}
+
 Key StoreUrlKey() {
-  Key key = TextKey<S>(
-      "store_url", [](auto& s) -> auto& { return s.store_url; }, kMaxUrlBytes,
-      "Address of the platform's store.");
-  key.allowed = "a text \"http://IP:PORT\"";
-  key.read = [](EntryDaemonSettings* settings, const nlohmann::json& value) {
-    if (!value.is_string()) return false;
-    const auto url = value.get<std::string>();
-    if (url.rfind(kScheme, 0) != 0) return false;
-    const auto endpoint =
-        ParseEndpoint(std::string_view(url).substr(kScheme.size()));
-    if (!endpoint || endpoint->port == 0) return false;
-    settings->store_url = url;
-    return true;
+  Key key = DescribeKey<S>("store_url", "Address of the platform's store.",
+                           "a text \"http://IP:PORT\"");
+  key.required = true;
+  key.read = ReadStoreUrl;
+  key.write = [](const S& settings) -> nlohmann::json {
+    return std::string(kScheme) + ToText(settings.store_address);
   };
   return key;
 }
 
+Key CellKey() {
+  Key key = DescribeKey<S>(
+      "cell",
+      "Name of the cell; its table and configuration have this name in the "
+      "store.",
+      "1 to " + std::to_string(kMaxNameBytes) +
+          " letters, digits, '-' and '_'");
+  key.required = true;
+  key.read = ReadCellName;
+  key.write = [](const S& settings) -> nlohmann::json { return settings.cell; };
+  return key;
+}
+
 Key TokenKey() {
   Key key = TextKey<S>(
       "operator_token", [](auto& s) -> auto& { return s.operator_token; },
@@ -62,11 +94,8 @@
       Required(TextKey<S>(
           "data_centre", [](auto& s) -> auto& { return s.core.data_centre; },
           kMaxNameBytes, "Data centre of this VM.")),
-      Required(TextKey<S>(
-          "cell", [](auto& s) -> auto& { return s.cell; }, kMaxNameBytes,
-          "Name of the cell; its table and configuration have this name in "
-          "the store.")),
-      Required(StoreUrlKey()),
+      CellKey(),
+      StoreUrlKey(),
       TokenKey(),
   };
 }
--- a/src/runtime/settings/entry_settings.h
+++ b/src/runtime/settings/entry_settings.h
@@ -19,7 +19,7 @@
   // How agents and other entries reach `link_listen`; the same if empty.
   Endpoint link_advertise;
   std::string cell;
-  std::string store_url;
+  Endpoint store_address;
   // Operators' calls are refused while it is empty.
   std::string operator_token;
   EntrySettings core;
--- a/tests/runtime/http_server_test.cpp
+++ b/tests/runtime/http_server_test.cpp
@@ -24,14 +24,14 @@
   std::uint16_t port = 0;
 
   explicit Fixture(const HttpLimits& limits = {})
-      : server(loop, limits,
-               {[this](HttpRequest request, HttpReplier reply) {
-                  requests.push_back(std::move(request));
-                  repliers.push_back(std::move(reply));
-                },
-                [this](std::uint64_t connection) {
-                  gone.push_back(connection);
-                }}) {
+      : server(
+            loop, limits,
+            {[this](HttpRequest request, HttpReplier reply) {
+               requests.push_back(std::move(request));
+               repliers.push_back(std::move(reply));
+             },
+             [this](std::uint64_t connection) { gone.push_back(connection); },
+             {}}) {
     port = server.Listen({"127.0.0.1", 0}).value();
   }
 
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -45,7 +45,7 @@
 )";
   CHECK(
       FaultsOf(text) ==
-      R"(f:6: 'cell': found 7; allowed: a text of 1 to 64 bytes; remedy: set it to an allowed value: Name of the cell; its table and configuration have this name in the store.
+      R"(f:6: 'cell': found 7; allowed: 1 to 64 letters, digits, '-' and '_'; remedy: set it to an allowed value: Name of the cell; its table and configuration have this name in the store.
 f:7: 'store_url': found "https://store"; allowed: a text "http://IP:PORT"; remedy: set it to an allowed value: Address of the platform's store.
 f:8: 'operator_token': found a value of type array (not shown); allowed: a text of 1 to 256 bytes; remedy: set it to an allowed value: Token of the operators' calls; they are refused without one.
 f:9: 'authority_timeout': found a key that does not exist; allowed: the keys that --print-settings lists; remedy: use 'authority_timeout_ms', the nearest known key, or remove the line
@@ -111,7 +111,7 @@
   EntryDaemonSettings settings;
   settings.core.data_centre = "kgn-a";
   settings.cell = "brushwork";
-  settings.store_url = "http://127.0.0.1:8070";
+  settings.store_address = {"127.0.0.1", 8070};
   settings.link_advertise =
       GENERATE(values<Endpoint>({{}, {"127.0.0.1", 8081}}));
   settings.log.part_levels[LogPart::kLinks] = LogLevel::kDebug;
