Add the store's HTTP client and the JSON of the cell's values

Cause: entries need the cell table and the configuration behind struct Store. Ids travel as 16 hexadecimal digits, since JSON readers often keep numbers as doubles. A write has its own connection: on a kept one libcurl may repeat the PUT by itself, lose the race against its own first attempt and report a conflict.

The request type of the HTTP client is now HttpCall, since the HTTP server of the runtime library has a HttpRequest.

--- a/src/http_client/curl_call.cpp
+++ b/src/http_client/curl_call.cpp
@@ -17,17 +17,19 @@
   return n;
 }
 
-void SetHeaders(CurlCall& call, const HttpRequest& request) {
+void SetHeaders(CurlCall& call, const HttpCall& request) {
   // Suppresses "Expect: 100-continue", which costs a round trip.
   curl_slist* list = curl_slist_append(nullptr, "Expect:");
   for (const auto& [name, value] : request.headers) {
-    list = curl_slist_append(list, (name + ": " + value).c_str());
+    std::string line = name;
+    line.append(": ").append(value);
+    list = curl_slist_append(list, line.c_str());
   }
   call.headers.reset(list);
   curl_easy_setopt(call.easy.get(), CURLOPT_HTTPHEADER, list);
 }
 
-void SetBody(CurlCall& call, const HttpRequest& request) {
+void SetBody(CurlCall& call, const HttpCall& request) {
   CURL* easy = call.easy.get();
   const bool has_body =
       !call.body.empty() || request.method == "POST" || request.method == "PUT";
@@ -67,21 +69,15 @@
 }
 
 std::string MessageOf(HttpEnd end, CURLcode code) {
-  const std::string cause = curl_easy_strerror(code);
+  std::string cause = curl_easy_strerror(code);
   switch (end) {
-    case HttpEnd::kAnswered:
-    case HttpEnd::kRefused:
-      return {};
     case HttpEnd::kNotConnected:
       return cause + "; check that the server listens at this address";
-    case HttpEnd::kTimedOut:
-      return cause + "; the server may have acted, read its state back";
-    case HttpEnd::kTransportError:
-      return cause + "; the server may have acted, read its state back";
     case HttpEnd::kTooLarge:
       return "the response exceeds the limit; raise max_response_bytes";
+    default:
+      return cause + "; the server may have acted, read its state back";
   }
-  return cause;
 }
 
 }  // namespace
@@ -104,8 +100,7 @@
   return "unknown";
 }
 
-std::unique_ptr<CurlCall> MakeCurlCall(HttpCallId id,
-                                       const HttpRequest& request,
+std::unique_ptr<CurlCall> MakeCurlCall(HttpCallId id, const HttpCall& request,
                                        std::function<void(HttpResult)> done) {
   auto call = std::make_unique<CurlCall>();
   call->id = id;
--- a/src/http_client/curl_call.h
+++ b/src/http_client/curl_call.h
@@ -30,8 +30,7 @@
 };
 
 // Prepares a call whose easy handle carries a pointer to it.
-std::unique_ptr<CurlCall> MakeCurlCall(HttpCallId id,
-                                       const HttpRequest& request,
+std::unique_ptr<CurlCall> MakeCurlCall(HttpCallId id, const HttpCall& request,
                                        std::function<void(HttpResult)> done);
 
 // Result of a call that libcurl has ended with this code.
--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -28,8 +28,8 @@
 };
 
 void InitialiseCurl() {
-  static const CURLcode kDone = curl_global_init(CURL_GLOBAL_DEFAULT);
-  static_cast<void>(kDone);
+  static const CURLcode code = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(code);
 }
 
 }  // namespace
@@ -59,7 +59,7 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  HttpCallId Start(const HttpRequest& request,
+  HttpCallId Start(const HttpCall& request,
                    std::function<void(HttpResult)> done) {
     const HttpCallId id{next_id_++};
     if (calls_.size() + refused_.size() >= limits_.max_calls) {
@@ -211,7 +211,7 @@
 
 HttpClient::~HttpClient() = default;
 
-HttpCallId HttpClient::Start(const HttpRequest& request,
+HttpCallId HttpClient::Start(const HttpCall& request,
                              std::function<void(HttpResult)> done) {
   return impl_->Start(request, std::move(done));
 }
--- a/src/http_client/http_client.h
+++ b/src/http_client/http_client.h
@@ -21,7 +21,7 @@
 
   // Starts a call. Calls back once from the loop, never from within Start, and
   // not at all after Cancel.
-  HttpCallId Start(const HttpRequest& request,
+  HttpCallId Start(const HttpCall& request,
                    std::function<void(HttpResult)> done);
   // Ends a call without calling back. The server may still act on the request.
   // A call that has ended is ignored.
--- a/src/http_client/http_types.h
+++ b/src/http_client/http_types.h
@@ -11,7 +11,7 @@
 
 // One HTTP/1.1 request. The host must be an IP address, since the lookup of a
 // name would start a thread.
-struct HttpRequest {
+struct HttpCall {
   std::string method = "GET";
   std::string url{};
   std::vector<std::pair<std::string, std::string>> headers{};
@@ -25,7 +25,7 @@
   // a request again by itself if a kept connection turns out to be closed, so
   // requests that must not be repeated set it.
   bool fresh_connection = false;
-  friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
+  friend bool operator==(const HttpCall&, const HttpCall&) = default;
 };
 
 // How a call has ended.
--- /dev/null
+++ b/src/platform/json_fields.cpp
@@ -0,0 +1,122 @@
+#include "platform/json_fields.h"
+
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace dottereltrack {
+namespace {
+
+constexpr std::size_t kHexIdDigits = 16;
+
+void SetError(const JsonCursor& at, JsonErrorKind kind,
+              const std::string& problem, const std::string& remedy) {
+  if (*at.error) return;
+  const std::string name = at.path.empty() ? "the text" : at.path;
+  *at.error = JsonError{kind, at.path, name + " " + problem + "; " + remedy};
+}
+
+void WrongType(const JsonCursor& at, const char* expected) {
+  SetError(at, JsonErrorKind::kWrongType,
+           std::string("is of type ") + at.value->type_name(),
+           std::string("write ") + expected);
+}
+
+// Reads a whole number from 0 to the largest value of T.
+template <typename T>
+void ReadUnsigned(const JsonCursor& at, T* out) {
+  if (*at.error) return;
+  constexpr auto max = std::numeric_limits<T>::max();
+  if (!at.value->is_number_integer()) return WrongType(at, "a whole number");
+  if (!at.value->is_number_unsigned() || at.value->get<std::uint64_t>() > max) {
+    return SetError(at, JsonErrorKind::kBadValue, "is out of range",
+                    "write a number from 0 to " + std::to_string(max));
+  }
+  *out = at.value->get<T>();
+}
+
+}  // namespace
+
+void Read(const JsonCursor& at, std::string* out) {
+  if (*at.error) return;
+  if (!at.value->is_string()) return WrongType(at, "a string");
+  *out = at.value->get<std::string>();
+}
+
+void Read(const JsonCursor& at, std::uint64_t* out) { ReadUnsigned(at, out); }
+void Read(const JsonCursor& at, std::uint32_t* out) { ReadUnsigned(at, out); }
+void Read(const JsonCursor& at, std::uint16_t* out) { ReadUnsigned(at, out); }
+
+void Read(const JsonCursor& at, std::int64_t* out) {
+  if (*at.error) return;
+  if (!at.value->is_number_integer()) return WrongType(at, "a whole number");
+  constexpr auto max = std::numeric_limits<std::int64_t>::max();
+  if (at.value->is_number_unsigned() &&
+      at.value->get<std::uint64_t>() > static_cast<std::uint64_t>(max)) {
+    return SetError(at, JsonErrorKind::kBadValue, "is out of range",
+                    "write a number up to " + std::to_string(max));
+  }
+  *out = at.value->get<std::int64_t>();
+}
+
+void ReadPositive(const JsonCursor& at, std::uint32_t* out) {
+  std::uint32_t value = 0;
+  Read(at, &value);
+  if (*at.error) return;
+  if (value == 0) {
+    return SetError(at, JsonErrorKind::kBadValue, "is 0",
+                    "write a number of at least 1");
+  }
+  *out = value;
+}
+
+void ReadHexId(const JsonCursor& at, std::uint64_t* out) {
+  std::string text;
+  Read(at, &text);
+  if (*at.error) return;
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, value, 16);
+  if (text.size() != kHexIdDigits || ec != std::errc() || stop != end) {
+    return SetError(at, JsonErrorKind::kBadValue, "is not an id",
+                    "write 16 hexadecimal digits");
+  }
+  *out = value;
+}
+
+void ReadArray(const JsonCursor& at, const ReadElement& read) {
+  if (*at.error) return;
+  if (!at.value->is_array()) return WrongType(at, "an array");
+  std::size_t n = 0;
+  for (const auto& element : *at.value) {
+    read({&element, at.path + "[" + std::to_string(n++) + "]", at.error});
+  }
+}
+
+void ReadObject(const JsonCursor& at, const ReadEntry& read) {
+  if (*at.error) return;
+  if (!at.value->is_object()) return WrongType(at, "an object");
+  for (const auto& [name, value] : at.value->items()) {
+    const auto path = at.path.empty() ? name : at.path + "." + name;
+    read(name, {&value, path, at.error});
+  }
+}
+
+std::optional<JsonCursor> Field(const JsonCursor& at, const char* name,
+                                Presence presence) {
+  if (*at.error) return std::nullopt;
+  if (!at.value->is_object()) {
+    WrongType(at, "an object");
+    return std::nullopt;
+  }
+  auto path = at.path.empty() ? std::string(name) : at.path + "." + name;
+  const auto it = at.value->find(name);
+  if (it != at.value->end()) return JsonCursor{&*it, path, at.error};
+  if (presence == Presence::kRequired) {
+    SetError({at.value, path, at.error}, JsonErrorKind::kMissing, "is missing",
+             "add this field");
+  }
+  return std::nullopt;
+}
+
+}  // namespace dottereltrack
--- /dev/null
+++ b/tests/platform/store_answers_test.cpp
@@ -0,0 +1,90 @@
+#include "platform/store_answers.h"
+
+#include <catch2/catch.hpp>
+
+namespace dottereltrack {
+
+// Guards against a write that may have taken effect being taken for one that
+// has not: a second dispatcher would then work beside the first.
+TEST_CASE("each end of a write is classified by what it proves", "[store]") {
+  struct Row {
+    const char* name;
+    HttpResult result;
+    WriteStatus status;
+    std::uint64_t revision;
+  };
+  const auto row = GENERATE(values<Row>(
+      {{"applied",
+        {HttpEnd::kAnswered, 200, R"({"revision": 9})"},
+        WriteStatus::kApplied,
+        9},
+       {"applied, unreadable answer",
+        {HttpEnd::kAnswered, 200, "{}"},
+        WriteStatus::kUndecided,
+        0},
+       {"conflict",
+        {HttpEnd::kAnswered, 409, R"({"revision": 9})"},
+        WriteStatus::kConflict,
+        0},
+       {"unavailable",
+        {HttpEnd::kAnswered, 503, ""},
+        WriteStatus::kNotApplied,
+        0},
+       {"gateway error",
+        {HttpEnd::kAnswered, 502, ""},
+        WriteStatus::kUndecided,
+        0},
+       {"server error",
+        {HttpEnd::kAnswered, 500, ""},
+        WriteStatus::kUndecided,
+        0},
+       {"not connected", {HttpEnd::kNotConnected}, WriteStatus::kNotApplied, 0},
+       {"refused by the client",
+        {HttpEnd::kRefused},
+        WriteStatus::kNotApplied,
+        0},
+       {"timed out", {HttpEnd::kTimedOut}, WriteStatus::kUndecided, 0},
+       {"connection lost",
+        {HttpEnd::kTransportError},
+        WriteStatus::kUndecided,
+        0},
+       {"too large", {HttpEnd::kTooLarge}, WriteStatus::kUndecided, 0}}));
+  CAPTURE(row.name);
+  const auto written = ClassifyWrite(row.result);
+  CHECK(written.status == row.status);
+  CHECK(written.revision == row.revision);
+}
+
+// Guards against a failed read being taken for a store without a value, upon
+// which a starting entry would make itself the dispatcher.
+TEST_CASE("only a 404 is read as no value", "[store]") {
+  struct Row {
+    const char* name;
+    HttpResult result;
+    std::optional<std::uint64_t> revision;
+    bool has_problem;
+  };
+  const auto row = GENERATE(values<Row>(
+      {{"value",
+        {HttpEnd::kAnswered, 200, R"({"revision": 4, "value": {}})"},
+        4,
+        false},
+       {"no value", {HttpEnd::kAnswered, 404}, 0, false},
+       {"watch without a change", {HttpEnd::kAnswered, 204}, {}, false},
+       {"unavailable", {HttpEnd::kAnswered, 503}, {}, true},
+       {"not JSON", {HttpEnd::kAnswered, 200, "<html>"}, {}, true},
+       {"no revision", {HttpEnd::kAnswered, 200, R"({"value": {}})"}, {}, true},
+       {"bad value",
+        {HttpEnd::kAnswered, 200, R"({"revision": 4, "value": []})"},
+        {},
+        true},
+       {"timed out", {HttpEnd::kTimedOut, 0, "", "slow"}, {}, true}}));
+  CAPTURE(row.name);
+  std::string problem = "old";
+  const auto config = ReadConfigAnswer(row.result, &problem);
+  CHECK(config.has_value() == row.revision.has_value());
+  if (config && row.revision) CHECK(config->revision == *row.revision);
+  CHECK(problem.empty() != row.has_problem);
+}
+
+}  // namespace dottereltrack
