Add the agent daemon

Cause: an agent needs the process around its decisions: links to entries, the minion's announcements over HTTP, and one libcurl request per task. Ruled out: one address for the minion, since a start that was decided for a replaced instance could then reach the new one; addresses are kept by instance. One frame for all results of a turn, since 64 results of 1 MiB exceed a frame; results are split.

--- /dev/null
+++ b/apps/agent/agent_process.cpp
@@ -0,0 +1,121 @@
+#include "apps/agent/agent_process.h"
+
+#include <asio/post.hpp>
+#include <csignal>
+#include <utility>
+
+#include "runtime/settings/endpoint_text.h"
+
+namespace dottereltrack {
+namespace {
+
+constexpr milliseconds kTickInterval{50};
+
+// Slots of a minion are limited to 4,096; tasks of a replaced instance may end
+// beside those of the new one.
+constexpr std::size_t kMaxAttempts = 8'192;
+
+AgentBoard MakeBoard(const AgentDaemonSettings& settings) {
+  AgentBoard board;
+  board.settings = settings.core;
+  return board;
+}
+
+HttpClientLimits AttemptLimits() {
+  HttpClientLimits limits;
+  limits.max_calls = kMaxAttempts;
+  limits.max_idle_connections = 0;
+  return limits;
+}
+
+std::string ToText(const Fence& fence) {
+  return "generation " + std::to_string(fence.generation) + ", session " +
+         std::to_string(fence.session);
+}
+
+}  // namespace
+
+AgentProcess::AgentProcess(asio::io_context& loop,
+                           const AgentDaemonSettings& settings)
+    : loop_(loop),
+      settings_(settings),
+      board_(MakeBoard(settings)),
+      links_(loop, LinkLimits{},
+             {[this](LinkId link, const std::string& frame) {
+                OnFrame(link, frame);
+              },
+              [this](LinkId link) { Post(EntryLinkClosed{link}); }}),
+      http_(loop, settings.http,
+            {[this](const HttpRequest& request, const HttpReplier& reply) {
+               OnHttp(request, reply);
+             },
+             {},
+             {}}),
+      minion_(loop, AttemptLimits()),
+      tick_(loop),
+      exit_timer_(loop),
+      signals_(loop, SIGTERM, SIGINT),
+      random_(RandomId()) {}
+
+bool AgentProcess::Start() {
+  const auto port = http_.Listen(settings_.http_listen);
+  if (!port) {
+    Log(LogPart::kHttp, LogLevel::kError,
+        "cannot listen on " + ToText(settings_.http_listen) +
+            "; check http_listen and whether the port is in use");
+    return false;
+  }
+  Log(LogPart::kMain, LogLevel::kInfo,
+      "agent " + ToHex(board_.settings.id.value) + " listens for HTTP on " +
+          ToText(Endpoint{settings_.http_listen.host, *port}));
+  AwaitStopSignal();
+  Tick();
+  return true;
+}
+
+void AgentProcess::Post(AgentEvent event) {
+  events_.push_back(std::move(event));
+  if (turn_posted_ || exiting_) return;
+  turn_posted_ = true;
+  // Runs after the handlers that are ready now, whose events join this turn.
+  asio::post(loop_, [this] { Turn(); });
+}
+
+void AgentProcess::Turn() {
+  turn_posted_ = false;
+  if (exiting_) return;
+  const Fence before = board_.fence;
+  const std::vector<AgentEvent> events = std::exchange(events_, {});
+  const auto effects =
+      Advance(&board_, settings_.entry_seeds, events, TakeNow());
+  for (const AgentEffect& effect : effects) {
+    std::visit([this](const auto& it) { Do(it); }, effect);
+  }
+  if (board_.fence != before) {
+    Log(LogPart::kCell, LogLevel::kInfo,
+        "serves a dispatcher of " + ToText(board_.fence));
+  }
+}
+
+void AgentProcess::Tick() {
+  Post(AgentTick{});
+  tick_.expires_after(kTickInterval);
+  tick_.async_wait([this](const asio::error_code& ec) {
+    if (!ec) Tick();
+  });
+}
+
+void AgentProcess::AwaitStopSignal() {
+  signals_.async_wait([this](const asio::error_code& ec, int) {
+    if (ec) return;
+    Log(LogPart::kMain, LogLevel::kInfo,
+        "stop requested; the process ends when its tasks have ended and "
+        "another agent has their records");
+    Post(AgentStopRequested{});
+    AwaitStopSignal();
+  });
+}
+
+Now AgentProcess::TakeNow() { return {BootNow(), WallNow(), random_()}; }
+
+}  // namespace dottereltrack
--- a/include/dottereltrack/api.h
+++ b/include/dottereltrack/api.h
@@ -3,6 +3,9 @@
 // Public header of the API library: the JSON of callers and operators, apart
 // from any HTTP library. It parses and renders, and decides nothing.
 
+#include "api/agent_routes.h"   // IWYU pragma: export
+#include "api/agent_views.h"    // IWYU pragma: export
+#include "api/announcement.h"   // IWYU pragma: export
 #include "api/answer_json.h"    // IWYU pragma: export
 #include "api/job_json.h"       // IWYU pragma: export
 #include "api/metrics.h"        // IWYU pragma: export
