Add dotterelctl

Cause: operators change labels, drain minions and confirm dead agents without writing HTTP calls by hand.

The command line, the edits of the configuration, the tables and the run of a command are free functions; the run takes the HTTP call as a function, so tests script the entry. A submitted job without a key gets a timed one here, so that it can be submitted again after a lost answer. Ruled out: the token as an argument, because other users of the machine could read it there.

Not run yet: against an entry.

--- /dev/null
+++ b/apps/ctl/main.cpp
@@ -0,0 +1,62 @@
+// dotterelctl: shows and changes the state of a cell through one entry.
+
+#include <asio/io_context.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "apps/ctl/run.h"
+#include "dottereltrack/http_client.h"
+#include "runtime/settings/file.h"
+
+namespace {
+
+using namespace dottereltrack;  // NOLINT(google-build-using-namespace)
+
+HttpResult CallAndWait(const HttpCall& call) {
+  asio::io_context loop(1);
+  HttpClient client(loop);
+  std::optional<HttpResult> result;
+  client.Start(call, [&](HttpResult ended) {
+    result = std::move(ended);
+    loop.stop();
+  });
+  loop.run();
+  return result.value_or(HttpResult{});
+}
+
+// The token without the line break at the end of its file.
+std::optional<std::string> ReadToken(const CtlCommand& command) {
+  if (command.token_file.empty()) {
+    const char* token = std::getenv("DOTTEREL_TOKEN");
+    return token == nullptr ? std::string() : std::string(token);
+  }
+  auto token = ReadFile(command.token_file);
+  if (token) token->erase(token->find_last_not_of(" \r\n") + 1);
+  return token;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto parsed =
+      ParseCtlCommand("dotterelctl " DOTTERELTRACK_VERSION,
+                      std::vector<std::string>(argv + 1, argv + argc));
+  if (const auto* exit = std::get_if<EarlyExit>(&parsed)) return Finish(*exit);
+  const auto& command = std::get<CtlCommand>(parsed);
+  const auto token = ReadToken(command);
+  if (!token) {
+    return Finish(
+        {kExitBadInput,
+         command.token_file + ": cannot be read; check --token-file\n"});
+  }
+  const EarlyExit exit = RunCtl(command, *token, CallAndWait);
+  // The answer of a failed or open job is a result as well.
+  const bool has_result = exit.code == kExitOk || exit.code == kExitJobFailed ||
+                          exit.code == kExitJobOpen;
+  (has_result ? std::cout : std::cerr) << exit.output;
+  return exit.code;
+}
--- a/apps/entry/entry_process.cpp
+++ b/apps/entry/entry_process.cpp
@@ -131,14 +131,16 @@
   backoff.first_wait = settings_.core.store_retry;
   backoff.longest_wait = settings_.core.max_store_retry;
   table_watch_ = std::make_unique<StoreWatch>(
-      loop_, backoff, [this](std::uint64_t after, StoreWatch::Done done) {
+      loop_, backoff,
+      [this](std::uint64_t after, const StoreWatch::Done& done) {
         store_.watch_table(after, [this, done](const auto& table) {
           if (table) Post(TableSeen{*table});
           done(table ? std::optional(table->revision) : std::nullopt);
         });
       });
   config_watch_ = std::make_unique<StoreWatch>(
-      loop_, backoff, [this](std::uint64_t after, StoreWatch::Done done) {
+      loop_, backoff,
+      [this](std::uint64_t after, const StoreWatch::Done& done) {
         store_.watch_config(after, [this, done](const auto& config) {
           if (config) Post(ConfigSeen{*config});
           done(config ? std::optional(config->revision) : std::nullopt);
--- /dev/null
+++ b/tests/ctl/run_test.cpp
@@ -0,0 +1,188 @@
+#include "apps/ctl/run.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "apps/ctl/config_edit.h"
+
+namespace dottereltrack {
+namespace {
+
+using nlohmann::json;
+
+// An entry that gives the listed replies in order and notes the calls.
+struct ScriptedEntry {
+  std::vector<HttpResult> replies;
+  std::vector<HttpCall> calls;
+
+  CallHttp AsCall() {
+    return [this](const HttpCall& call) {
+      calls.push_back(call);
+      if (calls.size() > replies.size()) return HttpResult{};
+      return replies[calls.size() - 1];
+    };
+  }
+};
+
+HttpResult Reply(int status, const std::string& body) {
+  HttpResult result;
+  result.end = HttpEnd::kAnswered;
+  result.status = status;
+  result.body = body;
+  return result;
+}
+
+HttpResult NotAnswered(HttpEnd end) {
+  HttpResult result;
+  result.end = end;
+  result.message = "why";
+  return result;
+}
+
+const char* const kConfig =
+    R"({"version":4,"teams":{"a":{"max_in_progress":0,"weight":2}},
+        "label_overrides":{"m1":{"zone":"b"}},"drained_minions":["m2"]})";
+const char* const kConflict =
+    R"({"error":{"code":"version_conflict","message":"m","outcome":"not_run"}})";
+
+CtlCommand Command(CtlAction action) {
+  CtlCommand command;
+  command.action = action;
+  command.entry = {"127.0.0.1", 8080};
+  command.minion = "m1";
+  command.agents = {"00000000000000ff"};
+  return command;
+}
+
+// A file with this text for the time of a test.
+struct TemporaryFile {
+  std::string path;
+  explicit TemporaryFile(const std::string& text) : path("ctl_run_test.json") {
+    std::ofstream(path) << text;
+  }
+  ~TemporaryFile() { std::remove(path.c_str()); }
+};
+
+}  // namespace
+
+// Guards against an edit that drops what it does not concern.
+TEST_CASE("an edit changes one part of the configuration", "[ctl]") {
+  const json config = json::parse(kConfig);
+  struct Row {
+    json edited;
+    const char* path;
+    json expected;
+  };
+  const auto row = GENERATE_COPY(values<Row>({
+      {WithLabel(config, "m1", "zone", "c"),
+       "/label_overrides",
+       {{"m1", {{"zone", "c"}}}}},
+      {WithLabel(config, "m3", "arch", "arm"),
+       "/label_overrides",
+       {{"m1", {{"zone", "b"}}}, {"m3", {{"arch", "arm"}}}}},
+      {WithLabel(config, "m1", "zone", ""), "/label_overrides", json::object()},
+      {WithLabel(config, "m3", "zone", ""),
+       "/label_overrides",
+       {{"m1", {{"zone", "b"}}}}},
+      {WithDrained(config, "m1"), "/drained_minions",
+       json::array({"m2", "m1"})},
+      {WithDrained(config, "m2"), "/drained_minions", json::array({"m2"})},
+      {WithoutDrained(config, "m2"), "/drained_minions", json::array()},
+      {WithoutDrained(config, "m1"), "/drained_minions", json::array({"m2"})},
+  }));
+  json expected = config;
+  expected[json::json_pointer(row.path)] = row.expected;
+  CHECK(row.edited == expected);
+}
+
+// Guards against a change that is lost when another operator was first.
+TEST_CASE("an edit is repeated on top of another operator's", "[ctl]") {
+  ScriptedEntry entry{{Reply(200, kConfig), Reply(409, kConflict),
+                       Reply(200, kConfig), Reply(200, kConfig)},
+                      {}};
+  const EarlyExit exit =
+      RunCtl(Command(CtlAction::kDrain), "secret", entry.AsCall());
+  CHECK(exit.code == kExitOk);
+  REQUIRE(entry.calls.size() == 4);
+  CHECK(entry.calls[3].method == "PUT");
+  const json body = json::parse(entry.calls[3].body);
+  CHECK(body["expected_version"] == 4);
+  CHECK_FALSE(body.contains("version"));
+  CHECK(body["drained_minions"] == json::array({"m2", "m1"}));
+  CHECK(entry.calls[3].headers ==
+        std::vector<std::pair<std::string, std::string>>{
+            {"Authorization", "Bearer secret"}});
+}
+
+// Guards against scripts that take a failure for a success.
+TEST_CASE("the exit code tells how the command has ended", "[ctl]") {
+  struct Row {
+    CtlAction action;
+    HttpResult reply;
+    int code;
+    const char* output;
+  };
+  const auto row = GENERATE(values<Row>({
+      {CtlAction::kGetConfig, Reply(200, kConfig), kExitOk,
+       "version 4\n\n"
+       "TEAM  MAX IN PROGRESS  WEIGHT\n"
+       "a     no limit         2\n\n"
+       "MINION  LABEL OVERRIDES\n"
+       "m1      zone=b\n\n"
+       "DRAINED MINIONS\n"
+       "m2\n"},
+      {CtlAction::kConfirmDead, Reply(409, kConflict), kExitRefused,
+       "version_conflict: m (outcome: not_run)\n"},
+      {CtlAction::kGetConfig, Reply(502, "<html>"), kExitNoAnswer,
+       "the reply is not JSON; check that --entry names the HTTP address of an "
+       "entry\n"},
+      {CtlAction::kGetConfig, NotAnswered(HttpEnd::kNotConnected),
+       kExitNoAnswer, "no answer from the entry: why (nothing was sent)\n"},
+      {CtlAction::kConfirmDead, NotAnswered(HttpEnd::kTimedOut), kExitNoAnswer,
+       "no answer from the entry: why (a change or a job may have taken "
+       "effect)\n"},
+  }));
+  ScriptedEntry entry{{row.reply}, {}};
+  const EarlyExit exit = RunCtl(Command(row.action), "", entry.AsCall());
+  CHECK(exit == EarlyExit{row.code, row.output});
+}
+
+// Guards against a job whose key is lost with its answer.
+TEST_CASE("a submitted job has a key", "[ctl]") {
+  struct Row {
+    const char* file;
+    HttpResult reply;
+    int code;
+    bool has_header;
+  };
+  const auto row = GENERATE(values<Row>({
+      {R"({"team":"a","tasks":[{}]})",
+       Reply(200, R"({"id":"1","complete":true,"tasks":[]})"), kExitOk, true},
+      {R"({"team":"a","key":"k","tasks":[{}]})",
+       Reply(200, R"({"id":"1","complete":false,"tasks":[]})"), kExitJobFailed,
+       false},
+      {R"({"team":"a","tasks":[{}]})", Reply(202, R"({"id":"1"})"),
+       kExitJobOpen, true},
+      {R"({"team":"a","tasks":[{}]})", NotAnswered(HttpEnd::kTimedOut),
+       kExitNoAnswer, true},
+      {"no JSON", Reply(200, "{}"), kExitBadInput, false},
+  }));
+  CAPTURE(row.file, row.code);
+  const TemporaryFile file(row.file);
+  CtlCommand command = Command(CtlAction::kSubmit);
+  command.file = file.path;
+  ScriptedEntry entry{{row.reply}, {}};
+  const EarlyExit exit = RunCtl(command, "", entry.AsCall());
+  CHECK(exit.code == row.code);
+  if (row.code == kExitBadInput) return;
+  REQUIRE(entry.calls.size() == 1);
+  CHECK(entry.calls[0].headers.empty() != row.has_header);
+  if (row.code == kExitNoAnswer) {
+    CHECK(exit.output.find(entry.calls[0].headers[0].second) !=
+          std::string::npos);
+  }
+}
+
+}  // namespace dottereltrack
