Add the endpoint's stand-in

Cause: tests need a minion that runs tasks on timers and counts each start, so that a double start can be found from outside the system.

--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -1,4 +1,5 @@
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
@@ -43,8 +44,11 @@
   void DropStore() { store_ = {}; }
   // Time between two looks at something that needs time.
   void Pause() {
+    asio::steady_timer timer(loop_, milliseconds(20));
+    bool over = false;
+    timer.async_wait([&](const std::error_code&) { over = true; });
     loop_.restart();
-    loop_.run_for(milliseconds(20));
+    while (!over) loop_.run_one();
   }
 
   // Runs the loop until the callback given to `call` has been called.
--- /dev/null
+++ b/tools/standins/endpoint/announcer.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "dottereltrack/http_client.h"
+#include "endpoint/options.h"
+
+namespace dottereltrack::standins {
+
+// Announces the stand-in to its agent every second until the agent accepts it,
+// and tells the agent when it leaves.
+class Announcer {
+ public:
+  // The instance is a random number of this run of the process.
+  Announcer(asio::io_context& loop, const EndpointOptions& options,
+            std::uint16_t port, std::uint64_t instance);
+  void Start();
+  // Ends the announcements. Calls back when the agent has answered or cannot
+  // be reached.
+  void Leave(std::function<void()> done);
+
+ private:
+  void Announce();
+
+  HttpClient http_;
+  asio::steady_timer timer_;
+  std::string agent_url_;
+  std::string description_;
+  bool is_leaving_ = false;
+};
+
+}  // namespace dottereltrack::standins
--- /dev/null
+++ b/tools/standins/endpoint/task_plan.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include "endpoint/options.h"
+#include "http/server.h"
+
+namespace dottereltrack::standins {
+
+// What happens to one task.
+struct TaskPlan {
+  std::chrono::microseconds run_time{0};
+  // False to close the connection without an answer.
+  bool answers = true;
+  Response response;
+  friend bool operator==(const TaskPlan&, const TaskPlan&) = default;
+};
+
+// Plans a task by its payload, which begins with milliseconds.
+TaskPlan PlanTask(const EndpointOptions& options, const std::string& payload);
+
+}  // namespace dottereltrack::standins
--- a/tools/standins/store/main.cpp
+++ b/tools/standins/store/main.cpp
@@ -5,7 +5,10 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <exception>
 #include <iostream>
+#include <string>
+#include <vector>
 
 #include "http/server.h"
 #include "store/store_api.h"
@@ -23,10 +26,8 @@
   --port=PORT     TCP port; 0 takes a free one [default: 0].
 )";
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  auto options = docopt::docopt(kUsage, {argv + 1, argv + argc}, /*help=*/true);
+int Run(const std::vector<std::string>& arguments) {
+  auto options = docopt::docopt(kUsage, arguments, /*help=*/true);
   asio::io_context loop;
   dottereltrack::standins::StoreApi api(loop);
   dottereltrack::standins::Server server(
@@ -47,3 +48,14 @@
   loop.run();
   return 0;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run({argv + 1, argv + argc});
+  } catch (const std::exception& error) {
+    std::cerr << "[store] " << error.what() << "; see --help\n";
+    return 1;
+  }
+}
