--- a/src/runtime/http/http_server.h
+++ b/src/runtime/http/http_server.h
@@ -58,6 +58,9 @@
   std::function<void(HttpRequest, HttpReplier)> on_request;
   // The connection is gone; replies to its requests are dropped. May be empty.
   std::function<void(std::uint64_t connection)> on_disconnect;
+  // The response to a body above the limit; a line of text if empty.
+  std::function<HttpResponse(std::size_t size, std::size_t limit)>
+      on_body_too_large;
 };
 
 // The value of a header, or an empty text. The name is in lower case.
@@ -77,6 +80,9 @@
   std::optional<std::uint16_t> Listen(const Endpoint& address);
   // Accepts no more connections; open ones go on.
   void StopListening();
+  // Calls back once when all responses given so far have been sent or their
+  // connections are gone.
+  void WhenSent(std::function<void()> done);
 
  private:
   class Impl;
