--- a/apps/agent/main.cpp
+++ b/apps/agent/main.cpp
@@ -1,6 +1,8 @@
 // dotterel-agent: starts tasks on the minion beside it.
 
 #include <asio/io_context.hpp>
+#include <exception>
+#include <iostream>
 #include <string>
 #include <variant>
 #include <vector>
@@ -21,13 +23,10 @@
   return kExitOk;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int RunCommand(const std::vector<std::string>& arguments) {
   const auto command = ParseDaemonCommand(
       DaemonUsage("dotterel-agent", "Starts tasks on the minion beside it."),
-      "dotterel-agent " DOTTERELTRACK_VERSION,
-      std::vector<std::string>(argv + 1, argv + argc));
+      "dotterel-agent " DOTTERELTRACK_VERSION, arguments);
   if (const auto* exit = std::get_if<EarlyExit>(&command)) return Finish(*exit);
   const auto settings =
       LoadSettings(std::get<DaemonCommand>(command), AgentSchema());
@@ -36,3 +35,15 @@
   }
   return Run(std::get<AgentDaemonSettings>(settings));
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return RunCommand({argv + 1, argv + argc});
+  } catch (const std::exception& error) {
+    std::cerr << "dotterel-agent stops on an unexpected error: " << error.what()
+              << "; report it with the command line and the settings\n";
+    return kExitFailed;
+  }
+}
