--- a/src/core/agent/discovery.cpp
+++ b/src/core/agent/discovery.cpp
@@ -2,6 +2,8 @@
 
 #include <set>
 
+#include "core/agent/results.h"
+
 namespace dottereltrack {
 namespace {
 
@@ -55,6 +57,12 @@
   changes.Add(Put<EntryDial>{{event.address, false, event.link, BootTime{0}}});
   changes.Add(Put<EntryLink>{{event.link, EntryId{}}});
   changes.Append(SendHello(board, event.link));
+  if (board.leave_sent) {
+    // An entry that was not connected then has not heard of it.
+    changes.Add(SendToEntry{event.link,
+                            MinionUpdate{AckOf(board), *board.minion, true}});
+    changes.Add(CountAgent{AgentCounter::kMessagesSent});
+  }
   return changes;
 }
 
--- a/src/core/entry/admission.cpp
+++ b/src/core/entry/admission.cpp
@@ -118,6 +118,15 @@
   return changes;
 }
 
+EntryChanges AttachToClosed(const EntryBoard& board,
+                            const ClosedSubmission& closed,
+                            const ReplyTo& reply_to) {
+  if (closed.told) return SendReply(board, reply_to, closed.refusal);
+  EntryChanges changes;
+  changes.Add(Put<Waiter>{{closed.id, reply_to}});
+  return changes;
+}
+
 Job MakeJob(const EntryBoard& board, const SubmissionId& id,
             const Shared<SubmitRequest>& request, const Now& now) {
   Job job;
@@ -180,12 +189,12 @@
   if (const Job* job = board.jobs.Find(id)) {
     return AttachToJob(board, *job, *request, reply_to);
   }
-  if (const ClosedSubmission* closed = board.closed.Find(id)) {
-    return SendReply(board, reply_to, closed->refusal);
-  }
   if (IsRecoveredWithOtherBody(board, id, request->body_digest)) {
     return SendReply(board, reply_to, KeyReused());
   }
+  if (const ClosedSubmission* closed = board.closed.Find(id)) {
+    return AttachToClosed(board, *closed, reply_to);
+  }
   if (const auto refusal = ValidateRequest(board.settings, *request)) {
     return SendReply(board, reply_to, *refusal);
   }
@@ -197,9 +206,8 @@
   if (!refusal) refusal = CheckCapacity(board, *request);
   if (refusal) {
     // A key that an earlier dispatcher may have started did perhaps run.
-    if (!IsProvablyFresh(board, request->key, now) ||
-        board.recovered.LowerBound({id, 0}) !=
-            board.recovered.LowerBound({id, 0xffffffff})) {
+    if (!IsProvablyFresh(board, id, request->key, now) ||
+        HasRecoveredTasks(board, id)) {
       refusal->not_run.reset();
       return SendReply(board, reply_to, *refusal);
     }
@@ -219,6 +227,7 @@
   for (std::uint32_t n = 0; n < job.task_count; ++n) {
     Task task;
     task.id = {id, n};
+    task.state = TaskState::kUnresolved;
     changes.Add(Put<Task>{task});
   }
   changes.Add(Put<Waiter>{{id, reply_to}});
--- a/src/core/entry/advance.cpp
+++ b/src/core/entry/advance.cpp
@@ -37,11 +37,13 @@
 
   void Handle(const EntryEvent& event) {
     std::visit([this](const auto& e) { On(e); }, event);
+    // The next event of the batch may already come for the new role.
+    Run(NoteDispatcher(*board_, now_));
+    Run(FollowTable(*board_, now_));
   }
 
   // Controllers that act on the state as a whole.
   void Settle() {
-    Run(FollowTable(*board_, now_));
     Run(FenceAgents(*board_, now_));
     SettleTakeover();
     RouteWaitingCalls();
@@ -123,10 +125,11 @@
     Run(ReadTableIfNeeded(*board_, now_));
     Run(DialPeers(*board_, now_));
     Run(DetectSilentAgents(*board_, now_));
+    Run(ReleaseRemovedAgents(*board_, now_));
     Run(EndTasksOfLostAgents(*board_, now_));
     Run(ExpireDeadlines(*board_, now_));
     Run(ExpireUnplaceable(*board_, now_));
-    Run(ExpireWitnesses(*board_, now_));
+    ContinueWaiting();
     Run(ExpireCalls(*board_, now_));
     Run(RetryConfigChanges(*board_, now_));
     Run(Reprotect(*board_, now_));
@@ -164,8 +167,8 @@
     Acknowledge(id, message.ack);
     if (!SpeaksUnderItsFence(id, message.ack)) return;
     for (const SubmissionId& submission : message.submissions) {
-      Run(RecordWitness(*board_, id, submission));
-      Run(ContinueAfterWitnesses(*board_, submission, now_));
+      Run(RecordWitness(*board_, id, message.ack.seq, submission));
+      Continue(submission);
     }
   }
   void OnAgent(AgentId id, const LedgerCopyAck& message) {
@@ -199,9 +202,15 @@
   void OnPeer(LinkId link, EntryId, const ForwardReply& message) {
     Run(HandleForwardReply(*board_, link, message));
   }
-  void OnPeer(LinkId, EntryId, const TableUpdate& message) {
+  void OnPeer(LinkId link, EntryId, const TableUpdate& message) {
+    const bool older = message.table.revision < board_->table.revision;
     Run(AdoptTable(*board_, message.table));
     Run(DialPeers(*board_, now_));
+    if (!older) return;
+    // The peer lacks our table. What it was asked as the new dispatcher it has
+    // turned away, so it is asked again behind the table.
+    SendOurTable(link);
+    Run(UnrouteCallsOn(*board_, link));
   }
   void OnPeer(LinkId, EntryId, const ConfigUpdate& message) {
     Run(AdoptConfig(*board_, message.config));
@@ -210,6 +219,11 @@
     if (message.generation < board_->table.table.generation) {
       SendOurTable(link);
     }
+    // The peer sends its table to one that lacks it, which works while the
+    // store is down.
+    if (message.generation > board_->table.table.generation) {
+      SendOurTable(link);
+    }
     NoteGeneration(message.generation);
   }
   // A hello is handled before the sender is looked up.
@@ -262,7 +276,24 @@
       Run(std::move(changes));
       changes = ResolveSubmission(*board_, id, now_);
     }
-    Run(ContinueAfterWitnesses(*board_, id, now_));
+    Continue(id);
+  }
+
+  // Lets go on what waits for witnesses. A job whose proofs are dropped is
+  // looked at again, so that it ends in the same turn.
+  void Continue(const SubmissionId& id) {
+    EntryChanges changes = ContinueAfterWitnesses(*board_, id, now_);
+    while (!changes.rows.empty()) {
+      Run(std::move(changes));
+      changes = ContinueAfterWitnesses(*board_, id, now_);
+    }
+  }
+
+  void ContinueWaiting() {
+    std::set<SubmissionId> waiting = board_->waiting_witnesses;
+    waiting.insert(board_->closing.begin(), board_->closing.end());
+    Run(TendWitnesses(*board_, now_));
+    for (const SubmissionId& id : waiting) Continue(id);
   }
 
   void SettleTakeover() {
@@ -290,15 +321,10 @@
     const std::set<SubmissionId> decided = board_->decided_jobs;
     Run(EndDecidedJobs(*board_, now_));
     // A job that found no witness to ask ends at once.
-    for (const SubmissionId& id : decided) {
-      Run(ContinueAfterWitnesses(*board_, id, now_));
-    }
+    for (const SubmissionId& id : decided) Continue(id);
   }
 
-  bool IsStopped() const {
-    return board_->stopping && board_->calls.empty() &&
-           board_->authority.role == Role::kMember;
-  }
+  bool IsStopped() const { return board_->stopping && OwesNothing(*board_); }
 
   EntryBoard* board_;
   Now now_;
--- a/src/core/entry/agent_messages.cpp
+++ b/src/core/entry/agent_messages.cpp
@@ -9,6 +9,11 @@
 // makes the authority expire sooner.
 constexpr milliseconds kMarkSpacing{50};
 
+bool IsListed(const CellTable& table, AgentId agent) {
+  return std::any_of(table.roster.begin(), table.roster.end(),
+                     [&](const RosterAgent& it) { return it.id == agent; });
+}
+
 }  // namespace
 
 AgentRow AfterSend(const AgentRow& agent, const Now& now) {
@@ -40,11 +45,20 @@
   return nullptr;
 }
 
-bool IsUsable(const EntryBoard& board, const AgentRow& agent) {
-  const auto& roster = board.table.table.roster;
+bool IsFencedMember(const EntryBoard& board, const AgentRow& agent) {
   return agent.phase == AgentPhase::kFenced &&
-         std::any_of(roster.begin(), roster.end(),
-                     [&](const RosterAgent& it) { return it.id == agent.id; });
+         IsListed(board.table.table, agent.id);
+}
+
+bool StaysInRoster(const EntryBoard& board, AgentId agent) {
+  const auto& pending = board.store.pending_table;
+  return IsListed(board.table.table, agent) &&
+         (!pending || IsListed(*pending, agent));
+}
+
+bool IsUsable(const EntryBoard& board, const AgentRow& agent) {
+  return agent.phase == AgentPhase::kFenced && !agent.leaving &&
+         !agent.reprotected && StaysInRoster(board, agent.id);
 }
 
 std::string RackOf(const MinionDescription& minion) {
--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -37,7 +37,9 @@
 void IndexJob(EntryBoard* board, const Job& job) {
   if (IsOpen(job)) {
     board->open_by_deadline.emplace(job.deadline_at, job.id);
-    if (job.state == JobState::kOpen && job.final_tasks == job.task_count) {
+    if (job.state == JobState::kClosing) {
+      board->closing.insert(job.id);
+    } else if (job.final_tasks == job.task_count) {
       board->decided_jobs.insert(job.id);
     }
   } else {
@@ -49,6 +51,7 @@
   board->open_by_deadline.erase({job.deadline_at, job.id});
   board->final_by_age.erase({job.finished_at, job.id});
   board->decided_jobs.erase(job.id);
+  board->closing.erase(job.id);
 }
 
 void RemoveRecord(EntryBoard* board, AgentId holder, const TaskId& id) {
@@ -58,13 +61,22 @@
   if (it->second.empty()) board->records_by_holder.erase(it);
 }
 
+// A record that an inventory named stays indexed by its own row.
+void RemoveTaskRecord(EntryBoard* board, const Task& task) {
+  const RecoveredTask* recovered = board->recovered.Find(task.id);
+  if (recovered != nullptr && recovered->holder == task.holder) return;
+  RemoveRecord(board, task.holder, task.id);
+}
+
 void IndexTask(EntryBoard* board, const Task& task) {
   if (task.holder != AgentId{}) {
     board->records_by_holder[task.holder].insert(task.id);
   }
   const Job* job = board->jobs.Find(task.id.submission);
   if (job == nullptr) return;
-  if (task.state == TaskState::kQueued) {
+  if (task.state == TaskState::kUnresolved) {
+    ++board->queued_tasks;
+  } else if (task.state == TaskState::kQueued) {
     board->queue_by_team[job->team].insert({job->arrival_seq, task.id});
     ++board->queued_tasks;
   } else if (task.state == TaskState::kSent) {
@@ -90,9 +102,10 @@
 }
 
 void UnindexTask(EntryBoard* board, const Task& task) {
-  RemoveRecord(board, task.holder, task.id);
+  RemoveTaskRecord(board, task);
   const Job* job = board->jobs.Find(task.id.submission);
   if (job == nullptr) return;
+  if (task.state == TaskState::kUnresolved) --board->queued_tasks;
   if (task.state == TaskState::kQueued) UnindexQueued(board, *job, task);
   if (task.state == TaskState::kSent) UnindexSent(board, *job, task);
 }
@@ -163,6 +176,11 @@
   void operator()(const Put<WitnessRecord>& change) const {
     const SubmissionId& id = change.row.entry.submission;
     board->witnesses.Put(change.row);
+    if (change.row.waiting) {
+      board->waiting_witnesses.insert(id);
+    } else {
+      board->waiting_witnesses.erase(id);
+    }
     if (change.row.chosen.empty()) {
       board->unsent_witnesses.erase(id);
     } else {
@@ -172,6 +190,19 @@
   void operator()(const Erase<WitnessRecord>& change) const {
     board->witnesses.Erase(change.key);
     board->unsent_witnesses.erase(change.key);
+    board->waiting_witnesses.erase(change.key);
+  }
+  void operator()(const Put<ClosedSubmission>& change) const {
+    board->closed.Put(change.row);
+    if (change.row.told) {
+      board->closing.erase(change.row.id);
+    } else {
+      board->closing.insert(change.row.id);
+    }
+  }
+  void operator()(const Erase<ClosedSubmission>& change) const {
+    board->closed.Erase(change.key);
+    board->closing.erase(change.key);
   }
   void operator()(const SetAuthority& change) const {
     board->authority = change.authority;
@@ -183,6 +214,10 @@
   void operator()(const SetStoreStatus& change) const {
     board->store = change.status;
   }
+  void operator()(const DropPendingTable&) const {
+    board->store.pending_table.reset();
+    board->store.write_undecided = false;
+  }
   void operator()(const SetStopping&) const { board->stopping = true; }
   void operator()(const SetConfirmedDead& change) const {
     board->confirmed_dead = change.agents;
--- a/src/core/entry/authority.cpp
+++ b/src/core/entry/authority.cpp
@@ -29,7 +29,7 @@
 std::vector<const AgentRow*> FencedAgents(const EntryBoard& board) {
   std::vector<const AgentRow*> agents;
   for (const auto& [id, agent] : board.agents) {
-    if (IsUsable(board, agent)) agents.push_back(&agent);
+    if (IsFencedMember(board, agent)) agents.push_back(&agent);
   }
   std::stable_sort(agents.begin(), agents.end(),
                    [](const AgentRow* a, const AgentRow* b) {
@@ -52,12 +52,16 @@
   Authority next;
   next.next_session = board.authority.next_session;
   next.generation = board.table.table.generation;
+  next.seen_generation = board.authority.seen_generation;
+  next.seen_since = board.authority.seen_since;
   changes.Add(SetAuthority{next});
   changes.Add(Count{Counter::kStepDowns});
+  changes.Add(SetConfirmedDead{});
   for (const auto& [id, agent] : board.agents) {
     if (agent.phase == AgentPhase::kLost) continue;
     AgentRow row = agent;
     row.phase = AgentPhase::kConnected;
+    row.reprotected = false;
     changes.Add(Put<AgentRow>{row});
   }
   for (const auto& [key, waiter] : board.waiters) {
@@ -74,6 +78,12 @@
   for (const auto& [id, row] : board.witnesses) {
     changes.Add(Erase<WitnessRecord>{id});
   }
+  for (const auto& [id, row] : board.cancels) {
+    changes.Add(Erase<CancelRequest>{id});
+  }
+  for (const auto& [id, row] : board.reprotections) {
+    changes.Add(Erase<Reprotection>{id});
+  }
   for (const auto& [id, row] : board.inventories) {
     changes.Add(Erase<InventoryStatus>{id});
   }
@@ -86,6 +96,7 @@
   next.generation = board.table.table.generation;
   next.since_boot = now.boot;
   next.since_wall = now.wall;
+  next.fresh_after_wall = now.wall;
   next.majority_at.reset();
   next.inventory_settled = false;
   next.uninventoried.clear();
@@ -129,11 +140,25 @@
   const CellTable& table = board.table.table;
   const bool ours = table.dispatcher == board.settings.id;
   const Role role = board.authority.role;
-  if (ours && table.generation > board.authority.generation) {
-    return TakeOver(board, now);
+  const bool replaced = table.generation > board.authority.generation;
+  EntryChanges changes;
+  // Another entry may have dispatched in between, even if this one does again.
+  if (role != Role::kMember && (!ours || replaced)) {
+    changes.Append(StepDown(board));
   }
-  if (!ours && role != Role::kMember) return StepDown(board);
-  return {};
+  if (ours && replaced) changes.Append(TakeOver(board, now));
+  return changes;
+}
+
+EntryChanges NoteDispatcher(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  const std::uint64_t generation = board.table.table.generation;
+  if (generation == board.authority.seen_generation) return changes;
+  Authority next = board.authority;
+  next.seen_generation = generation;
+  next.seen_since = now.boot;
+  changes.Add(SetAuthority{next});
+  return changes;
 }
 
 }  // namespace dottereltrack
--- a/src/core/entry/authority.h
+++ b/src/core/entry/authority.h
@@ -16,4 +16,7 @@
 // The role after a newer table was adopted: takes over, steps down, or neither.
 EntryChanges FollowTable(const EntryBoard& board, const Now& now);
 
+// Notes since when this entry has known of the current dispatcher.
+EntryChanges NoteDispatcher(const EntryBoard& board, const Now& now);
+
 }  // namespace dottereltrack
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -77,16 +77,30 @@
   friend bool operator==(const RecoveredTask&, const RecoveredTask&) = default;
 };
 
-// A witness record of this dispatcher or from an inventory. What waits for it
-// goes on when no agent is chosen or awaited any more.
+// A request to an agent to record a witness entry.
+struct WitnessAsk {
+  Fence fence;
+  std::uint64_t seq = 0;
+  BootTime sent_at{0};
+  friend auto operator<=>(const WitnessAsk&, const WitnessAsk&) = default;
+};
+
+// A witness record of this dispatcher or from an inventory.
 struct WitnessRecord {
   WitnessEntry entry;
+  // Not yet recorded in enough racks; what depends on the record waits.
+  bool waiting = false;
+  BootTime waiting_since{0};
+  // An inventory named it, so an earlier dispatcher may have started tasks.
+  bool recovered = false;
   // Agents that are still to be asked.
   std::set<AgentId> chosen;
   // Agents that have been asked and have not answered.
-  std::set<AgentId> awaited;
-  // Agents that have recorded the entry.
+  std::map<AgentId, WitnessAsk> asked;
+  // Agents that have recorded this entry or the open one before it.
   std::set<AgentId> holders;
+  // Agents that have recorded this very entry.
+  std::set<AgentId> confirmed;
   BootTime seen_at{0};
 
   const SubmissionId& Key() const { return entry.submission; }
@@ -195,8 +209,8 @@
   std::uint64_t request_id = 0;
   // This entry, as dispatcher, has taken the call.
   bool served_here = false;
-  // The request has left this process at least once.
-  bool ever_forwarded = false;
+  // A dispatcher, here or elsewhere, has had the request at least once.
+  bool ever_routed = false;
 
   const CallId& Key() const { return id; }
   friend bool operator==(const OpenCall&, const OpenCall&) = default;
@@ -207,6 +221,8 @@
   SubmissionId id;
   Refusal refusal;
   BootTime closed_at{0};
+  // Witnesses have recorded it, so the refusal may go out.
+  bool told = false;
 
   const SubmissionId& Key() const { return id; }
   friend bool operator==(const ClosedSubmission&,
@@ -222,6 +238,13 @@
   // When this entry became dispatcher, by both clocks.
   BootTime since_boot{0};
   WallTime since_wall{0};
+  // No earlier dispatcher can have started a key that was issued later. It is
+  // the end of the wait for ledgers, because until then an earlier dispatcher
+  // may still start tasks on agents that are not fenced.
+  WallTime fresh_after_wall{0};
+  // Newest generation seen in the table, and since when.
+  std::uint64_t seen_generation = 0;
+  BootTime seen_since{0};
   // When a majority of the roster was first fenced under this generation.
   std::optional<BootTime> majority_at;
   // Roster agents of the takeover whose ledger has not been read yet.
@@ -236,13 +259,18 @@
 struct StoreStatus {
   // The table as written by a call that is under way or undecided.
   std::optional<CellTable> pending_table;
-  // The write's answer is lost or late; reading back will tell.
+  // A write has been sent and its answer is due. No other is sent meanwhile,
+  // so that an answer always belongs to the newest write.
+  bool write_under_way = false;
+  // An answer was lost, so the pending table may yet take effect.
   bool write_undecided = false;
   bool read_pending = false;
   // The store has been read at least once.
   bool table_known = false;
   BootTime next_try_at{0};
   std::uint32_t failures = 0;
+  // When this entry last added itself to the members.
+  BootTime joined_at{0};
   friend bool operator==(const StoreStatus&, const StoreStatus&) = default;
 };
 
@@ -340,6 +368,10 @@
   std::set<CallId> waiting_calls;
   // Witness records with agents that are still to be asked.
   std::set<SubmissionId> unsent_witnesses;
+  // Witness records that are not yet in enough racks.
+  std::set<SubmissionId> waiting_witnesses;
+  // Jobs and refusals whose answer waits until the submission is closed.
+  std::set<SubmissionId> closing;
 
   std::array<std::uint64_t, kCounterCount> counters{};
 };
--- a/src/core/entry/cancellation.cpp
+++ b/src/core/entry/cancellation.cpp
@@ -27,6 +27,8 @@
 // hold all of it.
 std::optional<Answer> RecoveredAnswer(const EntryBoard& board,
                                       const SubmissionId& submission) {
+  const WitnessRecord* witness = board.witnesses.Find(submission);
+  if (witness != nullptr && witness->entry.closed) return std::nullopt;
   Answer answer;
   answer.id = submission;
   std::uint32_t job_size = 0;
@@ -55,7 +57,8 @@
     if (IsFinal(*job)) return SendReply(board, reply_to, AnswerOf(board, *job));
     return SendReply(board, reply_to, StillOpen{submission});
   }
-  if (const auto* closed = board.closed.Find(submission)) {
+  const auto* closed = board.closed.Find(submission);
+  if (closed != nullptr && closed->told) {
     return SendReply(board, reply_to, closed->refusal);
   }
   if (auto answer = RecoveredAnswer(board, submission)) {
@@ -81,6 +84,12 @@
       changes.Add(Put<CancelRequest>{{task.id, task.agent}});
     }
   }
+  if (decisions.empty()) {
+    // Ends the tasks that are not resolved yet, or whose start is refused.
+    Job next = *job;
+    next.cancelled = true;
+    changes.Add(Put<Job>{next});
+  }
   changes.Append(FinishTasks(board, decisions));
   changes.Add(Put<Waiter>{{submission, reply_to}});
   return changes;
--- a/src/core/entry/changes.h
+++ b/src/core/entry/changes.h
@@ -23,6 +23,8 @@
 struct SetStoreStatus {
   StoreStatus status;
 };
+// No table write is unresolved any more.
+struct DropPendingTable {};
 struct SetStopping {};
 struct SetConfirmedDead {
   std::set<AgentId> agents;
@@ -46,7 +48,8 @@
     Erase<PeerRow>, Put<PendingConfigChange>, Erase<PendingConfigChange>,
     Put<CancelRequest>, Erase<CancelRequest>, Put<Reprotection>,
     Erase<Reprotection>, SetConfirmedDead, SetAuthority, SetTable, SetConfig,
-    SetStoreStatus, SetStopping, TakeArrivalSeq, TakeRequestId, Count>;
+    SetStoreStatus, DropPendingTable, SetStopping, TakeArrivalSeq,
+    TakeRequestId, Count>;
 
 // Work for the input and output code.
 struct SendToAgent {
--- a/src/core/entry/deadlines.cpp
+++ b/src/core/entry/deadlines.cpp
@@ -18,6 +18,10 @@
     } else if (task.state == TaskState::kSent) {
       decisions->push_back(
           {task.id, Unknown{"it still ran when the deadline passed"}});
+    } else if (task.state == TaskState::kUnresolved) {
+      decisions->push_back(
+          {task.id, Unknown{"the deadline passed before the ledgers of the "
+                            "earlier dispatcher were read"}});
     }
   }
 }
@@ -109,11 +113,4 @@
   return changes;
 }
 
-EntryChanges ExpireWitnesses(const EntryBoard& board, const Now& now) {
-  EntryChanges changes;
-  (void)board;
-  (void)now;
-  return changes;
-}
-
 }  // namespace dottereltrack
--- a/src/core/entry/deadlines.h
+++ b/src/core/entry/deadlines.h
@@ -15,7 +15,4 @@
 // Drops records that are older than the retention.
 EntryChanges DropExpiredRecords(const EntryBoard& board, const Now& now);
 
-// Stops waiting for witnesses that do not answer.
-EntryChanges ExpireWitnesses(const EntryBoard& board, const Now& now);
-
 }  // namespace dottereltrack
--- a/src/core/entry/forwarding.cpp
+++ b/src/core/entry/forwarding.cpp
@@ -35,7 +35,7 @@
   OpenCall next = call;
   next.forwarded_to = link;
   next.request_id = board.next_request_id;
-  next.ever_forwarded = true;
+  next.ever_routed = true;
   EntryChanges changes;
   changes.Add(Put<OpenCall>{next});
   changes.Add(TakeRequestId{});
@@ -52,6 +52,7 @@
   next.forwarded_to = LinkId{};
   next.request_id = 0;
   next.served_here = true;
+  next.ever_routed = true;
   EntryChanges changes;
   changes.Add(Put<OpenCall>{next});
   const ReplyTo reply_to{call.id};
@@ -84,7 +85,7 @@
       "no dispatcher has been reachable; submit again with the same key";
   refusal.retry_after = seconds{1};
   // A key that the caller brought may have been submitted elsewhere too.
-  if (call.key_made_here && !call.ever_forwarded) {
+  if (call.key_made_here && !call.ever_routed) {
     refusal.not_run = ProveNeverAccepted();
   }
   return refusal;
@@ -171,6 +172,18 @@
   return Forward(board, call, *DispatcherPeer(board)->links.begin());
 }
 
+EntryChanges UnrouteCallsOn(const EntryBoard& board, LinkId link) {
+  EntryChanges changes;
+  for (const auto& [id, call] : board.calls) {
+    if (call.forwarded_to != link) continue;
+    OpenCall next = call;
+    next.forwarded_to = LinkId{};
+    next.request_id = 0;
+    changes.Add(Put<OpenCall>{next});
+  }
+  return changes;
+}
+
 EntryChanges UnrouteCalls(const EntryBoard& board) {
   EntryChanges changes;
   for (const auto& [id, call] : board.calls) {
--- a/src/core/entry/forwarding.h
+++ b/src/core/entry/forwarding.h
@@ -19,6 +19,9 @@
 EntryChanges RouteCall(const EntryBoard& board, const OpenCall& call,
                        const Now& now);
 
+// After the loss of a link, or when its peer has turned requests away.
+EntryChanges UnrouteCallsOn(const EntryBoard& board, LinkId link);
+
 // After a change of the dispatcher: no dispatcher has any of the open calls.
 EntryChanges UnrouteCalls(const EntryBoard& board);
 
--- a/src/core/entry/membership.cpp
+++ b/src/core/entry/membership.cpp
@@ -14,6 +14,11 @@
 
 constexpr milliseconds kDialRetry{300};
 
+// A new dispatcher is given this time before a member that cannot reach it
+// takes over. Two entries that have lost only each other would otherwise take
+// over from one another as fast as the store writes.
+constexpr milliseconds kMinTenure{1'000};
+
 bool IsMember(const CellTable& table, EntryId id) {
   return std::any_of(table.members.begin(), table.members.end(),
                      [&](const Member& it) { return it.id == id; });
@@ -31,6 +36,20 @@
   return table;
 }
 
+// A member at this entry's own address is an earlier process whose place this
+// one has taken. Dialling it would reach this entry itself.
+bool IsPredecessor(const EntryBoard& board, const Member& member) {
+  return member.id != board.settings.id &&
+         member.peer_address == board.settings.peer_address;
+}
+
+bool HasPredecessor(const EntryBoard& board, EntryId id) {
+  const auto& members = board.table.table.members;
+  return std::any_of(members.begin(), members.end(), [&](const Member& it) {
+    return it.id == id && IsPredecessor(board, it);
+  });
+}
+
 // Position among the members that could replace the dispatcher.
 std::size_t SuccessorRank(const CellTable& table, EntryId id) {
   return std::count_if(table.members.begin(), table.members.end(),
@@ -43,6 +62,8 @@
   const CellTable& table = board.table.table;
   if (board.stopping || table.dispatcher == board.settings.id) return false;
   if (!IsMember(table, board.settings.id)) return false;
+  if (board.authority.seen_since + kMinTenure > now.boot) return false;
+  if (HasPredecessor(board, table.dispatcher)) return true;
   const PeerRow* peer = board.peers.Find(table.dispatcher);
   if (peer == nullptr) return false;
   const BootTime stagger =
@@ -54,6 +75,16 @@
          now.boot;
 }
 
+// An entry that cannot reach the dispatcher joins only now and then, because
+// the dispatcher removes it again at once.
+bool MayJoin(const EntryBoard& board, const Now& now) {
+  const PeerRow* peer = board.peers.Find(board.table.table.dispatcher);
+  if (peer != nullptr && !peer->links.empty()) return true;
+  const BootTime joined_at = board.store.joined_at;
+  return joined_at == BootTime{0} ||
+         joined_at + board.settings.member_timeout <= now.boot;
+}
+
 void Enrol(const EntryBoard& board, CellTable* table) {
   for (const auto& [id, agent] : board.agents) {
     const bool ready = agent.phase == AgentPhase::kConnected &&
@@ -73,6 +104,7 @@
                        CellTable* table) {
   const auto gone = [&](const Member& member) {
     if (member.id == board.settings.id) return false;
+    if (IsPredecessor(board, member)) return true;
     const PeerRow* peer = board.peers.Find(member.id);
     return peer != nullptr && peer->links.empty() &&
            peer->lost_at + board.settings.member_timeout <= now.boot;
@@ -124,21 +156,29 @@
   return longest / 2 + milliseconds{now.random % (longest.count() / 2 + 1)};
 }
 
-StoreStatus AfterFailure(const EntryBoard& board, const Now& now) {
-  StoreStatus next = board.store;
+StoreStatus AfterFailure(const StoreStatus& status,
+                         const EntrySettings& settings, const Now& now) {
+  StoreStatus next = status;
   next.read_pending = false;
-  next.next_try_at = now.boot + RetryDelay(board.settings, next.failures, now);
+  next.next_try_at = now.boot + RetryDelay(settings, next.failures, now);
   ++next.failures;
   return next;
 }
 
-EntryChanges PushTable(const EntryBoard& board, const StoredTable& table) {
+EntryChanges PushTableToPeers(const EntryBoard& board,
+                              const StoredTable& table) {
   EntryChanges changes;
   for (const auto& [id, peer] : board.peers) {
     if (peer.links.empty()) continue;
     changes.Add(SendToPeer{*peer.links.begin(), TableUpdate{table}});
     changes.Add(Count{Counter::kMessagesToPeers});
   }
+  return changes;
+}
+
+EntryChanges PushTableToAgents(const EntryBoard& board,
+                               const StoredTable& table) {
+  EntryChanges changes;
   for (const auto& [id, agent] : board.agents) {
     if (agent.phase == AgentPhase::kLost) continue;
     changes.Add(SendToAgent{agent.link, TableUpdate{table}});
@@ -156,6 +196,30 @@
   return row;
 }
 
+// Stands for the entry at a seed address until its hello tells its id.
+EntryId SeedId(const Endpoint& address) {
+  return {DigestOf(address.host + ":" + std::to_string(address.port))};
+}
+
+bool HasPeers(const EntryBoard& board) {
+  return std::any_of(board.peers.begin(), board.peers.end(),
+                     [](const auto& it) { return !it.second.links.empty(); });
+}
+
+EntryChanges DialSeeds(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  if (HasPeers(board)) return changes;
+  for (const Endpoint& address : board.settings.seeds) {
+    if (address == board.settings.peer_address) continue;
+    PeerRow peer = PeerOrNew(board, SeedId(address), now);
+    if (peer.dialing || peer.next_dial_at > now.boot) continue;
+    peer.dialing = true;
+    changes.Add(Put<PeerRow>{peer});
+    changes.Add(DialPeer{peer.id, address});
+  }
+  return changes;
+}
+
 EntryChanges SendPeerHello(const EntryBoard& board, LinkId link) {
   EntryChanges changes;
   changes.Add(SendToPeer{
@@ -173,7 +237,8 @@
     return FirstTable(board.settings);
   }
   CellTable table = board.table.table;
-  if (!IsMember(table, board.settings.id) && !board.stopping) {
+  const bool joins = !IsMember(table, board.settings.id) && !board.stopping;
+  if (joins && MayJoin(board, now)) {
     table.members.push_back(SelfOf(board.settings));
   }
   if (ShouldTakeOver(board, now)) {
@@ -184,9 +249,9 @@
     Enrol(board, &table);
     RemoveReprotectedAgents(board, now, &table);
     RemoveGoneMembers(board, now, &table);
+    RemoveConfirmedDead(board, now, &table);
     ExpireLostAgents(now, &table);
     UpdateRackSpan(now, &table);
-    RemoveConfirmedDead(board, now, &table);
     if (board.stopping) HandOver(board, &table);
   }
   if (table == board.table.table) return std::nullopt;
@@ -195,8 +260,7 @@
 
 EntryChanges WriteDesiredTable(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
-  const bool busy = board.store.pending_table && !board.store.write_undecided;
-  if (busy || board.store.read_pending) return changes;
+  if (board.store.write_under_way || board.store.read_pending) return changes;
   if (now.boot < board.store.next_try_at) return changes;
   std::optional<CellTable> table = board.store.pending_table;
   if (!table) {
@@ -206,7 +270,11 @@
   }
   StoreStatus next = board.store;
   next.pending_table = table;
-  next.write_undecided = false;
+  next.write_under_way = true;
+  const EntryId self = board.settings.id;
+  const bool joins =
+      !IsMember(board.table.table, self) && IsMember(*table, self);
+  if (joins) next.joined_at = now.boot;
   changes.Add(SetStoreStatus{next});
   changes.Add(WriteTable{board.table.revision, *table});
   changes.Add(Count{Counter::kStoreCalls});
@@ -216,13 +284,19 @@
 EntryChanges HandleTableWritten(const EntryBoard& board,
                                 const TableWritten& event, const Now& now) {
   EntryChanges changes;
-  if (!board.store.pending_table) return changes;
   StoreStatus next = board.store;
+  next.write_under_way = false;
+  if (!board.store.pending_table) {
+    // A newer table has been adopted, so this write cannot have any effect.
+    changes.Add(SetStoreStatus{next});
+    return changes;
+  }
   switch (event.status) {
     case WriteStatus::kApplied:
       changes.Append(
           AdoptTable(board, {event.revision, *board.store.pending_table}));
       next.pending_table.reset();
+      next.write_undecided = false;
       next.failures = 0;
       break;
     case WriteStatus::kConflict:
@@ -233,12 +307,12 @@
       changes.Add(Count{Counter::kStoreCalls});
       break;
     case WriteStatus::kNotApplied:
-      next = AfterFailure(board, now);
+      next = AfterFailure(next, board.settings, now);
       // An earlier attempt of the same write may still take effect.
       if (!board.store.write_undecided) next.pending_table.reset();
       break;
     case WriteStatus::kUndecided:
-      next = AfterFailure(board, now);
+      next = AfterFailure(next, board.settings, now);
       next.write_undecided = true;
       break;
   }
@@ -254,11 +328,6 @@
   next.table_known = true;
   next.read_pending = false;
   next.failures = 0;
-  // A newer revision means that no write against the old one can take effect.
-  if (table.revision > board.table.revision) {
-    next.pending_table.reset();
-    next.write_undecided = false;
-  }
   changes.Add(SetStoreStatus{next});
   changes.Append(AdoptTable(board, table));
   return changes;
@@ -266,7 +335,7 @@
 
 EntryChanges HandleStoreReadFailed(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
-  changes.Add(SetStoreStatus{AfterFailure(board, now)});
+  changes.Add(SetStoreStatus{AfterFailure(board.store, board.settings, now)});
   return changes;
 }
 
@@ -286,18 +355,30 @@
   EntryChanges changes;
   if (table.revision <= board.table.revision) return changes;
   changes.Add(SetTable{table});
+  // No write against an older revision can take effect any more, wherever the
+  // newer one was learned.
+  changes.Add(DropPendingTable{});
   if (table.table.generation != board.table.table.generation) {
     changes.Append(UnrouteCalls(board));
   }
-  const bool dispatches = table.table.dispatcher == board.settings.id;
-  if (dispatches) changes.Append(PushTable(board, table));
+  // A dispatcher that hands over tells its successor and the others.
+  const bool dispatches = table.table.dispatcher == board.settings.id ||
+                          board.authority.role != Role::kMember;
+  if (dispatches) changes.Append(PushTableToPeers(board, table));
+  // An agent may be connected to this entry only. Without the new members it
+  // would never connect to a new dispatcher.
+  if (dispatches || table.table.members != board.table.table.members) {
+    changes.Append(PushTableToAgents(board, table));
+  }
   return changes;
 }
 
 EntryChanges DialPeers(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   for (const Member& member : board.table.table.members) {
-    if (member.id == board.settings.id) continue;
+    if (member.id == board.settings.id || IsPredecessor(board, member)) {
+      continue;
+    }
     PeerRow peer = PeerOrNew(board, member.id, now);
     const bool due =
         peer.links.empty() && !peer.dialing && peer.next_dial_at <= now.boot;
@@ -306,6 +387,7 @@
     changes.Add(Put<PeerRow>{peer});
     changes.Add(DialPeer{member.id, member.peer_address});
   }
+  changes.Append(DialSeeds(board, now));
   return changes;
 }
 
@@ -322,7 +404,8 @@
   agent.phase = AgentPhase::kConnected;
   agent.minion = hello.minion;
   agent.unacked.clear();
-  agent.reprotected = false;
+  // While a write that removes the agent may take effect, it takes no work.
+  agent.reprotected = agent.reprotected && !StaysInRoster(board, hello.agent);
   changes.Add(Put<AgentRow>{agent});
   changes.Add(Erase<Reprotection>{agent.id});
   changes.Add(Erase<InventoryStatus>{agent.id});
@@ -371,6 +454,11 @@
 EntryChanges HandlePeerHello(const EntryBoard& board, LinkId link,
                              const PeerHello& hello, const Now& now) {
   EntryChanges changes;
+  if (hello.entry == board.settings.id) {
+    // An address that leads back here; both ends of the link are ours.
+    changes.Add(CloseLink{link});
+    return changes;
+  }
   PeerRow peer = PeerOrNew(board, hello.entry, now);
   const bool known = peer.links.count(link) != 0;
   const PeerRow* dialed = FindPeerByLink(board, link);
@@ -379,9 +467,13 @@
     PeerRow gone = *dialed;
     gone.links.erase(link);
     gone.dial_failed = true;
-    gone.lost_at = now.boot;
-    gone.next_dial_at = now.boot + kDialRetry;
+    gone.next_dial_at = now.boot + board.settings.member_timeout;
     changes.Add(Put<PeerRow>{gone});
+    if (!peer.links.empty()) {
+      // One connection to the other process is enough.
+      changes.Add(CloseLink{link});
+      return changes;
+    }
   }
   peer.links.insert(link);
   peer.dial_failed = false;
@@ -410,12 +502,7 @@
     next.next_dial_at = now.boot;
     changes.Add(Put<PeerRow>{next});
   }
-  for (const auto& [id, call] : board.calls) {
-    if (call.forwarded_to != link) continue;
-    OpenCall next = call;
-    next.forwarded_to = LinkId{};
-    changes.Add(Put<OpenCall>{next});
-  }
+  changes.Append(UnrouteCallsOn(board, link));
   for (const auto& [key, waiter] : board.waiters) {
     const auto* peer = std::get_if<PeerRequest>(&waiter.reply_to);
     if (peer != nullptr && peer->link == link) changes.Add(Erase<Waiter>{key});
@@ -436,6 +523,25 @@
   return changes;
 }
 
+EntryChanges ReleaseRemovedAgents(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  for (const auto& [id, agent] : board.agents) {
+    if (StaysInRoster(board, id)) continue;
+    if (board.store.pending_table) continue;
+    if (agent.phase == AgentPhase::kLost) {
+      const bool old = agent.lost_at + board.settings.agent_timeout <= now.boot;
+      if (old) changes.Add(Erase<AgentRow>{id});
+    } else if (agent.phase != AgentPhase::kConnected || agent.reprotected) {
+      AgentRow next = agent;
+      next.phase = AgentPhase::kConnected;
+      next.reprotected = false;
+      changes.Add(Put<AgentRow>{next});
+      changes.Add(Erase<InventoryStatus>{id});
+    }
+  }
+  return changes;
+}
+
 EntryChanges EndTasksOfLostAgents(const EntryBoard& board, const Now& now) {
   std::vector<TaskDecision> decisions;
   for (const auto& [id, tasks] : board.sent_by_agent) {
@@ -469,6 +575,16 @@
   return changes;
 }
 
+bool OwesNothing(const EntryBoard& board) {
+  if (!board.calls.empty()) return false;
+  if (board.authority.role == Role::kMember) return true;
+  // Without another member there is nobody to hand over to.
+  const auto& members = board.table.table.members;
+  const bool alone =
+      members.size() == 1 && IsMember(board.table.table, board.settings.id);
+  return alone && board.waiters.empty() && board.open_by_deadline.empty();
+}
+
 const PeerRow* FindPeerByLink(const EntryBoard& board, LinkId link) {
   for (const auto& [id, peer] : board.peers) {
     if (peer.links.count(link) != 0) return &peer;
--- a/src/core/entry/membership.h
+++ b/src/core/entry/membership.h
@@ -27,7 +27,8 @@
 // Takes a table that is newer than ours and tells peers that may lack it.
 EntryChanges AdoptTable(const EntryBoard& board, const StoredTable& table);
 
-// Dials members without a connection.
+// Dials members without a connection and, while there is no connection to any
+// peer, the seed addresses.
 EntryChanges DialPeers(const EntryBoard& board, const Now& now);
 
 EntryChanges HandleAgentHello(const EntryBoard& board, LinkId link,
@@ -46,12 +47,20 @@
 // Marks agents lost that have left messages unanswered for too long.
 EntryChanges DetectSilentAgents(const EntryBoard& board, const Now& now);
 
+// Forgets agents that are lost and off the roster, and lets connected ones that
+// were removed be enrolled again.
+EntryChanges ReleaseRemovedAgents(const EntryBoard& board, const Now& now);
+
 // Ends the tasks of agents that have been lost for too long as unknown.
 EntryChanges EndTasksOfLostAgents(const EntryBoard& board, const Now& now);
 
 // Sends heartbeats to peers that have had no other message for long.
 EntryChanges SendPeerHeartbeats(const EntryBoard& board, const Now& now);
 
+// Whether a stopping entry may end: its callers have their answers, and it does
+// not dispatch, or dispatches alone and has no open job.
+bool OwesNothing(const EntryBoard& board);
+
 // The peer on that link, or null.
 const PeerRow* FindPeerByLink(const EntryBoard& board, LinkId link);
 
--- a/src/core/entry/outcomes.cpp
+++ b/src/core/entry/outcomes.cpp
@@ -32,6 +32,8 @@
     Task next = task;
     next.state = TaskState::kFinal;
     next.outcome = outcome;
+    // There is no record of a task that did not run.
+    if (std::holds_alternative<NotRun>(outcome)) next.holder = AgentId{};
     ++job->final_tasks;
     if (IsBad(outcome)) CountBad(job, outcome);
     if (std::holds_alternative<Unknown>(outcome)) ++unknown_;
@@ -82,11 +84,14 @@
   std::uint64_t unknown_ = 0;
 };
 
-bool HasUnrunTask(const EntryBoard& board, const Job& job) {
+// Whether the ledgers alone could later give another answer: a task without a
+// record could run, and one that ended as unknown could turn out to be done.
+bool NeedsClosedMark(const EntryBoard& board, const Job& job) {
   if (job.bad_tasks == 0) return false;
   for (std::uint32_t n = 0; n < job.task_count; ++n) {
-    const Task* task = board.tasks.Find({job.id, n});
-    if (std::holds_alternative<NotRun>(*task->outcome)) return true;
+    const TaskOutcome& outcome = *board.tasks.Find({job.id, n})->outcome;
+    if (std::holds_alternative<NotRun>(outcome)) return true;
+    if (std::holds_alternative<Unknown>(outcome)) return true;
   }
   return false;
 }
@@ -122,6 +127,18 @@
   return changes;
 }
 
+// A task that an earlier dispatcher had placed turns out not to have started.
+EntryChanges ForgetRecovered(const EntryBoard& board, const AgentRow& agent,
+                             const TaskRefused& refusal) {
+  const RecoveredTask* recovered = board.recovered.Find(refusal.id);
+  const bool ours = recovered != nullptr && recovered->holder == agent.id &&
+                    recovered->entry.state == LedgerState::kRunning;
+  if (!ours) return Drop(Counter::kLateResultsDropped);
+  EntryChanges changes;
+  changes.Add(Erase<RecoveredTask>{refusal.id});
+  return changes;
+}
+
 }  // namespace
 
 EntryChanges FinishTasks(const EntryBoard& board,
@@ -139,25 +156,40 @@
   EntryChanges changes;
   for (const SubmissionId& id : board.decided_jobs) {
     const Job& job = *board.jobs.Find(id);
-    changes.Append(HasUnrunTask(board, job) ? CloseJob(board, job, now)
-                                            : EndJob(board, job, now));
+    changes.Append(NeedsClosedMark(board, job) ? CloseJob(board, job, now)
+                                               : EndJob(board, job, now));
   }
   return changes;
 }
 
 EntryChanges EndJob(const EntryBoard& board, const Job& job, const Now& now) {
+  const bool complete = job.bad_tasks == 0 && !job.closed_earlier;
   Job next = job;
-  next.state = job.bad_tasks == 0 ? JobState::kComplete : JobState::kFailed;
+  next.state = complete ? JobState::kComplete : JobState::kFailed;
   next.finished_at = now.boot;
   next.body = {};
+  if (!complete && next.failure.empty()) next.failure = "submission_closed";
   EntryChanges changes;
   changes.Add(Put<Job>{next});
-  changes.Add(Count{job.bad_tasks == 0 ? Counter::kJobsComplete
-                                       : Counter::kJobsFailed});
+  changes.Add(Count{complete ? Counter::kJobsComplete : Counter::kJobsFailed});
   changes.Append(AnswerWaiters(board, next));
   return changes;
 }
 
+EntryChanges ForgetUnrecordedProofs(const EntryBoard& board, const Job& job) {
+  EntryChanges changes;
+  for (std::uint32_t n = 0; n < job.task_count; ++n) {
+    const Task& task = *board.tasks.Find({job.id, n});
+    const auto* not_run = std::get_if<NotRun>(&*task.outcome);
+    if (not_run == nullptr) continue;
+    Task next = task;
+    next.outcome = Unknown{not_run->reason +
+                           "; no witness could record that it is closed"};
+    changes.Add(Put<Task>{next});
+  }
+  return changes;
+}
+
 TaskOutcome OutcomeOf(LedgerState state, const Bytes& output) {
   switch (state) {
     case LedgerState::kDone:
@@ -187,21 +219,26 @@
 EntryChanges HandleRefusedStart(const EntryBoard& board, const AgentRow& agent,
                                 const TaskRefused& refusal) {
   const Task* task = board.tasks.Find(refusal.id);
-  if (task == nullptr || task->agent != agent.id) {
+  if (task == nullptr) return ForgetRecovered(board, agent, refusal);
+  if (task->agent != agent.id) {
     return Drop(Counter::kLateResultsDropped);
   }
   const auto proof = ProveRefused(*task, refusal);
   if (!proof) return Drop(Counter::kLateResultsDropped);
   EntryChanges changes;
   changes.Add(Count{Counter::kStartsRefused});
-  const bool job_failed = board.jobs.Find(task->id.submission)->bad_tasks > 0;
+  const Job& job = *board.jobs.Find(task->id.submission);
+  const bool job_failed = job.bad_tasks > 0 || job.cancelled;
   if (job_failed || task->refused_starts >= board.settings.max_start_retries) {
-    const char* reason = job_failed ? "job_failed" : "start_retries_used_up";
+    const char* reason = job.cancelled ? "cancelled"
+                         : job_failed  ? "job_failed"
+                                       : "start_retries_used_up";
     changes.Append(FinishTasks(board, {{task->id, NotRun{reason, *proof}}}));
     return changes;
   }
   Task next = *task;
   next.state = TaskState::kQueued;
+  next.holder = AgentId{};
   ++next.refused_starts;
   changes.Add(Put<Task>{next});
   return changes;
--- a/src/core/entry/outcomes.h
+++ b/src/core/entry/outcomes.h
@@ -25,6 +25,10 @@
 // Makes the job final and answers everyone who waits for it.
 EntryChanges EndJob(const EntryBoard& board, const Job& job, const Now& now);
 
+// Reports the tasks of the job that did not run as unknown, because no witness
+// has recorded that the submission is closed.
+EntryChanges ForgetUnrecordedProofs(const EntryBoard& board, const Job& job);
+
 // Takes one result of an agent. A result that no sent task of that agent waits
 // for is dropped and counted.
 EntryChanges HandleResult(const EntryBoard& board, const AgentRow& agent,
--- a/src/core/entry/reprotection.cpp
+++ b/src/core/entry/reprotection.cpp
@@ -6,6 +6,7 @@
 
 #include "core/entry/agent_messages.h"
 #include "core/entry/outcomes.h"
+#include "core/entry/witnesses.h"
 
 namespace dottereltrack {
 namespace {
@@ -26,6 +27,15 @@
   return board.sent_by_agent.count(id) != 0;
 }
 
+// Whether a request for a witness record is under way to the agent.
+bool IsAskedAsWitness(const EntryBoard& board, AgentId id) {
+  return std::any_of(board.waiting_witnesses.begin(),
+                     board.waiting_witnesses.end(), [&](const auto& it) {
+                       const WitnessRecord& record = *board.witnesses.Find(it);
+                       return record.asked.count(id) != 0;
+                     });
+}
+
 // Whether the agent holds records that must go elsewhere.
 bool IsGone(const EntryBoard& board, const AgentRow& agent, const Now& now) {
   if (!IsListed(board.table.table, agent.id)) return false;
@@ -33,7 +43,8 @@
   if (agent.phase == AgentPhase::kLost) {
     return agent.lost_at + board.settings.agent_timeout <= now.boot;
   }
-  return agent.leaving && !HasRunningTasks(board, agent.id);
+  return agent.leaving && !HasRunningTasks(board, agent.id) &&
+         !IsAskedAsWitness(board, agent.id);
 }
 
 // An agent in another rack, if there is one.
@@ -88,12 +99,11 @@
   return entries;
 }
 
-std::vector<WitnessEntry> WitnessesOf(const EntryBoard& board, AgentId holder) {
-  std::vector<WitnessEntry> entries;
-  for (const auto& [id, record] : board.witnesses) {
-    if (record.holders.count(holder) != 0) entries.push_back(record.entry);
-  }
-  return entries;
+// Whether a witness record is still to be recorded by another agent.
+bool HoldsWitnesses(const EntryBoard& board, AgentId holder) {
+  return std::any_of(
+      board.witnesses.begin(), board.witnesses.end(),
+      [&](const auto& it) { return it.second.holders.count(holder) != 0; });
 }
 
 // Splits the records into messages of bounded size.
@@ -101,10 +111,8 @@
   std::vector<LedgerCopy> parts;
   std::size_t bytes = 0;
   const auto part = [&](std::size_t size) -> LedgerCopy& {
-    const bool full =
-        parts.empty() || bytes + size > kMaxBytesPerPart ||
-        parts.back().entries.size() + parts.back().witnesses.size() >=
-            kMaxEntriesPerPart;
+    const bool full = parts.empty() || bytes + size > kMaxBytesPerPart ||
+                      parts.back().entries.size() >= kMaxEntriesPerPart;
     if (full) {
       parts.emplace_back();
       parts.back().source = source;
@@ -116,9 +124,6 @@
   for (LedgerEntry& entry : RecordsOf(board, source)) {
     part(entry.output->size()).entries.push_back(std::move(entry));
   }
-  for (const WitnessEntry& entry : WitnessesOf(board, source)) {
-    part(0).witnesses.push_back(entry);
-  }
   return parts;
 }
 
@@ -152,7 +157,7 @@
   const Reprotection* row = board.reprotections.Find(source);
   if (row == nullptr) return false;
   const AgentRow* target = board.agents.Find(row->target);
-  return target != nullptr && IsUsable(board, *target) &&
+  return target != nullptr && IsFencedMember(board, *target) &&
          target->fence == row->target_fence;
 }
 
@@ -177,13 +182,6 @@
       }
     }
   }
-  for (const auto& [id, record] : board.witnesses) {
-    if (record.holders.count(source) == 0) continue;
-    WitnessRecord next = record;
-    next.holders.erase(source);
-    next.holders.insert(target);
-    changes.Add(Put<WitnessRecord>{next});
-  }
   return changes;
 }
 
@@ -214,6 +212,17 @@
 
 }  // namespace
 
+std::size_t RacksThatStay(const EntryBoard& board, const Now& now) {
+  std::set<std::string> racks;
+  for (const RosterAgent& it : board.table.table.roster) {
+    const AgentRow* agent = board.agents.Find(it.id);
+    const bool gone =
+        agent != nullptr && (agent->reprotected || IsGone(board, *agent, now));
+    if (!gone) racks.insert(it.rack);
+  }
+  return std::clamp<std::size_t>(racks.size(), 1, board.settings.witness_count);
+}
+
 EntryChanges Reprotect(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   if (!board.authority.inventory_settled) return changes;
@@ -222,8 +231,13 @@
     if (IsUnderWay(board, id)) continue;
     std::vector<LedgerCopy> parts = MakeParts(board, id);
     if (parts.empty()) {
-      changes.Append(MarkReprotected(agent));
-      continue;
+      if (!HoldsWitnesses(board, id)) {
+        changes.Append(MarkReprotected(agent));
+        continue;
+      }
+      // One source at a time, because the sources may share records.
+      changes.Append(MoveWitnesses(board, id, now));
+      break;
     }
     const AgentRow* target = ChooseTarget(board, agent);
     if (target == nullptr) continue;
@@ -247,8 +261,6 @@
   }
   changes.Add(Erase<Reprotection>{ack.source});
   changes.Append(MoveRecords(board, ack.source, target));
-  const AgentRow* source = board.agents.Find(ack.source);
-  if (source != nullptr) changes.Append(MarkReprotected(*source));
   return changes;
 }
 
--- a/src/core/entry/reprotection.h
+++ b/src/core/entry/reprotection.h
@@ -8,6 +8,10 @@
 // the loss of the dispatcher alone leaves no task in doubt.
 EntryChanges Reprotect(const EntryBoard& board, const Now& now);
 
+// Racks in which a record must be kept once the agents that are gone have left
+// the roster.
+std::size_t RacksThatStay(const EntryBoard& board, const Now& now);
+
 // Takes the acknowledgement of one part of a copy. With the last one the target
 // becomes the holder of the records.
 EntryChanges HandleLedgerCopyAck(const EntryBoard& board, AgentId target,
--- a/src/core/entry/settings.h
+++ b/src/core/entry/settings.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/cell.h"
 #include "core/ids.h"
@@ -14,6 +15,9 @@
   EntryId id;
   Endpoint peer_address;
   std::string data_centre;
+  // Addresses of other entries, dialled while this entry knows no peer. An
+  // entry that starts while the store is down learns the cell from them.
+  std::vector<Endpoint> seeds;
 
   std::uint32_t max_tasks_per_job = 1'100;
   std::uint32_t max_queued_tasks = 100'000;
@@ -37,8 +41,13 @@
   milliseconds no_dispatcher_timeout{10'000};
   // Time beyond the deadline after which a call ends without an answer.
   milliseconds answer_grace{5'000};
-  // Longest wait for the acknowledgement of witnesses.
+  // Longest wait for the acknowledgement of one witness; then another agent
+  // is asked.
   milliseconds witness_timeout{1'000};
+  // Longest wait until witnesses have recorded that a submission is closed;
+  // then its unstarted tasks are reported as unknown. Below `answer_grace`, so
+  // that the answer still reaches the caller.
+  milliseconds closing_timeout{4'000};
   milliseconds store_retry{200};
   milliseconds max_store_retry{5'000};
   milliseconds member_timeout{10'000};
--- a/src/core/entry/takeover.cpp
+++ b/src/core/entry/takeover.cpp
@@ -10,9 +10,11 @@
 namespace dottereltrack {
 namespace {
 
-bool IsInRoster(const CellTable& table, AgentId agent) {
-  return std::any_of(table.roster.begin(), table.roster.end(),
-                     [&](const RosterAgent& it) { return it.id == agent; });
+// A task that an earlier dispatcher cannot have started, as a queued one.
+Task AsQueued(const Task& task) {
+  Task next = task;
+  next.state = TaskState::kQueued;
+  return next;
 }
 
 EntryChanges FenceAgent(const AgentRow& agent, const Fence& fence,
@@ -39,9 +41,23 @@
   return next;
 }
 
-EntryChanges RememberRecovered(const AgentRow& agent, const LedgerEntry& entry,
-                               const Now& now) {
+// How much a ledger entry tells: an ended task more than a running one, and
+// that more than one that was lost on the way.
+int KnowledgeIn(const LedgerEntry& entry) {
+  const bool ended =
+      entry.state == LedgerState::kDone || entry.state == LedgerState::kFailed;
+  if (ended) return entry.output_dropped ? 2 : 3;
+  return entry.state == LedgerState::kRunning ? 1 : 0;
+}
+
+// Two ledgers may name one task, one of them by a copy. The better one stays.
+EntryChanges RememberRecovered(const EntryBoard& board, const AgentRow& agent,
+                               const LedgerEntry& entry, const Now& now) {
   EntryChanges changes;
+  const RecoveredTask* old = board.recovered.Find(entry.id);
+  const bool keeps_old = old != nullptr && old->holder != agent.id &&
+                         KnowledgeIn(old->entry) >= KnowledgeIn(entry);
+  if (keeps_old) return changes;
   changes.Add(Put<RecoveredTask>{{entry, agent.id, now.boot}});
   return changes;
 }
@@ -53,14 +69,26 @@
          (task.state == TaskState::kSent && task.agent == agent.id);
 }
 
+bool IsUnresolved(const EntryBoard& board, const SubmissionId& submission) {
+  // All tasks of a job are resolved together.
+  for (auto it = board.tasks.LowerBound({submission, 0});
+       it != board.tasks.end() && it->first.submission == submission; ++it) {
+    if (it->second.state == TaskState::kUnresolved) return true;
+  }
+  return false;
+}
+
 EntryChanges RememberWitness(const EntryBoard& board, const AgentRow& agent,
                              const WitnessEntry& entry, const Now& now) {
   WitnessRecord record;
   if (const auto* old = board.witnesses.Find(entry.submission)) record = *old;
-  const bool closed = record.entry.closed || entry.closed;
-  record.entry = entry;
-  record.entry.closed = closed;
+  const bool known = record.seen_at != BootTime{0};
+  if (entry.closed && !record.entry.closed) record.confirmed.clear();
+  if (!known || entry.closed) record.entry = entry;
   record.holders.insert(agent.id);
+  if (record.entry == entry) record.confirmed.insert(agent.id);
+  // What this dispatcher has recorded itself tells nothing new.
+  if (!known || IsUnresolved(board, entry.submission)) record.recovered = true;
   record.seen_at = now.boot;
   EntryChanges changes;
   changes.Add(Put<WitnessRecord>{record});
@@ -78,12 +106,14 @@
     const Task& task = *board.tasks.Find(id);
     const auto proof = ProveAbsent(task, status);
     if (!proof) continue;
-    if (board.jobs.Find(id.submission)->bad_tasks > 0) {
-      ended.push_back({id, NotRun{"job_failed", *proof}});
+    const Job& job = *board.jobs.Find(id.submission);
+    if (job.bad_tasks > 0 || job.cancelled) {
+      const char* reason = job.cancelled ? "cancelled" : "job_failed";
+      ended.push_back({id, NotRun{reason, *proof}});
       continue;
     }
-    Task next = task;
-    next.state = TaskState::kQueued;
+    Task next = AsQueued(task);
+    next.holder = AgentId{};
     changes.Add(Put<Task>{next});
   }
   changes.Append(FinishTasks(board, ended));
@@ -95,7 +125,8 @@
   const auto fenced =
       std::count_if(roster.begin(), roster.end(), [&](const RosterAgent& it) {
         const AgentRow* agent = board.agents.Find(it.id);
-        return agent != nullptr && agent->phase == AgentPhase::kFenced;
+        return agent != nullptr && agent->phase == AgentPhase::kFenced &&
+               agent->fence.generation == board.authority.generation;
       });
   return static_cast<std::size_t>(fenced) * 2 > roster.size();
 }
@@ -121,35 +152,48 @@
                            since + board.settings.retention.count();
 }
 
-// What the inventories decide about one queued task. Nothing is returned for a
-// task that may be started.
+TaskOutcome OutcomeOfEntry(const LedgerEntry& entry) {
+  if (entry.state == LedgerState::kRunning) {
+    return Unknown{"its agent was lost while it ran"};
+  }
+  const bool result_gone =
+      entry.state == LedgerState::kDone && entry.output_dropped;
+  if (result_gone) return Unknown{"it ran, but its result is no longer kept"};
+  return OutcomeOf(entry.state, entry.output);
+}
+
+bool IsClosedEarlier(const EntryBoard& board, const SubmissionId& id) {
+  const WitnessRecord* witness = board.witnesses.Find(id);
+  return witness != nullptr && witness->entry.closed;
+}
+
+// What the inventories decide about one unresolved task. Nothing is returned
+// for a task that may be started.
 std::optional<TaskOutcome> DecideTask(const EntryBoard& board, const Job& job,
                                       const Task& task, const Now& now) {
   if (const auto* recovered = board.recovered.Find(task.id)) {
-    if (recovered->entry.state != LedgerState::kRunning) {
-      return OutcomeOf(recovered->entry.state, recovered->entry.output);
-    }
-    return Unknown{"its agent was lost while it ran"};
+    return OutcomeOfEntry(recovered->entry);
   }
-  if (!IsProvablyFresh(board, job.body->key, now)) {
+  if (!IsProvablyFresh(board, job.id, job.body->key, now)) {
     return Unknown{
         "an agent that may have started it was lost together with "
         "the dispatcher"};
   }
-  const WitnessRecord* witness = board.witnesses.Find(job.id);
-  const bool closed = witness != nullptr && witness->entry.closed;
-  if (!closed) return std::nullopt;
-  return NotRun{"submission_closed", *ProveNeverSent(task)};
+  const char* reason = IsClosedEarlier(board, job.id) ? "submission_closed"
+                       : job.cancelled                ? "cancelled"
+                       : job.bad_tasks > 0            ? "job_failed"
+                                                      : nullptr;
+  if (reason == nullptr) return std::nullopt;
+  return NotRun{reason, *ProveNeverSent(AsQueued(task))};
 }
 
 const AgentRow* RunningOn(const EntryBoard& board, const TaskId& id) {
   const RecoveredTask* recovered = board.recovered.Find(id);
   if (recovered == nullptr) return nullptr;
   if (recovered->entry.state != LedgerState::kRunning) return nullptr;
-  const AgentRow* holder = board.agents.Find(recovered->holder);
-  const bool connected =
-      holder != nullptr && holder->phase == AgentPhase::kFenced;
-  return connected ? holder : nullptr;
+  // An agent that is away for a moment still runs the task. If it stays away,
+  // the task ends with the others of a lost agent.
+  return board.agents.Find(recovered->holder);
 }
 
 }  // namespace
@@ -159,8 +203,8 @@
   if (board.authority.role == Role::kMember) return changes;
   Authority authority = board.authority;
   for (const auto& [id, agent] : board.agents) {
-    if (agent.phase != AgentPhase::kConnected) continue;
-    if (!IsInRoster(board.table.table, id)) continue;
+    if (agent.phase != AgentPhase::kConnected || agent.reprotected) continue;
+    if (!StaysInRoster(board, id)) continue;
     const Fence fence{authority.generation, authority.next_session++};
     changes.Append(FenceAgent(agent, fence, now));
   }
@@ -181,14 +225,14 @@
   for (const LedgerEntry& entry : inventory.entries) {
     next.reported.insert(entry.id);
     const Task* task = board.tasks.Find(entry.id);
-    if (task == nullptr) {
-      changes.Append(RememberRecovered(agent, entry, now));
+    if (task == nullptr || task->state == TaskState::kUnresolved) {
+      changes.Append(RememberRecovered(board, agent, entry, now));
     } else if (!Concerns(*task, agent)) {
       continue;
     } else if (entry.state == LedgerState::kRunning) {
       changes.Add(Put<Task>{AsRunning(*task, agent)});
     } else {
-      finished.push_back({entry.id, OutcomeOf(entry.state, entry.output)});
+      finished.push_back({entry.id, OutcomeOfEntry(entry)});
     }
   }
   changes.Append(FinishTasks(board, finished));
@@ -229,6 +273,7 @@
   const bool waited = next.majority_at && *next.majority_at + wait <= now.boot;
   if (all || waited) {
     next.role = Role::kDispatcher;
+    next.fresh_after_wall = now.wall;
     next.inventory_settled = true;
   }
   if (next != board.authority) changes.Add(SetAuthority{next});
@@ -240,32 +285,55 @@
   EntryChanges changes;
   const Job* job = board.jobs.Find(submission);
   if (job == nullptr || !board.authority.inventory_settled) return changes;
+  if (!IsUnresolved(board, submission)) return changes;
+  const bool closed = IsClosedEarlier(board, submission);
+  if (closed && !job->closed_earlier) {
+    Job next = *job;
+    next.closed_earlier = true;
+    changes.Add(Put<Job>{next});
+    return changes;
+  }
   std::vector<TaskDecision> decisions;
   for (std::uint32_t n = 0; n < job->task_count; ++n) {
     const Task* task = board.tasks.Find({submission, n});
-    if (task->state != TaskState::kQueued) continue;
+    if (task->state != TaskState::kUnresolved) continue;
     if (const AgentRow* agent = RunningOn(board, task->id)) {
       changes.Add(Put<Task>{AsRunning(*task, *agent)});
+      if (job->cancelled) {
+        changes.Add(Put<CancelRequest>{{task->id, agent->id}});
+      }
     } else if (auto outcome = DecideTask(board, *job, *task, now)) {
       decisions.push_back({task->id, std::move(*outcome)});
+    } else {
+      changes.Add(Put<Task>{AsQueued(*task)});
     }
   }
-  // The running tasks are applied first, so that the end of another task does
-  // not take them for queued ones.
+  // These are applied first, so that the end of another task of the job ends
+  // the queued ones too.
   if (!changes.rows.empty()) return changes;
   return FinishTasks(board, decisions);
 }
 
-bool IsProvablyFresh(const EntryBoard& board, const std::string& key,
-                     const Now& now) {
+bool IsProvablyFresh(const EntryBoard& board, const SubmissionId& id,
+                     const std::string& key, const Now& now) {
   const std::set<std::string> missing = MissingRacks(board, now);
   if (missing.empty()) return true;
   if (const auto issued = IssueTimeOf(key)) {
-    return *issued > board.authority.since_wall + board.settings.clock_skew;
+    return board.authority.inventory_settled &&
+           *issued >
+               board.authority.fresh_after_wall + board.settings.clock_skew;
   }
+  // A witness that answers with a record says that the job may have started.
+  const WitnessRecord* witness = board.witnesses.Find(id);
+  if (witness != nullptr && witness->recovered) return false;
   return missing.size() < board.settings.witness_count && HadTwoRacks(board);
 }
 
+bool HasRecoveredTasks(const EntryBoard& board, const SubmissionId& id) {
+  const auto it = board.recovered.LowerBound({id, 0});
+  return it != board.recovered.end() && it->first.submission == id;
+}
+
 bool IsRecoveredWithOtherBody(const EntryBoard& board, const SubmissionId& id,
                               std::uint64_t body_digest) {
   const auto it = board.recovered.LowerBound({id, 0});
--- a/src/core/entry/takeover.h
+++ b/src/core/entry/takeover.h
@@ -21,16 +21,19 @@
 // Lets a new dispatcher place tasks once enough of the roster is fenced.
 EntryChanges SettleInventory(const EntryBoard& board, const Now& now);
 
-// Gives the queued tasks of one job what the inventories say about them. Tasks
-// that may have started on an agent without inventory become unknown. Tasks
-// that still run come first; call it again until it returns no change.
+// Gives the unresolved tasks of one job what the inventories say about them.
+// Tasks that may have started on an agent without inventory become unknown.
+// Call it again until it returns no change.
 EntryChanges ResolveSubmission(const EntryBoard& board,
                                const SubmissionId& submission, const Now& now);
 
 // Whether a task of this key that no inventory knows can be proved not to have
 // started under an earlier dispatcher.
-bool IsProvablyFresh(const EntryBoard& board, const std::string& key,
-                     const Now& now);
+bool IsProvablyFresh(const EntryBoard& board, const SubmissionId& id,
+                     const std::string& key, const Now& now);
+
+// Whether the inventories name a task of the submission.
+bool HasRecoveredTasks(const EntryBoard& board, const SubmissionId& id);
 
 // Whether the inventories name the submission with another body.
 bool IsRecoveredWithOtherBody(const EntryBoard& board, const SubmissionId& id,
--- a/src/core/entry/witnesses.h
+++ b/src/core/entry/witnesses.h
@@ -12,15 +12,21 @@
 // Sends one request to each agent that has records to keep.
 EntryChanges FlushWitnesses(const EntryBoard& board, const Now& now);
 
-// Marks the agent as holder of a submission's witness record.
+// Marks the agent as holder of a submission's witness record, if the
+// acknowledged sequence number covers the newest request.
 EntryChanges RecordWitness(const EntryBoard& board, AgentId agent,
+                           std::uint64_t acked_seq,
                            const SubmissionId& submission);
 
-// Stops waiting for an agent that is lost; the others decide.
-EntryChanges ForgetWitness(const EntryBoard& board, AgentId agent,
-                           const SubmissionId& submission);
+// Replaces witnesses that are lost or do not answer by agents in other racks.
+EntryChanges TendWitnesses(const EntryBoard& board, const Now& now);
+
+// Has the witness records of an agent that is gone recorded by others. Call it
+// until no record names the agent as holder.
+EntryChanges MoveWitnesses(const EntryBoard& board, AgentId source,
+                           const Now& now);
 
-// Whether nothing is awaited for the submission any more.
+// Whether the submission's record, if it has one, is in enough racks.
 bool IsWitnessed(const EntryBoard& board, const SubmissionId& submission);
 
 // Lets go on what waits for the witnesses of the submission: opens the job,
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -52,7 +52,9 @@
 };
 
 // Where a task stands at the dispatcher. A task with an outcome is kFinal.
-enum class TaskState { kQueued, kSent, kFinal };
+// kUnresolved: an earlier dispatcher may have started it, and the inventories
+// have not been consulted yet; nothing can be proved of it.
+enum class TaskState { kUnresolved, kQueued, kSent, kFinal };
 
 // One task of a job that the dispatcher has accepted.
 struct Task {
@@ -94,6 +96,10 @@
   Shared<SubmitRequest> body;
   std::uint32_t final_tasks = 0;
   std::uint32_t bad_tasks = 0;
+  // A caller has cancelled the job; tasks that have not started never will.
+  bool cancelled = false;
+  // An earlier dispatcher has answered that the job failed.
+  bool closed_earlier = false;
   // Stable code of the reason of a failed job; empty for a complete one.
   std::string failure;
 
--- a/tests/support/test_cell.cpp
+++ b/tests/support/test_cell.cpp
@@ -78,6 +78,18 @@
   return it == operator_replies_.end() ? nullptr : &it->second;
 }
 
+CallId TestCell::SubmitWithoutKey(int entry, const SubmitRequest& request) {
+  const CallId call{next_id_++};
+  PostToEntry(entry, CallerSubmits{call, request, true});
+  return call;
+}
+
+CallId TestCell::ConfirmDead(int entry, const std::vector<AgentId>& agents) {
+  const CallId call{next_id_++};
+  PostToEntry(entry, OperatorConfirmsDead{call, agents});
+  return call;
+}
+
 void TestCell::KillEntry(int entry) {
   entries_[entry].alive = false;
   CloseLinksOf(entry);
@@ -100,14 +112,18 @@
   EntryNode& node = entries_[entry];
   node.frozen = frozen;
   if (frozen || !node.alive) return;
-  RunEntry(entry, std::exchange(node.held, {}));
+  std::vector<EntryEvent> held = std::exchange(node.held, {});
+  if (options_.timer_first) held.insert(held.begin(), Tick{});
+  RunEntry(entry, held);
 }
 
 void TestCell::FreezeAgent(int agent, bool frozen) {
   AgentNode& node = agents_[agent];
   node.frozen = frozen;
   if (frozen || !node.alive) return;
-  RunAgent(agent, std::exchange(node.held, {}));
+  std::vector<AgentEvent> held = std::exchange(node.held, {});
+  if (options_.timer_first) held.insert(held.begin(), AgentTick{});
+  RunAgent(agent, held);
 }
 
 void TestCell::StopEntry(int entry) { PostToEntry(entry, StopRequested{}); }
@@ -116,17 +132,61 @@
   PostToAgent(agent, AgentStopRequested{});
 }
 
-void TestCell::CutLinks(int entry, int agent) {
+void TestCell::CutEnds(int end, int other) {
   for (auto& [id, link] : links_) {
-    const bool between = (link.from == AgentEnd(agent) && link.to == entry) ||
-                         (link.to == AgentEnd(agent) && link.from == entry);
+    const bool between = (link.from == end && link.to == other) ||
+                         (link.to == end && link.from == other);
     if (between && link.open) {
-      CloseOne(id, entry);
-      CloseOne(id, AgentEnd(agent));
+      CloseOne(id, end);
+      CloseOne(id, other);
     }
   }
 }
 
+void TestCell::Block(int end, int other, bool blocked) {
+  if (blocked) {
+    blocked_.insert({end, other});
+    blocked_.insert({other, end});
+    CutEnds(end, other);
+  } else {
+    blocked_.erase({end, other});
+    blocked_.erase({other, end});
+  }
+}
+
+void TestCell::Stall(int end, int other, BootTime until) {
+  for (auto& [id, link] : links_) {
+    const bool between = (link.from == end && link.to == other) ||
+                         (link.to == end && link.from == other);
+    if (!between || !link.open) continue;
+    for (BootTime& last : link.last_delivery) last = std::max(last, until);
+  }
+}
+
+void TestCell::SetStoreMode(StoreMode mode) {
+  store_mode_ = mode;
+  // A watch that could not reach the store gets the newest values then.
+  if (mode != StoreMode::kDown) NotifyWatches();
+}
+
+BootTime TestCell::StoreDelay() const {
+  return store_mode_ == StoreMode::kSlow ? 50 * options_.store_delay
+                                         : options_.store_delay;
+}
+
+void TestCell::ReplaceMinion(int agent) {
+  AgentNode& node = agents_[agent];
+  if (!node.alive) return;
+  ++node.minion_instance;
+  node.running.clear();
+  PostToAgent(agent, MinionAnnounces{DescribeMinion(agent)});
+}
+
+void TestCell::NoteConfig(std::uint64_t revision, std::uint64_t* seen) {
+  if (revision < *seen) ++config_regressions_;
+  *seen = revision;
+}
+
 void TestCell::SetMinionFailing(int agent, bool failing) {
   agents_[agent].failing = failing;
 }
@@ -190,7 +250,9 @@
 }
 
 void TestCell::RunEntry(int entry, const std::vector<EntryEvent>& events) {
-  const auto effects = Advance(&entries_[entry].board, events, MakeNow());
+  EntryNode& node = entries_[entry];
+  const auto effects = Advance(&node.board, events, MakeNow());
+  NoteConfig(node.board.config.revision, &node.config_seen);
   for (const EntryEffect& effect : effects) Do(entry, effect);
 }
 
@@ -199,7 +261,9 @@
   for (int n = 0; n < entry_count(); ++n) {
     seeds.push_back({"entry", static_cast<std::uint16_t>(n)});
   }
-  const auto effects = Advance(&agents_[agent].board, seeds, events, MakeNow());
+  AgentNode& node = agents_[agent];
+  const auto effects = Advance(&node.board, seeds, events, MakeNow());
+  NoteConfig(node.board.config.revision, &node.config_seen);
   for (const AgentEffect& effect : effects) Do(agent, effect);
 }
 
@@ -246,6 +310,8 @@
     const std::uint64_t incarnation = agents_[agent].incarnation;
     At(now_, [this, agent, task, incarnation] {
       if (agents_[agent].incarnation != incarnation) return;
+      // The minion abandons the task when its connection closes.
+      if (agents_[agent].running.erase(task) == 0) return;
       PostToAgent(
           agent, AttemptEnded{
                      task, AttemptEnd::kUnknown, std::string("abandoned"), {}});
@@ -352,7 +418,8 @@
   const int to_end = address.port;
   At(now_ + 2 * options_.delay, [this, from_end, to_end, incarnation, done] {
     if (IncarnationOf(from_end) != incarnation || !IsAlive(from_end)) return;
-    if (!IsAlive(to_end)) return done(false, LinkId{});
+    const bool blocked = blocked_.count({from_end, to_end}) != 0;
+    if (!IsAlive(to_end) || blocked) return done(false, LinkId{});
     done(true, OpenLink(from_end, to_end));
   });
 }
@@ -360,11 +427,11 @@
 void TestCell::StartTask(int agent, const TaskStart& start) {
   AgentNode& node = agents_[agent];
   ++starts_[start.id];
-  ++node.busy;
-  const MinionDescription& minion = *node.board.minion;
-  if (node.busy > minion.slots) {
+  node.running.insert(start.id);
+  const auto busy = static_cast<std::uint32_t>(node.running.size());
+  if (busy > options_.slots) {
     overcommitted_slots_ =
-        std::max(overcommitted_slots_, node.busy - minion.slots);
+        std::max(overcommitted_slots_, busy - options_.slots);
   }
   // The payload is the run time in ms on a minion of speed 1, then the text.
   const double declared_us = std::stod(*start.payload) * 1'000;
@@ -373,18 +440,28 @@
       failing ? 1'000 : static_cast<std::int64_t>(declared_us * node.speed)};
   const std::uint64_t incarnation = node.incarnation;
   const std::string output = "result of " + *start.payload;
-  At(now_ + run_time, [this, agent, start, incarnation, failing, run_time,
-                       output] {
-    AgentNode& then = agents_[agent];
-    if (then.incarnation != incarnation) return;
-    --then.busy;
-    PostToAgent(agent,
-                AttemptEnded{
-                    start.id, failing ? AttemptEnd::kFailed : AttemptEnd::kDone,
-                    failing ? std::string("refused") : output, run_time});
+  At(now_ + run_time,
+     [this, agent, start, incarnation, failing, run_time, output] {
+       FinishTask(agent, start, incarnation,
+                  {start.id, failing ? AttemptEnd::kFailed : AttemptEnd::kDone,
+                   failing ? std::string("refused") : output, run_time});
+     });
+  // The agent gives up on the minion at the deadline and closes the connection.
+  At(now_ + start.timeout, [this, agent, start, incarnation] {
+    FinishTask(agent, start, incarnation,
+               {start.id, AttemptEnd::kUnknown, std::string("timeout"), {}});
   });
 }
 
+void TestCell::FinishTask(int agent, const TaskStart& start,
+                          std::uint64_t incarnation, AttemptEnded end) {
+  AgentNode& node = agents_[agent];
+  const bool same = node.incarnation == incarnation &&
+                    node.minion_instance == start.minion_instance;
+  if (!same || node.running.erase(start.id) == 0) return;
+  PostToAgent(agent, std::move(end));
+}
+
 void TestCell::ReadStore(int entry, bool table) {
   ++store_calls_;
   const std::uint64_t incarnation = entries_[entry].incarnation;
@@ -395,7 +472,7 @@
     });
     return;
   }
-  At(now_ + options_.store_delay, [this, entry, table, incarnation] {
+  At(now_ + StoreDelay(), [this, entry, table, incarnation] {
     if (entries_[entry].incarnation != incarnation) return;
     if (table) {
       PostToEntry(entry, TableSeen{table_});
@@ -418,17 +495,22 @@
     return answer(kStoreTimeout, {WriteStatus::kNotApplied, 0});
   }
   const bool lost = store_mode_ == StoreMode::kLosesAnswers;
-  At(now_ + options_.store_delay / 2, [this, write, answer, lost] {
-    const bool applies = table_.revision == write.expected_revision;
-    if (applies) {
-      table_ = {table_.revision + 1, write.table};
-      NotifyWatches();
-    }
-    if (lost) return answer(kStoreTimeout, {WriteStatus::kUndecided, 0});
-    const auto status =
-        applies ? WriteStatus::kApplied : WriteStatus::kConflict;
-    answer(options_.store_delay / 2, {status, table_.revision});
-  });
+  const bool late = store_mode_ == StoreMode::kWritesLate;
+  const BootTime half = StoreDelay() / 2;
+  if (late) answer(kStoreTimeout, {WriteStatus::kUndecided, 0});
+  At(now_ + (late ? 5 * kStoreTimeout : half),
+     [this, write, answer, lost, late, half] {
+       const bool applies = table_.revision == write.expected_revision;
+       if (applies) {
+         table_ = {table_.revision + 1, write.table};
+         NotifyWatches();
+       }
+       if (late) return;
+       if (lost) return answer(kStoreTimeout, {WriteStatus::kUndecided, 0});
+       const auto status =
+           applies ? WriteStatus::kApplied : WriteStatus::kConflict;
+       answer(half, {status, table_.revision});
+     });
 }
 
 void TestCell::WriteStore(int entry, const WriteConfig& write) {
@@ -444,32 +526,39 @@
     return answer(kStoreTimeout, {write.call, WriteStatus::kNotApplied, 0});
   }
   const bool lost = store_mode_ == StoreMode::kLosesAnswers;
-  At(now_ + options_.store_delay / 2, [this, write, answer, lost] {
-    const bool applies = config_.revision == write.expected_revision;
-    if (applies) {
-      config_ = {config_.revision + 1, write.config};
-      NotifyWatches();
-    }
-    if (lost) {
-      return answer(kStoreTimeout, {write.call, WriteStatus::kUndecided, 0});
-    }
-    const auto status =
-        applies ? WriteStatus::kApplied : WriteStatus::kConflict;
-    answer(options_.store_delay / 2, {write.call, status, config_.revision});
-  });
+  const bool late = store_mode_ == StoreMode::kWritesLate;
+  const BootTime half = StoreDelay() / 2;
+  if (late) answer(kStoreTimeout, {write.call, WriteStatus::kUndecided, 0});
+  At(now_ + (late ? 5 * kStoreTimeout : half),
+     [this, write, answer, lost, late, half] {
+       const bool applies = config_.revision == write.expected_revision;
+       if (applies) {
+         config_ = {config_.revision + 1, write.config};
+         NotifyWatches();
+       }
+       if (late) return;
+       if (lost) {
+         return answer(kStoreTimeout, {write.call, WriteStatus::kUndecided, 0});
+       }
+       const auto status =
+           applies ? WriteStatus::kApplied : WriteStatus::kConflict;
+       answer(half, {write.call, status, config_.revision});
+     });
 }
 
 void TestCell::NotifyWatches() {
-  for (int n = 0; n < entry_count(); ++n) {
-    const std::uint64_t incarnation = entries_[n].incarnation;
-    At(now_ + options_.store_delay, [this, n, incarnation] {
-      const bool reached = entries_[n].incarnation == incarnation &&
-                           store_mode_ != StoreMode::kDown;
-      if (!reached) return;
-      PostToEntry(n, TableSeen{table_});
-      PostToEntry(n, ConfigSeen{config_});
-    });
-  }
+  for (int n = 0; n < entry_count(); ++n) NotifyWatch(n);
+}
+
+void TestCell::NotifyWatch(int entry) {
+  const std::uint64_t incarnation = entries_[entry].incarnation;
+  At(now_ + StoreDelay(), [this, entry, incarnation] {
+    const bool reached = entries_[entry].incarnation == incarnation &&
+                         store_mode_ != StoreMode::kDown;
+    if (!reached) return;
+    PostToEntry(entry, TableSeen{table_});
+    PostToEntry(entry, ConfigSeen{config_});
+  });
 }
 
 void TestCell::ScheduleTick(int end, std::uint64_t incarnation) {
@@ -495,7 +584,12 @@
   node.board.settings.id = EntryId{random_()};
   node.board.settings.peer_address = {"entry", static_cast<std::uint16_t>(n)};
   node.board.settings.data_centre = "dc-" + std::to_string(n);
+  for (int i = 0; options_.seeds && i < entry_count(); ++i) {
+    node.board.settings.seeds.push_back(
+        {"entry", static_cast<std::uint16_t>(i)});
+  }
   PostToEntry(n, Tick{});
+  NotifyWatch(n);
   ScheduleTick(n, node.incarnation);
 }
 
@@ -508,17 +602,21 @@
   node.minion_instance = instance + 1;
   node.incarnation = next_id_++;
   node.board.settings.id = AgentId{random_()};
+  PostToAgent(n, MinionAnnounces{DescribeMinion(n)});
+  ScheduleTick(AgentEnd(n), node.incarnation);
+}
+
+MinionDescription TestCell::DescribeMinion(int n) const {
   MinionDescription minion;
   minion.name = "minion-" + std::to_string(n);
-  minion.instance = node.minion_instance;
+  minion.instance = agents_[n].minion_instance;
   minion.labels = {{"site", n % 2 == 0 ? "even" : "odd"}};
   minion.slots = options_.slots;
   minion.connections = 64;
   minion.memory_bytes = 64ULL << 30;
   minion.rack = "rack-" + std::to_string(n % options_.racks);
   minion.data_centre = "dc-" + std::to_string(n % options_.racks);
-  PostToAgent(n, MinionAnnounces{minion});
-  ScheduleTick(AgentEnd(n), node.incarnation);
+  return minion;
 }
 
 SubmitRequest MakeRequest(const std::string& team, const std::string& key,
--- a/tests/support/test_cell.h
+++ b/tests/support/test_cell.h
@@ -22,6 +22,10 @@
   kDown,
   // Writes take effect, but their answers are lost.
   kLosesAnswers,
+  // Writes take effect after the caller was told that they may or may not.
+  kWritesLate,
+  // Every call takes fifty times as long.
+  kSlow,
 };
 
 struct CellOptions {
@@ -34,6 +38,10 @@
   BootTime store_delay{3'000};
   EntrySettings entry_settings;
   std::uint64_t seed = 1;
+  // A process that resumes sees its timer before the messages that wait.
+  bool timer_first = false;
+  // Entries dial each other's addresses without a table.
+  bool seeds = true;
   // Run time over declared time of each minion; the last one repeats.
   std::vector<double> speeds{1.0};
 };
@@ -76,8 +84,23 @@
   void StopEntry(int entry);
   void StopAgent(int agent);
   // Closes all connections between an entry and an agent. They may dial again.
-  void CutLinks(int entry, int agent);
-  void SetStoreMode(StoreMode mode) { store_mode_ = mode; }
+  void CutLinks(int entry, int agent) { CutEnds(entry, AgentEnd(agent)); }
+  // The number of an agent among the link ends; entries have their own.
+  int AgentEnd(int agent) const { return entry_count() + agent; }
+  // The same for any two processes.
+  void CutEnds(int end, int other);
+  // Closes the connections and lets every dial fail until it is unblocked.
+  void Block(int end, int other, bool blocked);
+  // Delays all messages under way between two processes, and those that follow
+  // on the same connections, until then.
+  void Stall(int end, int other, BootTime until);
+  void SetStoreMode(StoreMode mode);
+  // The minion restarts at the same address; what it ran is gone.
+  void ReplaceMinion(int agent);
+  // The minion tells its agent that it leaves.
+  void LeaveMinion(int agent) { PostToAgent(agent, MinionLeaves{}); }
+  CallId ConfirmDead(int entry, const std::vector<AgentId>& agents);
+  CallId SubmitWithoutKey(int entry, const SubmitRequest& request);
   // All tasks of that minion fail, at once.
   void SetMinionFailing(int agent, bool failing);
   void SetMinionSpeed(int agent, double time_ratio);
@@ -88,6 +111,12 @@
   bool IsAgentAlive(int agent) const { return agents_[agent].alive; }
   const EntryBoard& entry(int n) const { return entries_[n].board; }
   const AgentBoard& agent(int n) const { return agents_[n].board; }
+  bool IsEntryFrozen(int entry) const { return entries_[entry].frozen; }
+  bool IsAgentFrozen(int agent) const { return agents_[agent].frozen; }
+  const StoredTable& stored_table() const { return table_; }
+  const StoredConfig& stored_config() const { return config_; }
+  // Times that a node went back to an older configuration.
+  int config_regressions() const { return config_regressions_; }
   // Index of the living entry that may place tasks; -1 if there is none.
   int Dispatcher() const;
 
@@ -107,6 +136,7 @@
     bool frozen = false;
     std::vector<EntryEvent> held;
     std::uint64_t incarnation = 0;
+    std::uint64_t config_seen = 0;
   };
   struct AgentNode {
     AgentBoard board;
@@ -117,7 +147,9 @@
     std::uint64_t minion_instance = 1;
     double speed = 1.0;
     bool failing = false;
-    std::uint32_t busy = 0;
+    // Tasks that the minion runs.
+    std::set<TaskId> running;
+    std::uint64_t config_seen = 0;
   };
   // Agents come after entries in the numbering of link ends.
   struct Link {
@@ -140,7 +172,6 @@
 
   void At(BootTime at, std::function<void()> action);
   Now MakeNow();
-  int AgentEnd(int agent) const { return entry_count() + agent; }
   bool IsAgentEnd(int end) const { return end >= entry_count(); }
   std::uint64_t IncarnationOf(int end) const;
   bool IsAlive(int end) const;
@@ -166,6 +197,12 @@
   void WriteStore(int entry, const WriteTable& write);
   void WriteStore(int entry, const WriteConfig& write);
   void NotifyWatches();
+  void NotifyWatch(int entry);
+  BootTime StoreDelay() const;
+  void FinishTask(int agent, const TaskStart& start, std::uint64_t incarnation,
+                  AttemptEnded end);
+  void NoteConfig(std::uint64_t revision, std::uint64_t* seen);
+  MinionDescription DescribeMinion(int agent) const;
   void ScheduleTick(int end, std::uint64_t incarnation);
   void BootEntry(int entry);
   void BootAgent(int agent);
@@ -186,6 +223,9 @@
   StoredConfig config_;
   StoreMode store_mode_ = StoreMode::kUp;
   std::uint32_t overcommitted_slots_ = 0;
+  int config_regressions_ = 0;
+  // Pairs of link ends that cannot connect.
+  std::set<std::pair<int, int>> blocked_;
   std::uint64_t messages_ = 0;
   std::uint64_t store_calls_ = 0;
 };
