Check cancellation and hostile link bytes with real processes

Cause: the abort of a running task and the handling of bytes that are no frames had no run with the daemons. Measured: run_agent.py passes; a task of 20 s is off the agent within 5 s of the DELETE and its caller reads unknown; four kinds of hostile bytes end only their own link. Conclusion: repeated equal announcements are logged once, since a minion has to repeat them for a restarted agent to learn of it.

--- a/apps/agent/agent_process.cpp
+++ b/apps/agent/agent_process.cpp
@@ -24,7 +24,6 @@
 HttpClientLimits AttemptLimits() {
   HttpClientLimits limits;
   limits.max_calls = kMaxAttempts;
-  limits.max_idle_connections = 0;
   return limits;
 }
 
--- a/apps/agent/http_calls.cpp
+++ b/apps/agent/http_calls.cpp
@@ -57,10 +57,16 @@
     std::erase_if(targets_,
                   [&](const auto& it) { return it.first != current; });
   }
+  // A minion repeats its announcement, so that a new agent learns of it.
+  const bool is_news = board_.minion != minion ||
+                       targets_.count(minion.instance) == 0 ||
+                       targets_[minion.instance] != target;
   targets_[minion.instance] = target;
-  Log(LogPart::kMinion, LogLevel::kInfo,
-      minion.name + ", instance " + ToHex(minion.instance) + ", announced at " +
-          ToText(target.address) + target.path);
+  if (is_news) {
+    Log(LogPart::kMinion, LogLevel::kInfo,
+        minion.name + ", instance " + ToHex(minion.instance) +
+            ", announced at " + ToText(target.address) + target.path);
+  }
   Post(MinionAnnounces{minion});
   return RenderAccepted(minion.name);
 }
--- a/tests/process/run_agent.py
+++ b/tests/process/run_agent.py
@@ -1,13 +1,17 @@
 """Two agents with their endpoints and one entry: run_agent.py BUILD_DIR
 
 Guards against a daemon that does not announce its minion, loses a result,
-starts a task twice, or does not end on SIGTERM."""
+starts a task twice, goes on with a cancelled task, is harmed by hostile bytes,
+or does not end on SIGTERM."""
 
+import random
+import socket
 import sys
+import threading
 
 import processes
 from api import call
-from cell import (Layout, agent_address, entry_address, local_cell,
+from cell import (LINK_PORT, Layout, agent_address, entry_address, local_cell,
                   ready_agents)
 from checks import count_starts
 from jobs import JobSpec, submission_id, submit
@@ -17,6 +21,18 @@
 # Bound of the design page for a leave to reach all entries.
 LEAVE_S = 2.0
 
+LONG_TASK_MS = 20_000
+# Far below the run time of the long task.
+CANCEL_S = 5.0
+
+# What a peer sends that does not speak the protocol.
+HOSTILE_BYTES = (
+    b"GET / HTTP/1.1\r\n\r\n",
+    b"\xff\xff\xff\xff",
+    b"\x08\x00\x00\x00" + random.Random(1).randbytes(8),
+    b"\x00\x00\x00\x00",
+)
+
 # An announcement and the start of the message that refuses it.
 WRONG_ANNOUNCEMENTS = (
     ({}, "'name'"),
@@ -61,6 +77,38 @@
         assert text in response.body["error"]["message"], response
 
 
+def running_tasks():
+    return sum(call(agent_address(n), "GET", "/debug/state").body["running"]
+               for n in range(AGENTS))
+
+
+def check_cancel():
+    key = "cancelled"
+    body = {"team": "north", "key": key, "tasks": [
+        {"payload": f"{LONG_TASK_MS} x", "declared_ms": LONG_TASK_MS}]}
+    replies = []
+    caller = threading.Thread(target=lambda: replies.append(
+        call(entry_address(0), "POST", "/v1/jobs", body)))
+    caller.start()
+    processes.wait_until(lambda: running_tasks() == 1, CANCEL_S, "the start")
+    path = "/v1/jobs/" + submission_id("north", key)
+    call(entry_address(0), "DELETE", path)
+    processes.wait_until(lambda: running_tasks() == 0, CANCEL_S, "the abort")
+    caller.join(CANCEL_S)
+    assert replies, "the caller of a cancelled job has no reply"
+    states = [task["state"] for task in replies[0].body["tasks"]]
+    assert states == ["unknown"], replies
+
+
+def check_hostile_links():
+    address = (entry_address(0).host, LINK_PORT)
+    for data in HOSTILE_BYTES:
+        with socket.create_connection(address, CANCEL_S) as link:
+            link.sendall(data)
+            assert link.recv(1) == b"", data
+    assert len(ready_agents(0)) == AGENTS
+
+
 def is_draining(minion):
     return any(agent["minion"] == minion and agent["draining"]
                for agent in ready_agents(0))
@@ -77,7 +125,8 @@
     code = processes.stop(cell.agents[0])
     assert code == 0, f"the agent ended with {code}"
     state = call(agent_address(1), "GET", "/debug/state").body
-    assert state["ledger"]["size"] == len(PAYLOADS), state
+    # The cancelled task is the last one.
+    assert state["ledger"]["size"] == len(PAYLOADS) + 1, state
 
 
 def main(build_dir):
@@ -85,6 +134,8 @@
         check_job(cell)
         check_views()
         check_wrong_announcements()
+        check_hostile_links()
+        check_cancel()
         check_leave(cell)
 
 
