Measure response time and messages of the real decision code

The scenarios run on TestCell's virtual clock, with delays between data centres and a tally of messages by use; a reference scheduler gives the ideal, and three baselines place tasks at the entries. Ruled out: wall time as a measure, since it differs from run to run.

--- /dev/null
+++ b/bench/cell_run.cpp
@@ -0,0 +1,191 @@
+#include "cell_run.h"
+
+#include <algorithm>
+#include <functional>
+
+#include "support/test_cell.h"
+
+namespace dottereltrack::bench {
+namespace {
+
+using testing::CellOptions;
+using testing::TestCell;
+
+// Time in which the cell forms before the trace starts.
+constexpr BootTime kFormation{seconds{3}};
+// Time after the last arrival in which answers are awaited.
+constexpr BootTime kDrain{seconds{70}};
+
+CellOptions OptionsOf(const Scenario& scenario, std::uint64_t seed) {
+  const Deployment& where = scenario.deployment;
+  CellOptions options;
+  options.entries = where.entries;
+  options.agents = where.minions;
+  options.agents_per_rack = where.minions_per_rack;
+  options.slots = where.slots;
+  options.delay = where.delay;
+  options.local_delay = where.local_delay;
+  options.speeds = where.time_ratios;
+  options.seed = seed;
+  return options;
+}
+
+SubmitRequest RequestOf(const TraceJob& job, const std::string& key) {
+  SubmitRequest request;
+  request.team = job.team;
+  request.key = key;
+  request.kind = job.kind;
+  request.deadline = job.deadline;
+  for (const TraceTask& task : job.tasks) {
+    TaskSpec spec;
+    spec.declared_time = task.declared;
+    spec.payload = std::to_string(
+        std::chrono::duration_cast<milliseconds>(task.work).count());
+    request.tasks.push_back(spec);
+  }
+  request.body_digest = DigestOf(key);
+  return request;
+}
+
+// Does what happens at one time of the trace.
+struct TimedAction {
+  BootTime at{0};
+  std::function<void()> action;
+};
+
+class CellDriver {
+ public:
+  CellDriver(const Scenario& scenario, const Trace& trace, std::uint64_t seed)
+      : scenario_(scenario),
+        trace_(trace),
+        cell_(OptionsOf(scenario, seed)),
+        calls_(trace.size()),
+        submissions_(trace.size()) {
+    cell_.RunFor(kFormation);
+    Configure();
+    start_ = cell_.now();
+    ScheduleAll();
+  }
+
+  CellRun Run() {
+    for (const TimedAction& it : actions_) {
+      cell_.RunUntil(start_ + it.at);
+      it.action();
+    }
+    cell_.RunFor(kDrain);
+    for (std::size_t n = 0; n < trace_.size(); ++n) {
+      run_.jobs.push_back(ResultOf(n));
+    }
+    run_.double_starts = cell_.DoubleStarts().size();
+    run_.overcommitted_slots = cell_.overcommitted_slots();
+    return run_;
+  }
+
+ private:
+  void Configure() {
+    CellConfig config;
+    for (const TeamShare& team : scenario_.teams) {
+      config.teams[team.name] = {team.max_in_progress, team.weight};
+    }
+    cell_.SetConfig(0, 0, config);
+    cell_.RunFor(seconds{1});
+  }
+
+  void ScheduleAll() {
+    const BootTime delay = scenario_.deployment.client_delay;
+    for (std::size_t n = 0; n < trace_.size(); ++n) {
+      actions_.push_back({trace_[n].at + delay, [this, n] { Submit(n); }});
+      if (trace_[n].cancel_at == BootTime{0}) continue;
+      actions_.push_back({trace_[n].cancel_at + delay, [this, n] {
+                            cell_.Cancel(trace_[n].entry, submissions_[n]);
+                          }});
+    }
+    for (const Disturbance& it : scenario_.disturbances) {
+      actions_.push_back({it.at, [this, &it] { Disturb(it); }});
+    }
+    actions_.push_back({scenario_.warm_up, [this] { OpenWindow(); }});
+    actions_.push_back({scenario_.duration, [this] { CloseWindow(); }});
+    std::stable_sort(
+        actions_.begin(), actions_.end(),
+        [](const TimedAction& a, const TimedAction& b) { return a.at < b.at; });
+  }
+
+  void Submit(std::size_t n) {
+    const TraceJob& job = trace_[n];
+    const std::string key = testing::TimedKey(cell_.wall(), n);
+    submissions_[n] = MakeSubmissionId(job.team, key);
+    calls_[n] = cell_.Submit(job.entry, RequestOf(job, key));
+  }
+
+  void Disturb(const Disturbance& it) {
+    switch (it.kind) {
+      case DisturbanceKind::kMinionFails:
+        return cell_.SetMinionFailing(it.minion, true);
+      case DisturbanceKind::kMinionSlows:
+        return cell_.SetMinionSpeed(
+            it.minion, scenario_.deployment.time_ratios[it.minion] * it.factor);
+      case DisturbanceKind::kMinionLost:
+        return cell_.KillAgent(it.minion);
+      case DisturbanceKind::kStoreDown:
+        return cell_.SetStoreMode(testing::StoreMode::kDown);
+      case DisturbanceKind::kStoreUp:
+        return cell_.SetStoreMode(testing::StoreMode::kUp);
+    }
+  }
+
+  std::uint64_t ResultCount() const {
+    std::uint64_t sum = 0;
+    for (int n = 0; n < cell_.entry_count(); ++n) {
+      sum +=
+          cell_.entry(n).counters[static_cast<std::size_t>(Counter::kResults)];
+    }
+    return sum;
+  }
+
+  void OpenWindow() {
+    run_.messages = cell_.tally();
+    run_.store_calls = cell_.store_calls();
+    run_.completed_tasks = ResultCount();
+  }
+
+  void CloseWindow() {
+    run_.messages.useful = cell_.tally().useful - run_.messages.useful;
+    run_.messages.wasted = cell_.tally().wasted - run_.messages.wasted;
+    run_.store_calls = cell_.store_calls() - run_.store_calls;
+    run_.completed_tasks = ResultCount() - run_.completed_tasks;
+  }
+
+  JobResult ResultOf(std::size_t n) const {
+    const auto* reply = cell_.ReplyOf(calls_[n]);
+    const auto* answer =
+        reply == nullptr ? nullptr : std::get_if<Answer>(&reply->reply);
+    if (answer == nullptr || !answer->complete) {
+      JobResult result = IncompleteResult(scenario_, trace_[n]);
+      const auto* refusal =
+          reply == nullptr ? nullptr : std::get_if<Refusal>(&reply->reply);
+      result.refused = refusal != nullptr && refusal->not_run.has_value();
+      return result;
+    }
+    return CompleteResult(
+        scenario_, trace_[n],
+        reply->at - start_ + scenario_.deployment.client_delay);
+  }
+
+  const Scenario& scenario_;
+  const Trace& trace_;
+  TestCell cell_;
+  BootTime start_{0};
+  std::vector<CallId> calls_;
+  std::vector<SubmissionId> submissions_;
+  std::vector<TimedAction> actions_;
+  CellRun run_;
+};
+
+}  // namespace
+
+CellRun RunCell(const Scenario& scenario, const Trace& trace,
+                std::uint64_t seed) {
+  return CellDriver(scenario, trace, seed).Run();
+}
+
+}  // namespace dottereltrack::bench
--- /dev/null
+++ b/bench/measures.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cell_run.h"
+#include "trace.h"
+
+namespace dottereltrack::bench {
+
+// Responses of the measured jobs, in seconds.
+struct Responses {
+  double mean = 0;
+  double p99 = 0;
+  friend bool operator==(const Responses&, const Responses&) = default;
+};
+
+struct BaselineMeasures {
+  std::string name;
+  Responses responses;
+  friend bool operator==(const BaselineMeasures&,
+                         const BaselineMeasures&) = default;
+};
+
+// The measures of the design page for one scenario, over all seeds.
+struct Measures {
+  std::string scenario;
+  Responses measured;
+  Responses ideal;
+  Responses unloaded_ideal;
+  double mean_ratio = 0;
+  double p99_ratio = 0;
+  std::vector<BaselineMeasures> baselines;
+  // Share of the measured jobs without a complete answer.
+  double incomplete = 0;
+  double useful_per_task = 0;
+  double wasted_per_task = 0;
+  double store_calls_per_task = 0;
+  std::uint64_t jobs = 0;
+  std::uint64_t tasks = 0;
+  std::uint64_t double_starts = 0;
+  std::uint64_t overcommitted_slots = 0;
+  friend bool operator==(const Measures&, const Measures&) = default;
+};
+
+// The mean and the p99 by nearest rank.
+Responses ResponsesOf(const std::vector<JobResult>& jobs);
+
+// Runs the scenario with seeds 1 to `seeds` on the real decision code, the
+// ideal scheduler and all baselines.
+Measures Measure(const Scenario& scenario, int seeds);
+
+// The work of complete jobs that ended between the two times, over the work
+// that the minions can do in this time.
+double Goodput(const Scenario& scenario, const Trace& trace,
+               const std::vector<JobResult>& jobs, BootTime from,
+               BootTime until);
+
+}  // namespace dottereltrack::bench
--- /dev/null
+++ b/bench/overload.cpp
@@ -0,0 +1,80 @@
+#include "overload.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "cell_run.h"
+#include "ideal.h"
+#include "measures.h"
+#include "trace.h"
+
+namespace dottereltrack::bench {
+namespace {
+
+constexpr BootTime kSettling{seconds{5}};
+// Time over which the mean response shows whether the cell has recovered.
+constexpr BootTime kRecoveryStep{seconds{1}};
+
+// Mean response of the jobs that arrived in the step that begins at `from`. A
+// job without a complete answer counts with its deadline.
+double MeanOfArrivals(const Trace& trace, const std::vector<JobResult>& jobs,
+                      BootTime from, BootTime until) {
+  double sum = 0;
+  double n = 0;
+  for (std::size_t i = 0; i < trace.size(); ++i) {
+    if (trace[i].at < from || trace[i].at >= until) continue;
+    sum += static_cast<double>(jobs[i].response.count()) * 1e-6;
+    ++n;
+  }
+  return n > 0 ? sum / n : 0;
+}
+
+double RecoveryTime(const Scenario& scenario, const Trace& trace,
+                    const std::vector<JobResult>& jobs) {
+  // The ideal of the same load without the overload before it.
+  Scenario calm = scenario;
+  calm.burst_until = calm.burst_from;
+  const Trace calm_trace = MakeTrace(calm, 1);
+  const double usual = ResponsesOf(RunIdeal(calm, calm_trace)).mean;
+  BootTime recovered = scenario.burst_until;
+  for (BootTime at = scenario.burst_until; at < scenario.duration;
+       at += kRecoveryStep) {
+    if (MeanOfArrivals(trace, jobs, at, at + kRecoveryStep) > 2 * usual) {
+      recovered = at + kRecoveryStep;
+    }
+  }
+  return static_cast<double>((recovered - scenario.burst_until).count()) * 1e-6;
+}
+
+}  // namespace
+
+OverloadMeasures MeasureOverload(const Deployment& deployment, int seeds) {
+  const Scenario scenario = OverloadScenario(deployment);
+  OverloadMeasures result;
+  std::vector<JobResult> complete;
+  double arrived = 0;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    const Trace trace = MakeTrace(scenario, seed);
+    const CellRun run = RunCell(scenario, trace, seed);
+    result.goodput +=
+        Goodput(scenario, trace, run.jobs, scenario.burst_from + kSettling,
+                scenario.burst_until) /
+        seeds;
+    result.recovery_s =
+        std::max(result.recovery_s, RecoveryTime(scenario, trace, run.jobs));
+    for (std::size_t n = 0; n < trace.size(); ++n) {
+      const BootTime at = trace[n].at;
+      if (at < scenario.burst_from || at >= scenario.burst_until) continue;
+      ++arrived;
+      if (run.jobs[n].complete) complete.push_back(run.jobs[n]);
+      if (run.jobs[n].refused) ++result.refused;
+    }
+  }
+  const auto done = static_cast<double>(complete.size());
+  result.failed = (arrived - done - result.refused) / arrived;
+  result.refused /= arrived;
+  result.p99 = ResponsesOf(complete).p99;
+  return result;
+}
+
+}  // namespace dottereltrack::bench
--- a/tests/support/test_cell.cpp
+++ b/tests/support/test_cell.cpp
@@ -159,6 +159,22 @@
 
 Now TestCell::MakeNow() { return {now_, wall(), random_()}; }
 
+int TestCell::RackOfAgent(int n) const {
+  return options_.agents_per_rack > 0 ? n / options_.agents_per_rack
+                                      : n % options_.racks;
+}
+
+int TestCell::DataCentreOf(int end) const {
+  if (!IsAgentEnd(end)) return end;
+  const int rack = RackOfAgent(end - entry_count());
+  return options_.agents_per_rack > 0 ? rack % entry_count() : rack;
+}
+
+BootTime TestCell::DelayBetween(int end, int other) const {
+  const bool local = DataCentreOf(end) == DataCentreOf(other);
+  return local ? options_.local_delay.value_or(options_.delay) : options_.delay;
+}
+
 std::uint64_t TestCell::IncarnationOf(int end) const {
   return IsAgentEnd(end) ? agents_[end - entry_count()].incarnation
                          : entries_[end].incarnation;
@@ -268,18 +284,21 @@
 }
 
 void TestCell::Deliver(int from_end, LinkId link, EntryToAgent message) {
+  tally_ = Tally(tally_, message);
   DeliverBy(from_end, link, [this, link, message](int to_end) {
     PostToAgent(to_end - entry_count(), EntrySays{link, message});
   });
 }
 
 void TestCell::Deliver(int from_end, LinkId link, EntryToEntry message) {
+  tally_ = Tally(tally_, message);
   DeliverBy(from_end, link, [this, link, message](int to_end) {
     PostToEntry(to_end, PeerSays{link, message});
   });
 }
 
 void TestCell::Deliver(int from_end, LinkId link, AgentToEntry message) {
+  tally_ = Tally(tally_, message);
   DeliverBy(from_end, link, [this, link, message](int to_end) {
     PostToEntry(to_end, AgentSays{link, message});
   });
@@ -293,8 +312,8 @@
   ++messages_;
   const int direction = link.from == from_end ? 0 : 1;
   const int to_end = direction == 0 ? link.to : link.from;
-  const BootTime at =
-      std::max(now_ + options_.delay, link.last_delivery[direction]);
+  const BootTime at = std::max(now_ + DelayBetween(link.from, link.to),
+                               link.last_delivery[direction]);
   link.last_delivery[direction] = at;
   At(at, [this, id, to_end, action] {
     const Link& now_link = links_.at(id);
@@ -334,8 +353,8 @@
   const std::uint64_t expected =
       link.from == closed_by ? link.to_incarnation : link.from_incarnation;
   const int direction = link.from == closed_by ? 0 : 1;
-  const BootTime at =
-      std::max(now_ + options_.delay, link.last_delivery[direction]);
+  const BootTime at = std::max(now_ + DelayBetween(link.from, link.to),
+                               link.last_delivery[direction]);
   At(at, [this, id, other, expected] {
     if (IncarnationOf(other) != expected) return;
     if (IsAgentEnd(other)) {
@@ -350,7 +369,8 @@
                     std::function<void(bool, LinkId)> done) {
   const std::uint64_t incarnation = IncarnationOf(from_end);
   const int to_end = address.port;
-  At(now_ + 2 * options_.delay, [this, from_end, to_end, incarnation, done] {
+  const BootTime at = now_ + 2 * DelayBetween(from_end, to_end);
+  At(at, [this, from_end, to_end, incarnation, done] {
     if (IncarnationOf(from_end) != incarnation || !IsAlive(from_end)) return;
     if (!IsAlive(to_end)) return done(false, LinkId{});
     done(true, OpenLink(from_end, to_end));
@@ -515,8 +535,8 @@
   minion.slots = options_.slots;
   minion.connections = 64;
   minion.memory_bytes = 64ULL << 30;
-  minion.rack = "rack-" + std::to_string(n % options_.racks);
-  minion.data_centre = "dc-" + std::to_string(n % options_.racks);
+  minion.rack = "rack-" + std::to_string(RackOfAgent(n));
+  minion.data_centre = "dc-" + std::to_string(DataCentreOf(AgentEnd(n)));
   PostToAgent(n, MinionAnnounces{minion});
   ScheduleTick(AgentEnd(n), node.incarnation);
 }
--- a/tests/support/test_cell.h
+++ b/tests/support/test_cell.h
@@ -12,6 +12,7 @@
 
 #include "core/agent/advance.h"
 #include "core/entry/advance.h"
+#include "support/message_tally.h"
 
 namespace dottereltrack::testing {
 
@@ -29,8 +30,13 @@
   int agents = 3;
   int racks = 3;
   std::uint32_t slots = 8;
-  // One-way delay of every message.
+  // One-way delay of messages between data centres.
   BootTime delay{500};
+  // One-way delay inside a data centre; empty if it is the same.
+  std::optional<BootTime> local_delay;
+  // Agents that share a rack in a row, one data centre to a rack; 0 deals the
+  // agents out to `racks` in turn.
+  int agents_per_rack = 0;
   BootTime store_delay{3'000};
   EntrySettings entry_settings;
   std::uint64_t seed = 1;
@@ -98,6 +104,7 @@
   // Most tasks that ran at the same time on one minion beyond its slots.
   std::uint32_t overcommitted_slots() const { return overcommitted_slots_; }
   std::uint64_t messages() const { return messages_; }
+  const MessageTally& tally() const { return tally_; }
   std::uint64_t store_calls() const { return store_calls_; }
 
  private:
@@ -142,6 +149,9 @@
   Now MakeNow();
   int AgentEnd(int agent) const { return entry_count() + agent; }
   bool IsAgentEnd(int end) const { return end >= entry_count(); }
+  int RackOfAgent(int n) const;
+  int DataCentreOf(int end) const;
+  BootTime DelayBetween(int end, int other) const;
   std::uint64_t IncarnationOf(int end) const;
   bool IsAlive(int end) const;
 
@@ -187,6 +197,7 @@
   StoreMode store_mode_ = StoreMode::kUp;
   std::uint32_t overcommitted_slots_ = 0;
   std::uint64_t messages_ = 0;
+  MessageTally tally_;
   std::uint64_t store_calls_ = 0;
 };
 
