Index the queue by team, class and job, longest task first

Cause: tasks of a job started in the order of their index on one flat queue, so the longest task of a job often started last; a round read all agents with a scan of the roster for each. The queue of a team is now kept by class (selector and needs), in it jobs by acceptance plus 20 ms for each queued task, at most 2 s, and in a job the longest declared time first. Usage of agents and agents with room are indexes. Ruled out: one ordered set with the penalty in each key, since a start would move every task of the job.

--- a/src/core/entry/agent_messages.cpp
+++ b/src/core/entry/agent_messages.cpp
@@ -41,10 +41,8 @@
 }
 
 bool IsUsable(const EntryBoard& board, const AgentRow& agent) {
-  const auto& roster = board.table.table.roster;
   return agent.phase == AgentPhase::kFenced &&
-         std::any_of(roster.begin(), roster.end(),
-                     [&](const RosterAgent& it) { return it.id == agent.id; });
+         board.roster_ids.count(agent.id) != 0;
 }
 
 std::string RackOf(const MinionDescription& minion) {
--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -58,6 +58,25 @@
   if (it->second.empty()) board->records_by_holder.erase(it);
 }
 
+void IndexRoom(EntryBoard* board, const AgentId& id) {
+  const AgentRow* agent = board->agents.Find(id);
+  const auto usage = board->usage_by_agent.find(id);
+  const std::uint32_t used =
+      usage == board->usage_by_agent.end() ? 0 : usage->second.slots;
+  const bool has_room = agent != nullptr &&
+                        agent->phase == AgentPhase::kFenced &&
+                        used < SlotLimit(agent->minion);
+  if (has_room) {
+    board->agents_with_room.insert(id);
+  } else {
+    board->agents_with_room.erase(id);
+  }
+}
+
+const Needs& NeedsOf(const Job& job, const Task& task) {
+  return job.body->tasks[task.id.index].needs;
+}
+
 void IndexTask(EntryBoard* board, const Task& task) {
   if (task.holder != AgentId{}) {
     board->records_by_holder[task.holder].insert(task.id);
@@ -65,35 +84,37 @@
   const Job* job = board->jobs.Find(task.id.submission);
   if (job == nullptr) return;
   if (task.state == TaskState::kQueued) {
-    board->queue_by_team[job->team].insert({job->arrival_seq, task.id});
+    AddQueuedTask(*job, task.id.index, &board->queue_by_team);
     ++board->queued_tasks;
   } else if (task.state == TaskState::kSent) {
     ++board->in_progress_by_team[job->team];
     board->sent_by_agent[task.agent].insert(task.id);
+    Usage& usage = board->usage_by_agent[task.agent];
+    usage = Plus(usage, NeedsOf(*job, task));
+    IndexRoom(board, task.agent);
   }
 }
 
-void UnindexQueued(EntryBoard* board, const Job& job, const Task& task) {
-  const auto it = board->queue_by_team.find(job.team);
-  if (it == board->queue_by_team.end()) return;
-  it->second.erase({job.arrival_seq, task.id});
-  if (it->second.empty()) board->queue_by_team.erase(it);
-  --board->queued_tasks;
-}
-
 void UnindexSent(EntryBoard* board, const Job& job, const Task& task) {
   const auto team = board->in_progress_by_team.find(job.team);
   if (--team->second == 0) board->in_progress_by_team.erase(team);
   const auto agent = board->sent_by_agent.find(task.agent);
   agent->second.erase(task.id);
   if (agent->second.empty()) board->sent_by_agent.erase(agent);
+  const auto usage = board->usage_by_agent.find(task.agent);
+  usage->second = Minus(usage->second, NeedsOf(job, task));
+  if (usage->second.slots == 0) board->usage_by_agent.erase(usage);
+  IndexRoom(board, task.agent);
 }
 
 void UnindexTask(EntryBoard* board, const Task& task) {
   RemoveRecord(board, task.holder, task.id);
   const Job* job = board->jobs.Find(task.id.submission);
   if (job == nullptr) return;
-  if (task.state == TaskState::kQueued) UnindexQueued(board, *job, task);
+  if (task.state == TaskState::kQueued) {
+    RemoveQueuedTask(*job, task.id.index, &board->queue_by_team);
+    --board->queued_tasks;
+  }
   if (task.state == TaskState::kSent) UnindexSent(board, *job, task);
 }
 
@@ -134,6 +155,14 @@
     }
     board->tasks.Erase(change.key);
   }
+  void operator()(const Put<AgentRow>& change) const {
+    board->agents.Put(change.row);
+    IndexRoom(board, change.row.id);
+  }
+  void operator()(const Erase<AgentRow>& change) const {
+    board->agents.Erase(change.key);
+    IndexRoom(board, change.key);
+  }
   void operator()(const Put<RecoveredTask>& change) const {
     if (const auto* old = board->recovered.Find(change.row.entry.id)) {
       RemoveRecord(board, old->holder, old->entry.id);
@@ -176,7 +205,13 @@
   void operator()(const SetAuthority& change) const {
     board->authority = change.authority;
   }
-  void operator()(const SetTable& change) const { board->table = change.table; }
+  void operator()(const SetTable& change) const {
+    board->table = change.table;
+    board->roster_ids.clear();
+    for (const RosterAgent& agent : change.table.table.roster) {
+      board->roster_ids.insert(agent.id);
+    }
+  }
   void operator()(const SetConfig& change) const {
     board->config = change.config;
   }
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "core/cell.h"
+#include "core/entry/capacity.h"
+#include "core/entry/job_queue.h"
 #include "core/entry/settings.h"
 #include "core/ids.h"
 #include "core/job.h"
@@ -289,13 +291,6 @@
 inline constexpr std::size_t kCounterCount =
     static_cast<std::size_t>(Counter::kMessagesToPeers) + 1;
 
-// Position of a queued task: jobs of a team by arrival, tasks by index.
-struct QueueKey {
-  std::uint64_t arrival_seq = 0;
-  TaskId task;
-  friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
-};
-
 // The whole state of an entry. Only `Apply` alters it.
 struct EntryBoard {
   EntrySettings settings;
@@ -326,10 +321,14 @@
   std::set<AgentId> confirmed_dead;
 
   // Indexes that `Apply` derives from the tables above.
-  std::map<std::string, std::set<QueueKey>> queue_by_team;
+  TeamQueues queue_by_team;
   std::size_t queued_tasks = 0;
   std::map<std::string, std::uint32_t> in_progress_by_team;
   std::map<AgentId, std::set<TaskId>> sent_by_agent;
+  std::map<AgentId, Usage> usage_by_agent;
+  // Fenced agents with a free slot.
+  std::set<AgentId> agents_with_room;
+  std::set<AgentId> roster_ids;
   std::set<std::pair<BootTime, SubmissionId>> open_by_deadline;
   std::set<std::pair<BootTime, SubmissionId>> final_by_age;
   // Open jobs all of whose tasks have an outcome.
--- /dev/null
+++ b/src/core/entry/candidates.cpp
@@ -0,0 +1,58 @@
+#include "core/entry/candidates.h"
+
+#include <algorithm>
+
+#include "core/entry/agent_messages.h"
+#include "core/entry/minion_health.h"
+#include "core/entry/placement.h"
+
+namespace dottereltrack {
+namespace {
+
+// Candidates are ordered by their time for a task of this length, so that the
+// order holds for all tasks of a round.
+constexpr milliseconds kTypicalTask{200};
+
+}  // namespace
+
+BootTime ExpectedTime(const Candidate& candidate, milliseconds declared) {
+  const auto run_time =
+      static_cast<double>(BootTime(declared).count()) * candidate.time_ratio;
+  return candidate.round_trip + BootTime{static_cast<std::int64_t>(run_time)};
+}
+
+std::vector<const AgentRow*> AgentsWithRoom(const EntryBoard& board,
+                                            const Now& now) {
+  std::vector<const AgentRow*> agents;
+  for (const AgentId& id : board.agents_with_room) {
+    const AgentRow& agent = *board.agents.Find(id);
+    if (!IsUsable(board, agent)) continue;
+    if (IsDraining(board.config.config, agent.minion)) continue;
+    if (!MayReceiveWork(board, agent, now)) continue;
+    agents.push_back(&agent);
+  }
+  return agents;
+}
+
+std::vector<Candidate> CandidatesFor(const EntryBoard& board,
+                                     const WorkClass& work,
+                                     const std::string& kind,
+                                     const std::vector<const AgentRow*>& agents,
+                                     const Now& now) {
+  std::vector<Candidate> candidates;
+  for (const AgentRow* agent : agents) {
+    const MinionDescription& minion = agent->minion;
+    if (!CanEverFit(minion, work.needs)) continue;
+    if (!Matches(work.selector, board.config.config, minion)) continue;
+    candidates.push_back(
+        {agent, TimeRatioOf(board, minion.name, kind, now), BootTime{0}});
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     return ExpectedTime(a, kTypicalTask) <
+                            ExpectedTime(b, kTypicalTask);
+                   });
+  return candidates;
+}
+
+}  // namespace dottereltrack
--- a/src/core/entry/deadlines.cpp
+++ b/src/core/entry/deadlines.cpp
@@ -22,38 +22,27 @@
   }
 }
 
-bool AnyMinionFor(const EntryBoard& board, const Job& job, const Needs& needs) {
+bool AnyMinionFor(const EntryBoard& board, const WorkClass& work) {
   for (const auto& [id, agent] : board.agents) {
     if (!IsUsable(board, agent)) continue;
-    if (CanEverFit(agent.minion, needs) &&
-        Matches(job.body->selector, board.config.config, agent.minion)) {
+    if (CanEverFit(agent.minion, work.needs) &&
+        Matches(work.selector, board.config.config, agent.minion)) {
       return true;
     }
   }
   return false;
 }
 
-// A job without bodies of tasks of different needs asks once per distinct need.
-bool IsPlaceable(const EntryBoard& board, const Job& job, const Task& task,
-                 std::vector<Needs>* placeable) {
-  const Needs& needs = job.body->tasks[task.id.index].needs;
-  for (const Needs& known : *placeable) {
-    if (known == needs) return true;
-  }
-  if (!AnyMinionFor(board, job, needs)) return false;
-  placeable->push_back(needs);
-  return true;
-}
-
-void DecideUnplaceable(const EntryBoard& board, const Job& job,
-                       std::vector<TaskDecision>* decisions) {
-  std::vector<Needs> placeable;
-  for (std::uint32_t n = 0; n < job.task_count; ++n) {
-    const Task& task = *board.tasks.Find({job.id, n});
+// One task of each job is decided; the job's other queued tasks follow it.
+void DecideUnplaceable(const EntryBoard& board, const ClassQueue& queue,
+                       const Now& now, std::vector<TaskDecision>* decisions) {
+  for (const auto& [id, queued] : queue.jobs) {
+    const Job& job = *board.jobs.Find(id);
+    if (job.accepted_at + board.settings.no_minion_grace > now.boot) continue;
+    const Task& task = *board.tasks.Find({id, queued.tasks.begin()->index});
     const auto proof = ProveNeverSent(task);
-    if (!proof || IsPlaceable(board, job, task, &placeable)) continue;
+    if (!proof) continue;
     decisions->push_back({task.id, NotRun{"no_eligible_minion", *proof}});
-    return;
   }
 }
 
@@ -81,14 +70,10 @@
 EntryChanges ExpireUnplaceable(const EntryBoard& board, const Now& now) {
   std::vector<TaskDecision> decisions;
   if (!board.authority.inventory_settled) return {};
-  for (const auto& [team, queue] : board.queue_by_team) {
-    auto it = queue.begin();
-    while (it != queue.end()) {
-      const SubmissionId id = it->task.submission;
-      const Job& job = *board.jobs.Find(id);
-      if (job.accepted_at + board.settings.no_minion_grace > now.boot) break;
-      DecideUnplaceable(board, job, &decisions);
-      it = queue.upper_bound({job.arrival_seq, {id, 0xffffffff}});
+  for (const auto& [team, classes] : board.queue_by_team) {
+    for (const auto& [work, queue] : classes) {
+      if (AnyMinionFor(board, work)) continue;
+      DecideUnplaceable(board, queue, now, &decisions);
     }
   }
   return FinishTasks(board, decisions);
--- /dev/null
+++ b/src/core/entry/job_queue.cpp
@@ -0,0 +1,66 @@
+#include "core/entry/job_queue.h"
+
+#include <algorithm>
+
+namespace dottereltrack {
+namespace {
+
+// Each task that remains puts its job back by this time, up to the bound, so
+// that a job of 1,100 tasks lets small jobs pass and still gets its turn.
+constexpr milliseconds kPenaltyPerTask{20};
+constexpr milliseconds kMaxPenalty{2'000};
+
+const TaskSpec& SpecOf(const Job& job, std::uint32_t index) {
+  return job.body->tasks[index];
+}
+
+TaskRank TaskRankOf(const Job& job, std::uint32_t index) {
+  return {-SpecOf(job, index).declared_time, index};
+}
+
+void Rerank(const Job& job, QueuedJob* queued, ClassQueue* queue) {
+  const JobRank rank = RankOf(job, queued->tasks.size());
+  if (rank == queued->rank) return;
+  queue->order.erase(queued->rank);
+  queue->order.insert(rank);
+  queued->rank = rank;
+}
+
+}  // namespace
+
+JobRank RankOf(const Job& job, std::size_t remaining) {
+  const BootTime penalty = std::min<BootTime>(
+      kPenaltyPerTask * static_cast<std::int64_t>(remaining), kMaxPenalty);
+  return {job.accepted_at + penalty, job.arrival_seq, job.id};
+}
+
+void AddQueuedTask(const Job& job, std::uint32_t index, TeamQueues* queues) {
+  const WorkClass work{job.body->selector, SpecOf(job, index).needs};
+  ClassQueue& queue = (*queues)[job.team][work];
+  QueuedJob& queued = queue.jobs[job.id];
+  queued.tasks.insert(TaskRankOf(job, index));
+  Rerank(job, &queued, &queue);
+}
+
+void RemoveQueuedTask(const Job& job, std::uint32_t index, TeamQueues* queues) {
+  const auto team = queues->find(job.team);
+  if (team == queues->end()) return;
+  const auto it =
+      team->second.find({job.body->selector, SpecOf(job, index).needs});
+  if (it == team->second.end()) return;
+  ClassQueue& queue = it->second;
+  const auto queued = queue.jobs.find(job.id);
+  if (queued == queue.jobs.end()) return;
+  queued->second.tasks.erase(TaskRankOf(job, index));
+  if (!queued->second.tasks.empty()) {
+    Rerank(job, &queued->second, &queue);
+    return;
+  }
+  queue.order.erase(queued->second.rank);
+  queue.jobs.erase(queued);
+  if (!queue.jobs.empty()) return;
+  team->second.erase(it);
+  if (team->second.empty()) queues->erase(team);
+}
+
+}  // namespace dottereltrack
--- a/src/core/entry/placement.cpp
+++ b/src/core/entry/placement.cpp
@@ -3,133 +3,90 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 
-#include "core/entry/agent_messages.h"
 #include "core/entry/authority.h"
-#include "core/entry/minion_health.h"
+#include "core/entry/candidates.h"
+#include "core/entry/capacity.h"
+#include "core/entry/team_shares.h"
 
 namespace dottereltrack {
 namespace {
 
-// What is free on one agent's minion while placements are being chosen.
-struct FreeCapacity {
-  const AgentRow* agent = nullptr;
-  std::uint32_t slots = 0;
-  std::uint64_t memory_bytes = 0;
-  std::uint32_t accelerators = 0;
-};
-
-FreeCapacity FreeOn(const EntryBoard& board, const AgentRow& agent) {
-  const MinionDescription& minion = agent.minion;
-  FreeCapacity free;
-  free.agent = &agent;
-  free.slots = std::min(minion.slots, minion.connections);
-  free.memory_bytes = minion.memory_bytes;
-  free.accelerators = minion.accelerators;
-  const auto sent = board.sent_by_agent.find(agent.id);
-  if (sent == board.sent_by_agent.end()) return free;
-  for (const TaskId& id : sent->second) {
-    const Job& job = *board.jobs.Find(id.submission);
-    const Needs& needs = job.body->tasks[id.index].needs;
-    free.slots -= std::min<std::uint32_t>(free.slots, 1);
-    free.memory_bytes -= std::min(free.memory_bytes, needs.memory_bytes);
-    free.accelerators -= std::min(free.accelerators, needs.accelerators);
+// The minions of one class and kind in this round.
+using CandidateKey = std::pair<const WorkClass*, std::string>;
+
+// Chooses placements one after the other and keeps what they take.
+class Round {
+ public:
+  Round(const EntryBoard& board, const Now& now)
+      : board_(board), now_(now), agents_(AgentsWithRoom(board, now)) {
+    for (const AgentRow* agent : agents_) {
+      const std::uint32_t used = UsageOf(agent->id).slots;
+      free_slots_ += SlotLimit(agent->minion) - used;
+    }
   }
-  return free;
-}
-
-bool Fits(const FreeCapacity& free, const Needs& needs) {
-  return free.slots > 0 && needs.memory_bytes <= free.memory_bytes &&
-         needs.accelerators <= free.accelerators;
-}
 
-void Take(FreeCapacity* free, const Needs& needs) {
-  --free->slots;
-  free->memory_bytes -= needs.memory_bytes;
-  free->accelerators -= needs.accelerators;
-}
-
-std::vector<FreeCapacity> AllFree(const EntryBoard& board, const Now& now) {
-  std::vector<FreeCapacity> all;
-  for (const auto& [id, agent] : board.agents) {
-    if (!IsUsable(board, agent)) continue;
-    if (IsDraining(board.config.config, agent.minion)) continue;
-    if (!MayReceiveWork(board, agent, now)) continue;
-    const FreeCapacity free = FreeOn(board, agent);
-    if (free.slots > 0) all.push_back(free);
+  std::vector<Placement> Run() {
+    std::vector<TeamCursor> teams = CursorsOf(board_);
+    while (free_slots_ > 0) {
+      TeamCursor* team = NextTeam(&teams);
+      if (team == nullptr) break;
+      ClassCursor* cursor = NextClass(team);
+      const AgentRow* agent = ChooseAgent(*cursor);
+      if (agent == nullptr) {
+        cursor->blocked = true;
+        continue;
+      }
+      Place(TaskAt(*cursor), *agent, cursor->work->needs);
+      ++team->in_progress;
+      SkipTask(board_, cursor);
+    }
+    return std::move(placements_);
   }
-  return all;
-}
 
-FreeCapacity* FastestFor(const EntryBoard& board, const Job& job,
-                         const TaskSpec& spec, const Now& now,
-                         std::vector<FreeCapacity>* all) {
-  FreeCapacity* best = nullptr;
-  double best_ratio = 0;
-  for (FreeCapacity& free : *all) {
-    if (!Fits(free, spec.needs)) continue;
-    const MinionDescription& minion = free.agent->minion;
-    if (!Matches(job.body->selector, board.config.config, minion)) continue;
-    const double ratio = TimeRatioOf(board, minion.name, job.body->kind, now);
-    if (best != nullptr && best_ratio <= ratio) continue;
-    best = &free;
-    best_ratio = ratio;
+ private:
+  Usage UsageOf(AgentId id) const {
+    const auto planned = planned_.find(id);
+    if (planned != planned_.end()) return planned->second;
+    const auto used = board_.usage_by_agent.find(id);
+    return used == board_.usage_by_agent.end() ? Usage{} : used->second;
   }
-  return best;
-}
-
-std::uint32_t TotalSlots(const std::vector<FreeCapacity>& all) {
-  std::uint32_t total = 0;
-  for (const FreeCapacity& free : all) total += free.slots;
-  return total;
-}
-
-// A team with queued tasks and its share of the slots while choosing.
-struct TeamQueue {
-  const std::set<QueueKey>* queue = nullptr;
-  std::set<QueueKey>::const_iterator next;
-  std::uint32_t in_progress = 0;
-  std::uint32_t limit = 0;
-  std::uint32_t weight = 1;
-};
 
-bool MayStart(const TeamQueue& team) {
-  return team.next != team.queue->end() &&
-         (team.limit == 0 || team.in_progress < team.limit);
-}
+  const std::vector<Candidate>& CandidatesOf(const WorkClass& work,
+                                             const std::string& kind) {
+    const CandidateKey key{&work, kind};
+    const auto it = candidates_.find(key);
+    if (it != candidates_.end()) return it->second;
+    return candidates_
+        .emplace(key, CandidatesFor(board_, work, kind, agents_, now_))
+        .first->second;
+  }
 
-std::vector<TeamQueue> AllTeams(const EntryBoard& board) {
-  std::vector<TeamQueue> teams;
-  for (const auto& [name, queue] : board.queue_by_team) {
-    TeamQueue team;
-    team.queue = &queue;
-    team.next = queue.begin();
-    const auto busy = board.in_progress_by_team.find(name);
-    if (busy != board.in_progress_by_team.end()) {
-      team.in_progress = busy->second;
-    }
-    const auto config = board.config.config.teams.find(name);
-    if (config != board.config.config.teams.end()) {
-      team.limit = config->second.max_in_progress;
-      team.weight = std::max<std::uint32_t>(config->second.weight, 1);
+  const AgentRow* ChooseAgent(const ClassCursor& cursor) {
+    const Job& job = *board_.jobs.Find(cursor.job->id);
+    for (const Candidate& it : CandidatesOf(*cursor.work, job.body->kind)) {
+      const bool fits = HasRoomFor(it.agent->minion, UsageOf(it.agent->id),
+                                   cursor.work->needs);
+      if (fits) return it.agent;
     }
-    teams.push_back(team);
+    return nullptr;
   }
-  return teams;
-}
 
-// The team with the smallest share of slots over its weight.
-TeamQueue* NextTeam(std::vector<TeamQueue>* teams) {
-  TeamQueue* best = nullptr;
-  for (TeamQueue& team : *teams) {
-    if (!MayStart(team)) continue;
-    const bool smaller =
-        best == nullptr || std::uint64_t{team.in_progress} * best->weight <
-                               std::uint64_t{best->in_progress} * team.weight;
-    if (smaller) best = &team;
+  void Place(const TaskId& task, const AgentRow& agent, const Needs& needs) {
+    placements_.push_back({task, agent.id});
+    planned_[agent.id] = Plus(UsageOf(agent.id), needs);
+    --free_slots_;
   }
-  return best;
-}
+
+  const EntryBoard& board_;
+  const Now& now_;
+  std::vector<const AgentRow*> agents_;
+  std::uint32_t free_slots_ = 0;
+  PlannedUsage planned_;
+  std::map<CandidateKey, std::vector<Candidate>> candidates_;
+  std::vector<Placement> placements_;
+};
 
 }  // namespace
 
@@ -168,28 +125,8 @@
 
 std::vector<Placement> ChoosePlacements(const EntryBoard& board,
                                         const Now& now) {
-  std::vector<Placement> placements;
-  if (board.queue_by_team.empty() || !HasAuthority(board, now)) {
-    return placements;
-  }
-  std::vector<FreeCapacity> all = AllFree(board, now);
-  std::uint32_t free_slots = TotalSlots(all);
-  std::vector<TeamQueue> teams = AllTeams(board);
-  while (free_slots > 0) {
-    TeamQueue* team = NextTeam(&teams);
-    if (team == nullptr) break;
-    const QueueKey key = *team->next++;
-    const Job& job = *board.jobs.Find(key.task.submission);
-    if (job.state != JobState::kOpen) continue;
-    const TaskSpec& spec = job.body->tasks[key.task.index];
-    FreeCapacity* free = FastestFor(board, job, spec, now, &all);
-    if (free == nullptr) continue;
-    placements.push_back({key.task, free->agent->id});
-    Take(free, spec.needs);
-    ++team->in_progress;
-    --free_slots;
-  }
-  return placements;
+  if (board.queue_by_team.empty() || !HasAuthority(board, now)) return {};
+  return Round(board, now).Run();
 }
 
 }  // namespace dottereltrack
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -33,7 +33,7 @@
 // of the listed values. An empty selector matches every minion.
 struct Selector {
   std::map<std::string, std::vector<std::string>> allowed;
-  friend bool operator==(const Selector&, const Selector&) = default;
+  friend auto operator<=>(const Selector&, const Selector&) = default;
 };
 
 // A job as a caller submits it.
