Eject minions that fail what others do not

A streak of failures that the cell's own rate does not explain (chance below 1.5e-4) ejects the minion, as does a failure rate above one half and three times that of the cell. One failure limits it to one task at a time. Ejected minions are probed with one task after 2, 4, 8 s and so on; two good probes end the ejection. At most a third of the agents are ejected. Slowness never ejects. Ruled out: a failure count per time, since jobs that can never run fail on every minion; an unknown result as a failure, since cancelled tasks end so.

--- a/src/core/entry/advance.cpp
+++ b/src/core/entry/advance.cpp
@@ -8,6 +8,7 @@
 #include "core/entry/cancellation.h"
 #include "core/entry/configuration.h"
 #include "core/entry/deadlines.h"
+#include "core/entry/ejection.h"
 #include "core/entry/forwarding.h"
 #include "core/entry/membership.h"
 #include "core/entry/minion_health.h"
@@ -151,6 +152,7 @@
     for (const TaskResult& result : message.results) {
       const AgentRow& agent = *board_->agents.Find(id);
       Run(LearnFromResult(*board_, agent, result, now_));
+      Run(JudgeResult(*board_, agent, result, now_));
       Run(HandleResult(*board_, agent, result));
     }
     for (const TaskRefused& refusal : message.refused) {
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -108,12 +108,19 @@
   friend bool operator==(const MinionSpeed&, const MinionSpeed&) = default;
 };
 
-// Recent failures of one minion, and whether it is ejected.
+// Recent failures of one minion, and whether it is ejected. The row without a
+// name stands for the whole cell.
 struct MinionHealth {
   std::string minion;
+  // Decaying counts of results.
   double failures = 0.0;
   double successes = 0.0;
+  // Failures since the newest success.
+  std::uint32_t streak = 0;
   bool ejected = false;
+  // Probes since the ejection, failed and successful.
+  std::uint32_t failed_probes = 0;
+  std::uint32_t good_probes = 0;
   BootTime updated_at{0};
   BootTime next_probe_at{0};
 
--- a/src/core/entry/candidates.cpp
+++ b/src/core/entry/candidates.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/entry/agent_messages.h"
+#include "core/entry/ejection.h"
 #include "core/entry/minion_health.h"
 #include "core/entry/placement.h"
 
@@ -21,15 +22,17 @@
   return candidate.round_trip + BootTime{static_cast<std::int64_t>(run_time)};
 }
 
-std::vector<const AgentRow*> AgentsWithRoom(const EntryBoard& board,
-                                            const Now& now) {
-  std::vector<const AgentRow*> agents;
+std::vector<OpenAgent> OpenAgents(const EntryBoard& board, const Now& now) {
+  std::vector<OpenAgent> agents;
   for (const AgentId& id : board.agents_with_room) {
     const AgentRow& agent = *board.agents.Find(id);
     if (!IsUsable(board, agent)) continue;
     if (IsDraining(board.config.config, agent.minion)) continue;
-    if (!MayReceiveWork(board, agent, now)) continue;
-    agents.push_back(&agent);
+    const std::uint32_t slots = AllowedSlots(board, agent, now);
+    const auto usage = board.usage_by_agent.find(id);
+    const bool room =
+        usage == board.usage_by_agent.end() || usage->second.slots < slots;
+    if (slots > 0 && room) agents.push_back({&agent, slots});
   }
   return agents;
 }
@@ -37,15 +40,16 @@
 std::vector<Candidate> CandidatesFor(const EntryBoard& board,
                                      const WorkClass& work,
                                      const std::string& kind,
-                                     const std::vector<const AgentRow*>& agents,
+                                     const std::vector<OpenAgent>& agents,
                                      const Now& now) {
   std::vector<Candidate> candidates;
-  for (const AgentRow* agent : agents) {
-    const MinionDescription& minion = agent->minion;
+  for (const OpenAgent& open : agents) {
+    const MinionDescription& minion = open.agent->minion;
     if (!CanEverFit(minion, work.needs)) continue;
     if (!Matches(work.selector, board.config.config, minion)) continue;
-    candidates.push_back(
-        {agent, TimeRatioOf(board, minion.name, kind, now), BootTime{0}});
+    candidates.push_back({open.agent, open.slots,
+                          TimeRatioOf(board, minion.name, kind, now),
+                          BootTime{0}});
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
--- a/src/core/entry/minion_health.cpp
+++ b/src/core/entry/minion_health.cpp
@@ -15,14 +15,6 @@
   return speed == nullptr ? 1.0 : speed->time_ratio;
 }
 
-bool MayReceiveWork(const EntryBoard& board, const AgentRow& agent,
-                    const Now& now) {
-  (void)board;
-  (void)agent;
-  (void)now;
-  return true;
-}
-
 EntryChanges LearnFromResult(const EntryBoard& board, const AgentRow& agent,
                              const TaskResult& result, const Now& now) {
   EntryChanges changes;
--- a/src/core/entry/minion_health.h
+++ b/src/core/entry/minion_health.h
@@ -11,10 +11,6 @@
 double TimeRatioOf(const EntryBoard& board, const std::string& minion,
                    const std::string& kind, const Now& now);
 
-// Whether the minion's recent failures allow it new work.
-bool MayReceiveWork(const EntryBoard& board, const AgentRow& agent,
-                    const Now& now);
-
 // Learns from one result of a task that this dispatcher started.
 EntryChanges LearnFromResult(const EntryBoard& board, const AgentRow& agent,
                              const TaskResult& result, const Now& now);
--- a/src/core/entry/placement.cpp
+++ b/src/core/entry/placement.cpp
@@ -20,10 +20,9 @@
 class Round {
  public:
   Round(const EntryBoard& board, const Now& now)
-      : board_(board), now_(now), agents_(AgentsWithRoom(board, now)) {
-    for (const AgentRow* agent : agents_) {
-      const std::uint32_t used = UsageOf(agent->id).slots;
-      free_slots_ += SlotLimit(agent->minion) - used;
+      : board_(board), now_(now), agents_(OpenAgents(board, now)) {
+    for (const OpenAgent& open : agents_) {
+      free_slots_ += open.slots - UsageOf(open.agent->id).slots;
     }
   }
 
@@ -66,8 +65,9 @@
   const AgentRow* ChooseAgent(const ClassCursor& cursor) {
     const Job& job = *board_.jobs.Find(cursor.job->id);
     for (const Candidate& it : CandidatesOf(*cursor.work, job.body->kind)) {
-      const bool fits = HasRoomFor(it.agent->minion, UsageOf(it.agent->id),
-                                   cursor.work->needs);
+      const Usage usage = UsageOf(it.agent->id);
+      const bool fits = usage.slots < it.slots &&
+                        HasRoomFor(it.agent->minion, usage, cursor.work->needs);
       if (fits) return it.agent;
     }
     return nullptr;
@@ -81,7 +81,7 @@
 
   const EntryBoard& board_;
   const Now& now_;
-  std::vector<const AgentRow*> agents_;
+  std::vector<OpenAgent> agents_;
   std::uint32_t free_slots_ = 0;
   PlannedUsage planned_;
   std::map<CandidateKey, std::vector<Candidate>> candidates_;
