Learn run times by minion, by kind and by both

Cause: the one average of minion and kind knew nothing of a kind that is new on a minion, never aged, followed single tasks (weight 0.2 whatever their length), and could not tell how long a kind's tasks take in the whole cell.

--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -95,13 +95,18 @@
   friend bool operator==(const WitnessRecord&, const WitnessRecord&) = default;
 };
 
-// What has been learned of one minion for one kind of work.
+// What has been learned of run times. A row with both names is of one minion
+// and one kind of work, relative to the declared time. A row with a kind only
+// is of that kind on all minions. A row with a minion only is of that minion
+// relative to the rows of the kinds.
 struct MinionSpeed {
   std::string minion;
   std::string kind;
-  // Moving average of run time over declared time; below 1 is fast.
+  // Average of run time over expected time, weighted by the latter; below 1 is
+  // fast.
   double time_ratio = 1.0;
-  double samples = 0.0;
+  // Expected time that the average covers, decaying, in seconds.
+  double weight = 0.0;
   BootTime updated_at{0};
 
   std::pair<std::string, std::string> Key() const { return {minion, kind}; }
--- a/src/core/entry/deadlines.cpp
+++ b/src/core/entry/deadlines.cpp
@@ -91,6 +91,8 @@
   DropOlder(board.closed, limit, &ClosedSubmission::closed_at, &changes);
   DropOlder(board.recovered, limit, &RecoveredTask::seen_at, &changes);
   DropOlder(board.witnesses, limit, &WitnessRecord::seen_at, &changes);
+  DropOlder(board.speeds, limit, &MinionSpeed::updated_at, &changes);
+  DropOlder(board.health, limit, &MinionHealth::updated_at, &changes);
   return changes;
 }
 
