Refuse jobs that would miss their deadline

Cause: at twice the capacity the queue grew until jobs passed their deadline in it, and the work done for their first tasks was lost. A job is refused as not_run, with a time to retry after, when the declared work queued before it and its own are expected to take more than 0.8 of its deadline. The expectation uses the learned ratio of run time to declared time, the slots of eligible minions, and the team's share or quota. One team may fill three quarters of the bounded queue. The refusal goes through CloseSubmission. Ruled out: a fixed bound of the wait, since the deadline states what the caller accepts.

--- a/src/core/entry/admission.cpp
+++ b/src/core/entry/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "core/entry/queue_limits.h"
 #include "core/entry/replies.h"
 #include "core/entry/takeover.h"
 #include "core/entry/witnesses.h"
@@ -85,18 +86,6 @@
                            "with dotterelctl config set");
 }
 
-std::optional<Refusal> CheckCapacity(const EntryBoard& board,
-                                     const SubmitRequest& request) {
-  const std::size_t limit = board.settings.max_queued_tasks;
-  if (board.queued_tasks + request.tasks.size() <= limit) return std::nullopt;
-  Refusal refusal = NotRunRefusal(
-      RefusalKind::kOverloaded,
-      "the queue holds " + std::to_string(board.queued_tasks) + " of " +
-          std::to_string(limit) + " tasks; submit again later with a new key");
-  refusal.retry_after = seconds{1};
-  return refusal;
-}
-
 Refusal KeyReused() {
   return Refusal{RefusalKind::kKeyReused,
                  "the key belongs to a job with another body; use a new key "
@@ -194,7 +183,7 @@
   }
   std::optional<Refusal> refusal =
       CheckTeam(board.config.config, request->team);
-  if (!refusal) refusal = CheckCapacity(board, *request);
+  if (!refusal) refusal = CheckQueue(board, *request, now);
   if (refusal) {
     // A key that an earlier dispatcher may have started did perhaps run.
     if (!IsProvablyFresh(board, request->key, now) ||
--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -58,15 +58,17 @@
   if (it->second.empty()) board->records_by_holder.erase(it);
 }
 
+std::uint32_t FencedSlots(const AgentRow* agent) {
+  const bool fenced = agent != nullptr && agent->phase == AgentPhase::kFenced;
+  return fenced ? SlotLimit(agent->minion) : 0;
+}
+
 void IndexRoom(EntryBoard* board, const AgentId& id) {
   const AgentRow* agent = board->agents.Find(id);
   const auto usage = board->usage_by_agent.find(id);
   const std::uint32_t used =
       usage == board->usage_by_agent.end() ? 0 : usage->second.slots;
-  const bool has_room = agent != nullptr &&
-                        agent->phase == AgentPhase::kFenced &&
-                        used < SlotLimit(agent->minion);
-  if (has_room) {
+  if (used < FencedSlots(agent)) {
     board->agents_with_room.insert(id);
   } else {
     board->agents_with_room.erase(id);
@@ -156,10 +158,13 @@
     board->tasks.Erase(change.key);
   }
   void operator()(const Put<AgentRow>& change) const {
+    board->fenced_slots -= FencedSlots(board->agents.Find(change.row.id));
     board->agents.Put(change.row);
+    board->fenced_slots += FencedSlots(&change.row);
     IndexRoom(board, change.row.id);
   }
   void operator()(const Erase<AgentRow>& change) const {
+    board->fenced_slots -= FencedSlots(board->agents.Find(change.key));
     board->agents.Erase(change.key);
     IndexRoom(board, change.key);
   }
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -340,6 +340,8 @@
   std::map<AgentId, Usage> usage_by_agent;
   // Fenced agents with a free slot.
   std::set<AgentId> agents_with_room;
+  // Slots of all fenced agents.
+  std::uint64_t fenced_slots = 0;
   std::set<AgentId> roster_ids;
   std::set<std::pair<BootTime, SubmissionId>> open_by_deadline;
   std::set<std::pair<BootTime, SubmissionId>> final_by_age;
--- a/src/core/entry/deadlines.cpp
+++ b/src/core/entry/deadlines.cpp
@@ -70,8 +70,8 @@
 EntryChanges ExpireUnplaceable(const EntryBoard& board, const Now& now) {
   std::vector<TaskDecision> decisions;
   if (!board.authority.inventory_settled) return {};
-  for (const auto& [team, classes] : board.queue_by_team) {
-    for (const auto& [work, queue] : classes) {
+  for (const auto& [name, team] : board.queue_by_team) {
+    for (const auto& [work, queue] : team.classes) {
       if (AnyMinionFor(board, work)) continue;
       DecideUnplaceable(board, queue, now, &decisions);
     }
--- a/src/core/entry/job_queue.cpp
+++ b/src/core/entry/job_queue.cpp
@@ -35,22 +35,28 @@
 }
 
 void AddQueuedTask(const Job& job, std::uint32_t index, TeamQueues* queues) {
-  const WorkClass work{job.body->selector, SpecOf(job, index).needs};
-  ClassQueue& queue = (*queues)[job.team][work];
+  const TaskSpec& spec = SpecOf(job, index);
+  TeamQueue& team = (*queues)[job.team];
+  ++team.tasks;
+  team.declared += spec.declared_time;
+  ClassQueue& queue = team.classes[{job.body->selector, spec.needs}];
   QueuedJob& queued = queue.jobs[job.id];
   queued.tasks.insert(TaskRankOf(job, index));
   Rerank(job, &queued, &queue);
 }
 
 void RemoveQueuedTask(const Job& job, std::uint32_t index, TeamQueues* queues) {
+  const TaskSpec& spec = SpecOf(job, index);
   const auto team = queues->find(job.team);
-  if (team == queues->end()) return;
-  const auto it =
-      team->second.find({job.body->selector, SpecOf(job, index).needs});
-  if (it == team->second.end()) return;
+  if (--team->second.tasks == 0) {
+    queues->erase(team);
+    return;
+  }
+  team->second.declared -= spec.declared_time;
+  auto& classes = team->second.classes;
+  const auto it = classes.find({job.body->selector, spec.needs});
   ClassQueue& queue = it->second;
   const auto queued = queue.jobs.find(job.id);
-  if (queued == queue.jobs.end()) return;
   queued->second.tasks.erase(TaskRankOf(job, index));
   if (!queued->second.tasks.empty()) {
     Rerank(job, &queued->second, &queue);
@@ -58,9 +64,7 @@
   }
   queue.order.erase(queued->second.rank);
   queue.jobs.erase(queued);
-  if (!queue.jobs.empty()) return;
-  team->second.erase(it);
-  if (team->second.empty()) queues->erase(team);
+  if (queue.jobs.empty()) classes.erase(it);
 }
 
 }  // namespace dottereltrack
--- a/src/core/entry/job_queue.h
+++ b/src/core/entry/job_queue.h
@@ -51,13 +51,21 @@
   friend bool operator==(const ClassQueue&, const ClassQueue&) = default;
 };
 
-using TeamQueue = std::map<WorkClass, ClassQueue>;
+// All queued tasks of one team.
+struct TeamQueue {
+  std::map<WorkClass, ClassQueue> classes;
+  std::size_t tasks = 0;
+  // Sum of their declared times.
+  milliseconds declared{0};
+  friend bool operator==(const TeamQueue&, const TeamQueue&) = default;
+};
+
 using TeamQueues = std::map<std::string, TeamQueue>;
 
 // The rank of a job with that many queued tasks.
 JobRank RankOf(const Job& job, std::size_t remaining);
 
-// Adds a queued task of the job to the index, or removes it.
+// Adds a queued task of the job to the index, or removes one that is in it.
 void AddQueuedTask(const Job& job, std::uint32_t index, TeamQueues* queues);
 void RemoveQueuedTask(const Job& job, std::uint32_t index, TeamQueues* queues);
 
--- a/src/core/entry/minion_health.cpp
+++ b/src/core/entry/minion_health.cpp
@@ -9,6 +9,8 @@
 // An average covers at most about this much expected run time, so that it
 // follows a minion that becomes slow within some ten tasks.
 constexpr double kMaxWeightSeconds = 4.0;
+// The same for the rows of kinds and of all work, which many minions feed.
+constexpr double kMaxSharedWeightSeconds = 40.0;
 // A row with this weight counts as much as what is known without it.
 constexpr double kTrustSeconds = 2.0;
 // Time after which an estimate has lost 1/e of its distance from 1.
@@ -49,7 +51,9 @@
       std::clamp(taken / expected, 1 / kMaxCorrection, kMaxCorrection);
   const double share = expected / (row.weight + expected);
   row.time_ratio += share * (ratio - row.time_ratio);
-  row.weight = std::min(row.weight + expected, kMaxWeightSeconds);
+  row.weight =
+      std::min(row.weight + expected,
+               minion.empty() ? kMaxSharedWeightSeconds : kMaxWeightSeconds);
   row.updated_at = now.boot;
   return row;
 }
@@ -90,7 +94,9 @@
   const double of_kind = declared * KindRatioOf(board, kind, now);
   changes.Add(
       Put<MinionSpeed>{Learned(board, minion, "", of_kind, taken, now)});
+  changes.Add(Put<MinionSpeed>{Learned(board, "", "", declared, taken, now)});
   const bool room = board.speeds.size() < kMaxRows;
+  if (kind.empty()) return changes;
   if (room || board.speeds.Contains({"", kind})) {
     const double of_minion = declared * RatioOfRow(board, minion, "", now);
     changes.Add(
--- a/src/core/entry/minion_health.h
+++ b/src/core/entry/minion_health.h
@@ -13,7 +13,7 @@
                    const std::string& kind, const Now& now);
 
 // Expected run time over declared time for that kind of work, averaged over the
-// minions that ran it.
+// minions that ran it; of all work if the kind is empty.
 double KindRatioOf(const EntryBoard& board, const std::string& kind,
                    const Now& now);
 
--- a/src/core/entry/team_shares.cpp
+++ b/src/core/entry/team_shares.cpp
@@ -42,7 +42,7 @@
       team.limit = config->second.max_in_progress;
       team.weight = std::max<std::uint32_t>(config->second.weight, 1);
     }
-    for (const auto& [work, jobs] : queue) {
+    for (const auto& [work, jobs] : queue.classes) {
       ClassCursor cursor{&work, &jobs, jobs.order.begin(), {}, false};
       EnterOpenJob(board, &cursor);
       team.classes.push_back(cursor);
