Let replies to peers stand in for heartbeats

Cause: the dispatcher sent each peer a heartbeat every 500 ms although replies that it had sent in between show the same. Each message to a peer now sets the time from which the next heartbeat counts; the receiver has always counted every message as a sign of life. Ruled out: longer heartbeat intervals, which would delay the takeover after a freeze.

--- a/src/core/entry/advance.cpp
+++ b/src/core/entry/advance.cpp
@@ -13,6 +13,7 @@
 #include "core/entry/membership.h"
 #include "core/entry/minion_health.h"
 #include "core/entry/outcomes.h"
+#include "core/entry/peer_traffic.h"
 #include "core/entry/placement.h"
 #include "core/entry/replies.h"
 #include "core/entry/reprotection.h"
@@ -52,6 +53,7 @@
     const auto placements = ChoosePlacements(*board_, now_);
     if (!placements.empty()) Run(SendStarts(*board_, placements, now_));
     Run(WriteDesiredTable(*board_, now_));
+    Run(NotePeerTraffic(*board_, effects_, now_));
     if (IsStopped()) effects_.emplace_back(ExitProcess{});
   }
 
