--- a/tests/support/test_cell.h
+++ b/tests/support/test_cell.h
@@ -12,6 +12,7 @@
 
 #include "core/agent/advance.h"
 #include "core/entry/advance.h"
+#include "support/message_tally.h"
 
 namespace dottereltrack::testing {
 
@@ -33,8 +34,13 @@
   int agents = 3;
   int racks = 3;
   std::uint32_t slots = 8;
-  // One-way delay of every message.
+  // One-way delay of messages between data centres.
   BootTime delay{500};
+  // One-way delay inside a data centre; empty if it is the same.
+  std::optional<BootTime> local_delay;
+  // Agents that share a rack in a row, one data centre to a rack; 0 deals the
+  // agents out to `racks` in turn.
+  int agents_per_rack = 0;
   BootTime store_delay{3'000};
   EntrySettings entry_settings;
   std::uint64_t seed = 1;
@@ -127,6 +133,7 @@
   // Most tasks that ran at the same time on one minion beyond its slots.
   std::uint32_t overcommitted_slots() const { return overcommitted_slots_; }
   std::uint64_t messages() const { return messages_; }
+  const MessageTally& tally() const { return tally_; }
   std::uint64_t store_calls() const { return store_calls_; }
 
  private:
@@ -173,6 +180,9 @@
   void At(BootTime at, std::function<void()> action);
   Now MakeNow();
   bool IsAgentEnd(int end) const { return end >= entry_count(); }
+  int RackOfAgent(int n) const;
+  int DataCentreOf(int end) const;
+  BootTime DelayBetween(int end, int other) const;
   std::uint64_t IncarnationOf(int end) const;
   bool IsAlive(int end) const;
 
@@ -227,6 +237,7 @@
   // Pairs of link ends that cannot connect.
   std::set<std::pair<int, int>> blocked_;
   std::uint64_t messages_ = 0;
+  MessageTally tally_;
   std::uint64_t store_calls_ = 0;
 };
 
