--- a/src/api/state_json.cpp
+++ b/src/api/state_json.cpp
@@ -150,7 +150,7 @@
   return {{"minion", speed.minion},
           {"kind", speed.kind},
           {"time_ratio", speed.time_ratio},
-          {"samples", speed.samples}};
+          {"weight_seconds", speed.weight}};
 }
 
 json ToRow(const MinionHealth& health) {
--- a/src/core/entry/advance.cpp
+++ b/src/core/entry/advance.cpp
@@ -8,10 +8,12 @@
 #include "core/entry/cancellation.h"
 #include "core/entry/configuration.h"
 #include "core/entry/deadlines.h"
+#include "core/entry/ejection.h"
 #include "core/entry/forwarding.h"
 #include "core/entry/membership.h"
 #include "core/entry/minion_health.h"
 #include "core/entry/outcomes.h"
+#include "core/entry/peer_traffic.h"
 #include "core/entry/placement.h"
 #include "core/entry/replies.h"
 #include "core/entry/reprotection.h"
@@ -53,6 +55,7 @@
     const auto placements = ChoosePlacements(*board_, now_);
     if (!placements.empty()) Run(SendStarts(*board_, placements, now_));
     Run(WriteDesiredTable(*board_, now_));
+    Run(NotePeerTraffic(*board_, effects_, now_));
     if (IsStopped()) effects_.emplace_back(ExitProcess{});
   }
 
@@ -154,6 +157,7 @@
     for (const TaskResult& result : message.results) {
       const AgentRow& agent = *board_->agents.Find(id);
       Run(LearnFromResult(*board_, agent, result, now_));
+      Run(JudgeResult(*board_, agent, result, now_));
       Run(HandleResult(*board_, agent, result));
     }
     for (const TaskRefused& refusal : message.refused) {
