--- a/tools/local_cell/cell.py
+++ b/tools/local_cell/cell.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import tempfile
+import time
 from typing import List
 
 import processes
@@ -16,6 +17,8 @@
 HTTP_PORT = 18080
 LINK_PORT = 18081
 READY_TIMEOUT_S = 30.0
+# Time that all processes together have to stop by themselves.
+STOP_ALL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -190,12 +193,15 @@
 
 
 def stop_cell(cell):
-    """Ends every process that is left."""
+    """Ends every process that is left. A cell that stops as a whole has no
+    agent that could take over the records of the last one, so the agents would
+    wait for their leave_timeout."""
     for process in all_processes(cell):
         processes.send(process, signal.SIGCONT)
         processes.send(process, signal.SIGTERM)
+    end = time.monotonic() + STOP_ALL_S
     for process in all_processes(cell):
-        if processes.wait(process, 5.0) is None:
+        if processes.wait(process, max(0.0, end - time.monotonic())) is None:
             processes.kill(process)
 
 
