--- a/src/api/state_json.cpp
+++ b/src/api/state_json.cpp
@@ -39,6 +39,8 @@
 
 const char* NameOf(TaskState state) {
   switch (state) {
+    case TaskState::kUnresolved:
+      return "unresolved";
     case TaskState::kQueued:
       return "queued";
     case TaskState::kSent:
@@ -140,7 +142,7 @@
   return {{"submission", Id(record.entry.submission)},
           {"closed", record.entry.closed},
           {"chosen", record.chosen.size()},
-          {"awaited", record.awaited.size()},
+          {"asked", record.asked.size()},
           {"holders", record.holders.size()}};
 }
 
@@ -148,7 +150,7 @@
   return {{"minion", speed.minion},
           {"kind", speed.kind},
           {"time_ratio", speed.time_ratio},
-          {"samples", speed.samples}};
+          {"weight_seconds", speed.weight}};
 }
 
 json ToRow(const MinionHealth& health) {
--- a/src/core/entry/admission.cpp
+++ b/src/core/entry/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "core/entry/queue_limits.h"
 #include "core/entry/replies.h"
 #include "core/entry/takeover.h"
 #include "core/entry/witnesses.h"
@@ -85,18 +86,6 @@
                            "with dotterelctl config set");
 }
 
-std::optional<Refusal> CheckCapacity(const EntryBoard& board,
-                                     const SubmitRequest& request) {
-  const std::size_t limit = board.settings.max_queued_tasks;
-  if (board.queued_tasks + request.tasks.size() <= limit) return std::nullopt;
-  Refusal refusal = NotRunRefusal(
-      RefusalKind::kOverloaded,
-      "the queue holds " + std::to_string(board.queued_tasks) + " of " +
-          std::to_string(limit) + " tasks; submit again later with a new key");
-  refusal.retry_after = seconds{1};
-  return refusal;
-}
-
 Refusal KeyReused() {
   return Refusal{RefusalKind::kKeyReused,
                  "the key belongs to a job with another body; use a new key "
@@ -118,6 +107,15 @@
   return changes;
 }
 
+EntryChanges AttachToClosed(const EntryBoard& board,
+                            const ClosedSubmission& closed,
+                            const ReplyTo& reply_to) {
+  if (closed.told) return SendReply(board, reply_to, closed.refusal);
+  EntryChanges changes;
+  changes.Add(Put<Waiter>{{closed.id, reply_to}});
+  return changes;
+}
+
 Job MakeJob(const EntryBoard& board, const SubmissionId& id,
             const Shared<SubmitRequest>& request, const Now& now) {
   Job job;
@@ -180,12 +178,12 @@
   if (const Job* job = board.jobs.Find(id)) {
     return AttachToJob(board, *job, *request, reply_to);
   }
-  if (const ClosedSubmission* closed = board.closed.Find(id)) {
-    return SendReply(board, reply_to, closed->refusal);
-  }
   if (IsRecoveredWithOtherBody(board, id, request->body_digest)) {
     return SendReply(board, reply_to, KeyReused());
   }
+  if (const ClosedSubmission* closed = board.closed.Find(id)) {
+    return AttachToClosed(board, *closed, reply_to);
+  }
   if (const auto refusal = ValidateRequest(board.settings, *request)) {
     return SendReply(board, reply_to, *refusal);
   }
@@ -194,12 +192,11 @@
   }
   std::optional<Refusal> refusal =
       CheckTeam(board.config.config, request->team);
-  if (!refusal) refusal = CheckCapacity(board, *request);
+  if (!refusal) refusal = CheckQueue(board, *request, now);
   if (refusal) {
     // A key that an earlier dispatcher may have started did perhaps run.
-    if (!IsProvablyFresh(board, request->key, now) ||
-        board.recovered.LowerBound({id, 0}) !=
-            board.recovered.LowerBound({id, 0xffffffff})) {
+    if (!IsProvablyFresh(board, id, request->key, now) ||
+        HasRecoveredTasks(board, id)) {
       refusal->not_run.reset();
       return SendReply(board, reply_to, *refusal);
     }
@@ -219,6 +216,7 @@
   for (std::uint32_t n = 0; n < job.task_count; ++n) {
     Task task;
     task.id = {id, n};
+    task.state = TaskState::kUnresolved;
     changes.Add(Put<Task>{task});
   }
   changes.Add(Put<Waiter>{{id, reply_to}});
--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -37,7 +37,9 @@
 void IndexJob(EntryBoard* board, const Job& job) {
   if (IsOpen(job)) {
     board->open_by_deadline.emplace(job.deadline_at, job.id);
-    if (job.state == JobState::kOpen && job.final_tasks == job.task_count) {
+    if (job.state == JobState::kClosing) {
+      board->closing.insert(job.id);
+    } else if (job.final_tasks == job.task_count) {
       board->decided_jobs.insert(job.id);
     }
   } else {
@@ -49,6 +51,7 @@
   board->open_by_deadline.erase({job.deadline_at, job.id});
   board->final_by_age.erase({job.finished_at, job.id});
   board->decided_jobs.erase(job.id);
+  board->closing.erase(job.id);
 }
 
 void RemoveRecord(EntryBoard* board, AgentId holder, const TaskId& id) {
@@ -58,42 +61,75 @@
   if (it->second.empty()) board->records_by_holder.erase(it);
 }
 
+// A record that an inventory named stays indexed by its own row.
+void RemoveTaskRecord(EntryBoard* board, const Task& task) {
+  const RecoveredTask* recovered = board->recovered.Find(task.id);
+  if (recovered != nullptr && recovered->holder == task.holder) return;
+  RemoveRecord(board, task.holder, task.id);
+}
+
+std::uint32_t FencedSlots(const AgentRow* agent) {
+  const bool fenced = agent != nullptr && agent->phase == AgentPhase::kFenced;
+  return fenced ? SlotLimit(agent->minion) : 0;
+}
+
+void IndexRoom(EntryBoard* board, const AgentId& id) {
+  const AgentRow* agent = board->agents.Find(id);
+  const auto usage = board->usage_by_agent.find(id);
+  const std::uint32_t used =
+      usage == board->usage_by_agent.end() ? 0 : usage->second.slots;
+  if (used < FencedSlots(agent)) {
+    board->agents_with_room.insert(id);
+  } else {
+    board->agents_with_room.erase(id);
+  }
+}
+
+const Needs& NeedsOf(const Job& job, const Task& task) {
+  return job.body->tasks[task.id.index].needs;
+}
+
 void IndexTask(EntryBoard* board, const Task& task) {
   if (task.holder != AgentId{}) {
     board->records_by_holder[task.holder].insert(task.id);
   }
   const Job* job = board->jobs.Find(task.id.submission);
   if (job == nullptr) return;
-  if (task.state == TaskState::kQueued) {
-    board->queue_by_team[job->team].insert({job->arrival_seq, task.id});
+  if (task.state == TaskState::kUnresolved) {
+    ++board->queued_tasks;
+  } else if (task.state == TaskState::kQueued) {
+    AddQueuedTask(*job, task.id.index, &board->queue_by_team);
     ++board->queued_tasks;
   } else if (task.state == TaskState::kSent) {
     ++board->in_progress_by_team[job->team];
     board->sent_by_agent[task.agent].insert(task.id);
+    Usage& usage = board->usage_by_agent[task.agent];
+    usage = Plus(usage, NeedsOf(*job, task));
+    IndexRoom(board, task.agent);
   }
 }
 
-void UnindexQueued(EntryBoard* board, const Job& job, const Task& task) {
-  const auto it = board->queue_by_team.find(job.team);
-  if (it == board->queue_by_team.end()) return;
-  it->second.erase({job.arrival_seq, task.id});
-  if (it->second.empty()) board->queue_by_team.erase(it);
-  --board->queued_tasks;
-}
-
 void UnindexSent(EntryBoard* board, const Job& job, const Task& task) {
   const auto team = board->in_progress_by_team.find(job.team);
   if (--team->second == 0) board->in_progress_by_team.erase(team);
   const auto agent = board->sent_by_agent.find(task.agent);
   agent->second.erase(task.id);
   if (agent->second.empty()) board->sent_by_agent.erase(agent);
+  const auto usage = board->usage_by_agent.find(task.agent);
+  usage->second = Minus(usage->second, NeedsOf(job, task));
+  if (usage->second.slots == 0) board->usage_by_agent.erase(usage);
+  IndexRoom(board, task.agent);
 }
 
 void UnindexTask(EntryBoard* board, const Task& task) {
-  RemoveRecord(board, task.holder, task.id);
+  RemoveTaskRecord(board, task);
   const Job* job = board->jobs.Find(task.id.submission);
   if (job == nullptr) return;
-  if (task.state == TaskState::kQueued) UnindexQueued(board, *job, task);
+  if (task.state == TaskState::kUnresolved) --board->queued_tasks;
+  if (task.state == TaskState::kQueued) {
+    RemoveQueuedTask(*job, task.id.index, &board->queue_by_team);
+    --board->queued_tasks;
+  }
   if (task.state == TaskState::kSent) UnindexSent(board, *job, task);
 }
 
@@ -134,6 +170,17 @@
     }
     board->tasks.Erase(change.key);
   }
+  void operator()(const Put<AgentRow>& change) const {
+    board->fenced_slots -= FencedSlots(board->agents.Find(change.row.id));
+    board->agents.Put(change.row);
+    board->fenced_slots += FencedSlots(&change.row);
+    IndexRoom(board, change.row.id);
+  }
+  void operator()(const Erase<AgentRow>& change) const {
+    board->fenced_slots -= FencedSlots(board->agents.Find(change.key));
+    board->agents.Erase(change.key);
+    IndexRoom(board, change.key);
+  }
   void operator()(const Put<RecoveredTask>& change) const {
     if (const auto* old = board->recovered.Find(change.row.entry.id)) {
       RemoveRecord(board, old->holder, old->entry.id);
@@ -163,6 +210,11 @@
   void operator()(const Put<WitnessRecord>& change) const {
     const SubmissionId& id = change.row.entry.submission;
     board->witnesses.Put(change.row);
+    if (change.row.waiting) {
+      board->waiting_witnesses.insert(id);
+    } else {
+      board->waiting_witnesses.erase(id);
+    }
     if (change.row.chosen.empty()) {
       board->unsent_witnesses.erase(id);
     } else {
@@ -172,17 +224,40 @@
   void operator()(const Erase<WitnessRecord>& change) const {
     board->witnesses.Erase(change.key);
     board->unsent_witnesses.erase(change.key);
+    board->waiting_witnesses.erase(change.key);
+  }
+  void operator()(const Put<ClosedSubmission>& change) const {
+    board->closed.Put(change.row);
+    if (change.row.told) {
+      board->closing.erase(change.row.id);
+    } else {
+      board->closing.insert(change.row.id);
+    }
+  }
+  void operator()(const Erase<ClosedSubmission>& change) const {
+    board->closed.Erase(change.key);
+    board->closing.erase(change.key);
   }
   void operator()(const SetAuthority& change) const {
     board->authority = change.authority;
   }
-  void operator()(const SetTable& change) const { board->table = change.table; }
+  void operator()(const SetTable& change) const {
+    board->table = change.table;
+    board->roster_ids.clear();
+    for (const RosterAgent& agent : change.table.table.roster) {
+      board->roster_ids.insert(agent.id);
+    }
+  }
   void operator()(const SetConfig& change) const {
     board->config = change.config;
   }
   void operator()(const SetStoreStatus& change) const {
     board->store = change.status;
   }
+  void operator()(const DropPendingTable&) const {
+    board->store.pending_table.reset();
+    board->store.write_undecided = false;
+  }
   void operator()(const SetStopping&) const { board->stopping = true; }
   void operator()(const SetConfirmedDead& change) const {
     board->confirmed_dead = change.agents;
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "core/cell.h"
+#include "core/entry/capacity.h"
+#include "core/entry/job_queue.h"
 #include "core/entry/settings.h"
 #include "core/ids.h"
 #include "core/job.h"
@@ -77,41 +79,67 @@
   friend bool operator==(const RecoveredTask&, const RecoveredTask&) = default;
 };
 
-// A witness record of this dispatcher or from an inventory. What waits for it
-// goes on when no agent is chosen or awaited any more.
+// A request to an agent to record a witness entry.
+struct WitnessAsk {
+  Fence fence;
+  std::uint64_t seq = 0;
+  BootTime sent_at{0};
+  friend auto operator<=>(const WitnessAsk&, const WitnessAsk&) = default;
+};
+
+// A witness record of this dispatcher or from an inventory.
 struct WitnessRecord {
   WitnessEntry entry;
+  // Not yet recorded in enough racks; what depends on the record waits.
+  bool waiting = false;
+  BootTime waiting_since{0};
+  // An inventory named it, so an earlier dispatcher may have started tasks.
+  bool recovered = false;
   // Agents that are still to be asked.
   std::set<AgentId> chosen;
   // Agents that have been asked and have not answered.
-  std::set<AgentId> awaited;
-  // Agents that have recorded the entry.
+  std::map<AgentId, WitnessAsk> asked;
+  // Agents that have recorded this entry or the open one before it.
   std::set<AgentId> holders;
+  // Agents that have recorded this very entry.
+  std::set<AgentId> confirmed;
   BootTime seen_at{0};
 
   const SubmissionId& Key() const { return entry.submission; }
   friend bool operator==(const WitnessRecord&, const WitnessRecord&) = default;
 };
 
-// What has been learned of one minion for one kind of work.
+// What has been learned of run times. A row with both names is of one minion
+// and one kind of work, relative to the declared time. A row with a kind only
+// is of that kind on all minions. A row with a minion only is of that minion
+// relative to the rows of the kinds.
 struct MinionSpeed {
   std::string minion;
   std::string kind;
-  // Moving average of run time over declared time; below 1 is fast.
+  // Average of run time over expected time, weighted by the latter; below 1 is
+  // fast.
   double time_ratio = 1.0;
-  double samples = 0.0;
+  // Expected time that the average covers, decaying, in seconds.
+  double weight = 0.0;
   BootTime updated_at{0};
 
   std::pair<std::string, std::string> Key() const { return {minion, kind}; }
   friend bool operator==(const MinionSpeed&, const MinionSpeed&) = default;
 };
 
-// Recent failures of one minion, and whether it is ejected.
+// Recent failures of one minion, and whether it is ejected. The row without a
+// name stands for the whole cell.
 struct MinionHealth {
   std::string minion;
+  // Decaying counts of results.
   double failures = 0.0;
   double successes = 0.0;
+  // Failures since the newest success.
+  std::uint32_t streak = 0;
   bool ejected = false;
+  // Probes since the ejection, failed and successful.
+  std::uint32_t failed_probes = 0;
+  std::uint32_t good_probes = 0;
   BootTime updated_at{0};
   BootTime next_probe_at{0};
 
@@ -195,8 +223,8 @@
   std::uint64_t request_id = 0;
   // This entry, as dispatcher, has taken the call.
   bool served_here = false;
-  // The request has left this process at least once.
-  bool ever_forwarded = false;
+  // A dispatcher, here or elsewhere, has had the request at least once.
+  bool ever_routed = false;
 
   const CallId& Key() const { return id; }
   friend bool operator==(const OpenCall&, const OpenCall&) = default;
@@ -207,6 +235,8 @@
   SubmissionId id;
   Refusal refusal;
   BootTime closed_at{0};
+  // Witnesses have recorded it, so the refusal may go out.
+  bool told = false;
 
   const SubmissionId& Key() const { return id; }
   friend bool operator==(const ClosedSubmission&,
@@ -222,6 +252,13 @@
   // When this entry became dispatcher, by both clocks.
   BootTime since_boot{0};
   WallTime since_wall{0};
+  // No earlier dispatcher can have started a key that was issued later. It is
+  // the end of the wait for ledgers, because until then an earlier dispatcher
+  // may still start tasks on agents that are not fenced.
+  WallTime fresh_after_wall{0};
+  // Newest generation seen in the table, and since when.
+  std::uint64_t seen_generation = 0;
+  BootTime seen_since{0};
   // When a majority of the roster was first fenced under this generation.
   std::optional<BootTime> majority_at;
   // Roster agents of the takeover whose ledger has not been read yet.
@@ -236,13 +273,18 @@
 struct StoreStatus {
   // The table as written by a call that is under way or undecided.
   std::optional<CellTable> pending_table;
-  // The write's answer is lost or late; reading back will tell.
+  // A write has been sent and its answer is due. No other is sent meanwhile,
+  // so that an answer always belongs to the newest write.
+  bool write_under_way = false;
+  // An answer was lost, so the pending table may yet take effect.
   bool write_undecided = false;
   bool read_pending = false;
   // The store has been read at least once.
   bool table_known = false;
   BootTime next_try_at{0};
   std::uint32_t failures = 0;
+  // When this entry last added itself to the members.
+  BootTime joined_at{0};
   friend bool operator==(const StoreStatus&, const StoreStatus&) = default;
 };
 
@@ -289,13 +331,6 @@
 inline constexpr std::size_t kCounterCount =
     static_cast<std::size_t>(Counter::kMessagesToPeers) + 1;
 
-// Position of a queued task: jobs of a team by arrival, tasks by index.
-struct QueueKey {
-  std::uint64_t arrival_seq = 0;
-  TaskId task;
-  friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
-};
-
 // The whole state of an entry. Only `Apply` alters it.
 struct EntryBoard {
   EntrySettings settings;
@@ -326,10 +361,16 @@
   std::set<AgentId> confirmed_dead;
 
   // Indexes that `Apply` derives from the tables above.
-  std::map<std::string, std::set<QueueKey>> queue_by_team;
+  TeamQueues queue_by_team;
   std::size_t queued_tasks = 0;
   std::map<std::string, std::uint32_t> in_progress_by_team;
   std::map<AgentId, std::set<TaskId>> sent_by_agent;
+  std::map<AgentId, Usage> usage_by_agent;
+  // Fenced agents with a free slot.
+  std::set<AgentId> agents_with_room;
+  // Slots of all fenced agents.
+  std::uint64_t fenced_slots = 0;
+  std::set<AgentId> roster_ids;
   std::set<std::pair<BootTime, SubmissionId>> open_by_deadline;
   std::set<std::pair<BootTime, SubmissionId>> final_by_age;
   // Open jobs all of whose tasks have an outcome.
@@ -340,6 +381,10 @@
   std::set<CallId> waiting_calls;
   // Witness records with agents that are still to be asked.
   std::set<SubmissionId> unsent_witnesses;
+  // Witness records that are not yet in enough racks.
+  std::set<SubmissionId> waiting_witnesses;
+  // Jobs and refusals whose answer waits until the submission is closed.
+  std::set<SubmissionId> closing;
 
   std::array<std::uint64_t, kCounterCount> counters{};
 };
