--- a/tests/entry/entry_process_test.cpp
+++ b/tests/entry/entry_process_test.cpp
@@ -4,6 +4,7 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 #include "dottereltrack/http_client.h"
@@ -45,6 +46,9 @@
         settings_(TestSettings(standin_.port())),
         entry_(loop_, settings_),
         client_(loop_) {
+    LogSettings log;
+    log.level = LogLevel::kOff;
+    ConfigureLog(log);
     REQUIRE(standin_.port() != 0);
     REQUIRE(entry_.Start(StoreOf(loop_, settings_)));
   }
@@ -69,18 +73,29 @@
     return loop_.stopped();
   }
 
-  HttpResult Call(const std::string& method, const std::string& path,
-                  const std::string& body = "") {
+  // Starts a call whose result is set when it has ended.
+  std::shared_ptr<std::optional<HttpResult>> Begin(const std::string& method,
+                                                   const std::string& path,
+                                                   const std::string& body) {
     HttpCall call;
     call.method = method;
     call.url = "http://127.0.0.1:" + std::to_string(port()) + path;
     call.body = body;
     call.headers = {{"Authorization", "Bearer secret"}};
     call.timeout = kHangLimit;
-    std::optional<HttpResult> result;
-    client_.Start(call, [&](HttpResult ended) { result = std::move(ended); });
-    REQUIRE(RunUntil([&] { return result.has_value(); }));
-    return *result;
+    auto result = std::make_shared<std::optional<HttpResult>>();
+    client_.Start(call, [result](HttpResult ended) { *result = ended; });
+    return result;
+  }
+
+  HttpResult Await(const std::shared_ptr<std::optional<HttpResult>>& result) {
+    REQUIRE(RunUntil([&] { return result->has_value(); }));
+    return **result;
+  }
+
+  HttpResult Call(const std::string& method, const std::string& path,
+                  const std::string& body = "") {
+    return Await(Begin(method, path, body));
   }
 
   json State() { return json::parse(Call("GET", "/debug/state").body); }
@@ -139,6 +154,10 @@
            "drained_minions":["m1"]})",
        200, "\"version\":1"},
       {"GET", "/metrics", "", 200, "dottereltrack_entry_is_dispatcher 1"},
+      {"PUT", "/v1/log-level", R"({"part":"http","level":"error"})", 200, "{}"},
+      {"PUT", "/v1/log-level", R"({"part":"http","level":"loud"})", 400,
+       "no such part or level"},
+      {"PUT", "/v1/log-level", R"({"part":"http"})", 400, "'level' is missing"},
       {"GET", "/nowhere", "", 404, "no such path"},
   }));
   CAPTURE(row.method, row.path, row.body);
@@ -182,13 +201,19 @@
   }
 }
 
-// Guards against a stop that cuts off an answer, or never ends.
+// Guards against a stop that cuts off an answer or never ends, and against a
+// balancer that goes on sending callers.
 TEST_CASE("a stopping entry answers its callers and ends", "[entry]") {
   EntryRig rig;
   rig.AwaitRole("dispatcher");
+  const auto job = rig.Begin("POST", "/v1/jobs", kJob);
+  while (rig.State()["jobs"]["size"] == 0) {
+  }
   std::raise(SIGTERM);
-  const HttpResult result = rig.Call("POST", "/v1/jobs", kJob);
-  CHECK(result.end == HttpEnd::kAnswered);
+  while (!rig.State()["stopping"].get<bool>()) {
+  }
+  CHECK(rig.Call("GET", "/healthz").status == 503);
+  CHECK(rig.Await(job).status == 200);
   CHECK(rig.RunUntilStopped());
 }
 
