--- a/tests/core/double_failure_test.cpp
+++ b/tests/core/double_failure_test.cpp
@@ -75,7 +75,8 @@
 TEST_CASE("a key issued while the old dispatcher has authority is not fresh",
           "[takeover]") {
   const auto issued_after = GENERATE(values<milliseconds>(
-      {milliseconds{700}, milliseconds{1'200}, milliseconds{2'000}}));
+      {milliseconds{700}, milliseconds{1'200}, milliseconds{2'000},
+       milliseconds{3'500}, milliseconds{7'000}}));
   CAPTURE(issued_after.count());
   CellOptions options = SixAgents();
   options.entries = 2;
--- /dev/null
+++ b/tests/core/duplicates_test.cpp
@@ -0,0 +1,138 @@
+#include <catch2/catch.hpp>
+
+#include "core/agent/advance.h"
+#include "core/entry/advance.h"
+#include "support/expect.h"
+
+namespace dottereltrack::testing {
+namespace {
+
+constexpr LinkId kLink{1};
+constexpr LinkId kOtherLink{2};
+
+int CountStarts(const std::vector<AgentEffect>& effects) {
+  int n = 0;
+  for (const AgentEffect& it : effects) {
+    n += std::holds_alternative<StartOnMinion>(it) ? 1 : 0;
+  }
+  return n;
+}
+
+// An agent with a minion of two slots, fenced under generation 2.
+AgentBoard FencedAgent(const Now& now) {
+  AgentBoard board;
+  board.settings.id = AgentId{7};
+  MinionDescription minion;
+  minion.name = "minion";
+  minion.instance = 5;
+  minion.slots = 2;
+  minion.connections = 2;
+  Advance(&board, {}, {MinionAnnounces{minion}}, now);
+  Advance(
+      &board, {},
+      {EntryDialed{{"entry", 1}, kLink}, EntryDialed{{"entry", 2}, kOtherLink},
+       EntrySays{kLink, FenceRequest{{2, 1}, 1}}},
+      now);
+  return board;
+}
+
+EntrySays StartOf(LinkId link, Fence fence, std::uint64_t instance) {
+  Starts starts;
+  starts.fence = fence;
+  starts.seq = 2;
+  TaskStart start;
+  start.id = {MakeSubmissionId("north", "key"), 0};
+  start.minion_instance = instance;
+  starts.tasks.push_back(start);
+  return {link, starts};
+}
+
+}  // namespace
+
+// Guards against a second start by a repeated message, and against starts that
+// the minion or the dispatcher of the moment does not expect.
+TEST_CASE("an agent starts a task only once and only as its fence says",
+          "[agent]") {
+  struct Row {
+    std::string what;
+    std::vector<EntrySays> messages;
+    int starts;
+  };
+  const Fence now_valid{2, 1};
+  const auto row = GENERATE_COPY(values<Row>(
+      {{"one start", {StartOf(kLink, now_valid, 5)}, 1},
+       {"the same start twice",
+        {StartOf(kLink, now_valid, 5), StartOf(kLink, now_valid, 5)},
+        1},
+       {"an older generation", {StartOf(kOtherLink, {1, 9}, 5)}, 0},
+       {"an older session", {StartOf(kLink, {2, 0}, 5)}, 0},
+       {"an earlier instance", {StartOf(kLink, now_valid, 4)}, 0},
+       {"after a fence of an older generation",
+        {{kOtherLink, FenceRequest{{1, 9}, 1}}, StartOf(kOtherLink, {1, 9}, 5)},
+        0},
+       {"after a newer fence",
+        {{kOtherLink, FenceRequest{{3, 1}, 1}}, StartOf(kLink, now_valid, 5)},
+        0},
+       {"again under a newer fence",
+        {StartOf(kLink, now_valid, 5),
+         {kOtherLink, FenceRequest{{3, 1}, 1}},
+         StartOf(kOtherLink, {3, 1}, 5)},
+        1}}));
+  CAPTURE(row.what);
+  const Now now{seconds{10}, WallTime{0}, 1};
+  AgentBoard board = FencedAgent(now);
+  int starts = 0;
+  for (const EntrySays& message : row.messages) {
+    starts += CountStarts(Advance(&board, {}, {message}, now));
+  }
+  CHECK(starts == row.starts);
+}
+
+// Guards against the reply of a replaced dispatcher, or to another request
+// (P3).
+TEST_CASE("a reply counts only from the link that has the request",
+          "[forwarding]") {
+  struct Row {
+    std::string what;
+    LinkId link;
+    std::uint64_t id_offset;
+    bool taken;
+  };
+  const auto row = GENERATE(values<Row>({{"the reply", kLink, 0, true},
+                                         {"another link", kOtherLink, 0, false},
+                                         {"another id", kLink, 1, false}}));
+  CAPTURE(row.what);
+  const Now now{seconds{10}, WallTime{0}, 1};
+  EntryBoard board;
+  board.settings.id = EntryId{1};
+  StoredTable table;
+  table.revision = 1;
+  table.table.generation = 1;
+  table.table.dispatcher = EntryId{2};
+  table.table.members = {{EntryId{1}, {"a", 1}, ""},
+                         {EntryId{2}, {"b", 1}, ""}};
+  const auto hello = [&](LinkId link, EntryId entry) {
+    return PeerSays{link, PeerHello{entry, table, {}}};
+  };
+  Advance(&board,
+          {hello(kLink, EntryId{2}), hello(kOtherLink, EntryId{3}),
+           CallerFetches{CallId{1}, MakeSubmissionId("north", "key")}},
+          now);
+  REQUIRE(board.calls.Find(CallId{1})->forwarded_to == kLink);
+  const std::uint64_t id = board.calls.Find(CallId{1})->request_id;
+  const auto reply = [&] {
+    ForwardReply it{id + row.id_offset, StillOpen{}};
+    return Advance(&board, {PeerSays{row.link, it}}, now);
+  };
+  const auto effects = reply();
+  CHECK((effects.size() == 1) == row.taken);
+  CHECK(board.calls.Contains(CallId{1}) != row.taken);
+  const auto dropped =
+      static_cast<std::size_t>(Counter::kForeignRepliesDropped);
+  CHECK(board.counters[dropped] == (row.taken ? 0U : 1U));
+  // A repeated or late reply finds no open request.
+  reply();
+  CHECK(board.counters[dropped] == (row.taken ? 1U : 2U));
+}
+
+}  // namespace dottereltrack::testing
