Show that each mechanism is needed, and keep records of late ledgers

A dispatcher had ended a job as unknown before it read the ledger of an agent; the entries of that ledger were then skipped, so the agent left the roster with the only record and the next dispatcher ran the job. The entries are now kept as records of tasks that ended without one.

The partition test did not reach an old dispatcher that still has authority, because its watch told it of the takeover; two mutations passed the tests for that reason. The test now cuts that entry off the store and gives each agent a task.

Ruled out: switches in the library. A mutation rewrites one source file at build time and links it before the library.

--- a/src/core/entry/reprotection.cpp
+++ b/src/core/entry/reprotection.cpp
@@ -79,10 +79,12 @@
 }
 
 LedgerEntry EntryOfRecord(const EntryBoard& board, const TaskId& id) {
-  if (const Task* task = board.tasks.Find(id)) {
+  const RecoveredTask* recovered = board.recovered.Find(id);
+  const Task* task = board.tasks.Find(id);
+  if (task != nullptr && (recovered == nullptr || task->holder != AgentId{})) {
     return EntryOfTask(board, *task);
   }
-  LedgerEntry entry = board.recovered.Find(id)->entry;
+  LedgerEntry entry = recovered->entry;
   if (entry.state == LedgerState::kRunning) {
     entry.state = LedgerState::kUnknown;
   }
--- a/src/core/entry/takeover.cpp
+++ b/src/core/entry/takeover.cpp
@@ -64,6 +64,12 @@
   return changes;
 }
 
+// A task that ended here without a record. The ledger that has one must be
+// known as its holder, or the agent could leave the roster with it.
+bool IsUnrecorded(const Task& task) {
+  return task.state == TaskState::kFinal && task.holder == AgentId{};
+}
+
 // Whether the agent's ledger may decide the task: it waits in the queue, or it
 // was sent to this very agent.
 bool Concerns(const Task& task, const AgentRow& agent) {
@@ -235,7 +241,10 @@
   for (const LedgerEntry& entry : inventory.entries) {
     next.reported.insert(entry.id);
     const Task* task = board.tasks.Find(entry.id);
-    if (task == nullptr || task->state == TaskState::kUnresolved) {
+    const bool remember = task == nullptr ||
+                          task->state == TaskState::kUnresolved ||
+                          IsUnrecorded(*task);
+    if (remember) {
       changes.Append(RememberRecovered(board, agent, entry, now));
     } else if (!Concerns(*task, agent)) {
       continue;
--- a/tests/core/double_failure_test.cpp
+++ b/tests/core/double_failure_test.cpp
@@ -86,13 +86,15 @@
   const int next = 1 - old;
   // The old dispatcher reaches one agent only, and does not notice: its other
   // connections hang. The new one reaches the others.
+  cell.CutStore(old);
   cell.Block(old, next, true);
   for (int n = 1; n < 6; ++n) {
     cell.Stall(old, cell.AgentEnd(n), cell.now() + seconds{30});
   }
   cell.Block(next, cell.AgentEnd(0), true);
   cell.RunFor(issued_after);
-  const auto request = MakeRequest("north", TimedKey(cell.wall(), 1), 1);
+  // One task for each agent.
+  const auto request = MakeRequest("north", TimedKey(cell.wall(), 1), 6);
   cell.Submit(old, request);
   const CallId again = cell.Submit(next, request);
   cell.RunFor(seconds{10});
--- a/tests/core/records_test.cpp
+++ b/tests/core/records_test.cpp
@@ -44,6 +44,42 @@
   CHECK(cell.DoubleStarts().empty());
 }
 
+// Guards against records that the dispatcher does not look for, because their
+// tasks had ended as unknown before the ledger was read.
+TEST_CASE("a ledger that is read late is not lost with its agent",
+          "[records]") {
+  const auto timed = GENERATE(true, false);
+  CAPTURE(timed);
+  CellOptions options;
+  options.entries = 3;
+  TestCell cell(options);
+  cell.RunFor(seconds{2});
+  auto request = MakeRequest("north", MakeKey(cell, timed, 1), 9);
+  request.deadline = seconds{1};
+  cell.Submit(cell.Dispatcher(), request);
+  cell.RunFor(milliseconds{500});
+  cell.FreezeAgent(0, true);
+  cell.KillEntry(cell.Dispatcher());
+  cell.RunFor(milliseconds{500});
+  const int second = cell.entry(0).authority.role == Role::kTakingOver   ? 0
+                     : cell.entry(1).authority.role == Role::kTakingOver ? 1
+                                                                         : 2;
+  cell.Submit(second, request);
+  cell.RunFor(seconds{8});
+  cell.FreezeAgent(0, false);
+  cell.RunFor(seconds{8});
+  cell.StopAgent(0);
+  cell.RunFor(seconds{4});
+  REQUIRE_FALSE(cell.IsAgentAlive(0));
+  cell.KillEntry(second);
+  cell.RunFor(seconds{1});
+  for (int n = 0; n < 3; ++n) {
+    if (cell.IsEntryAlive(n)) cell.Submit(n, request);
+  }
+  cell.RunFor(seconds{8});
+  CHECK(cell.DoubleStarts().empty());
+}
+
 // Guards against starts that were under way when their sender was replaced, and
 // that run beside those of the new dispatcher.
 TEST_CASE("starts under way from a dead dispatcher are refused", "[records]") {
--- /dev/null
+++ b/tests/mutations/mutate.py
@@ -0,0 +1,106 @@
+"""Decisions without one of their mechanisms, for tests that must then fail.
+
+mutate.py             prints "name file" of each mutation, one a line
+mutate.py NAME SOURCE OUT   writes the source without the mechanism
+"""
+
+import sys
+
+ENTRY = "src/core/entry/"
+AGENT = "src/core/agent/"
+
+# Name, source file, and what is replaced by what. Each text occurs once.
+MUTATIONS = [
+    ("fence_check", AGENT + "starts.cpp", [
+        ("if (fence != board.fence) return StartRefusal::kStaleFence;",
+         "(void)fence;")]),
+    ("ledger_duplicate_check", AGENT + "starts.cpp", [
+        ("if (const LedgerRow* row = board.ledger.Find(start.id)) {",
+         "if (const LedgerRow* row = nullptr; row != nullptr) {")]),
+    ("instance_check", AGENT + "starts.cpp", [
+        ("if (!board.minion || board.minion->instance != "
+         "start.minion_instance) {", "if (!board.minion) {")]),
+    ("generation_check", AGENT + "fencing.cpp", [
+        ("if (request.fence <= board.fence) "
+         "return ReportNewerFence(board, link);", "")]),
+    ("majority_authority", ENTRY + "authority.cpp", [
+        ("return static_cast<std::size_t>(fresh) * 2 > roster.size();",
+         "return static_cast<std::size_t>(fresh) * 2 > roster.size() || true;")
+    ]),
+    ("doubt_after_takeover", ENTRY + "takeover.cpp", [
+        ("if (missing.empty()) return true;", "if (missing.size() < 99) return true;")]),
+    ("witness_of_opaque_keys", ENTRY + "witnesses.cpp", [
+        ("record.waiting = !IsRecordedEnough(board, record);",
+         "record.waiting = wanted.closed && !IsRecordedEnough(board, record);")
+    ]),
+    ("closed_marks", ENTRY + "outcomes.cpp", [
+        ("if (job.bad_tasks == 0) return false;",
+         "if (job.bad_tasks < 9999) return false;")]),
+    ("reprotection", ENTRY + "reprotection.cpp", [
+        ("if (!HoldsWitnesses(board, id)) {",
+         "if (parts.empty()) {"),
+        ("std::vector<LedgerCopy> parts = MakeParts(board, id);",
+         "std::vector<LedgerCopy> parts = MakeParts(board, id);\n"
+         "    parts.clear();")]),
+    ("reply_link_check", ENTRY + "forwarding.cpp", [
+        ("if (call.request_id != reply.request_id || "
+         "call.forwarded_to != link) {",
+         "(void)link;\n    if (call.request_id != reply.request_id) {")]),
+    ("monotonic_configuration", ENTRY + "configuration.cpp", [
+        ("if (config.revision <= board.config.revision) return changes;",
+         "if (config == board.config) return changes;")]),
+    ("unresolved_tasks", ENTRY + "admission.cpp", [
+        ("task.state = TaskState::kUnresolved;",
+         "task.state = TaskState::kQueued;")]),
+    ("fresh_after_the_wait", ENTRY + "takeover.cpp", [
+        ("next.fresh_after_wall = now.wall;", "")]),
+    ("stale_pending_table", ENTRY + "membership.cpp", [
+        ("changes.Add(DropPendingTable{});", "")]),
+]
+
+
+def spaced(text):
+    """Text whose parts may be on several lines, as the formatter puts them."""
+    return text.split()
+
+
+def replace_once(source, old, new):
+    parts = spaced(old)
+    starts = []
+    at = source.find(parts[0])
+    while at >= 0:
+        end = match_end(source, at, parts)
+        if end is not None:
+            starts.append((at, end))
+        at = source.find(parts[0], at + 1)
+    if len(starts) != 1:
+        sys.exit(f"the text occurs {len(starts)} times, not once: {old}")
+    return source[:starts[0][0]] + new + source[starts[0][1]:]
+
+
+def match_end(source, at, parts):
+    """Where the parts end that begin there with only blanks between them."""
+    for part in parts:
+        at += len(source[at:]) - len(source[at:].lstrip())
+        if not source.startswith(part, at):
+            return None
+        at += len(part)
+    return at
+
+
+def main():
+    if len(sys.argv) == 1:
+        for name, path, _ in MUTATIONS:
+            print(name, path)
+        return
+    name, source_path, out_path = sys.argv[1:]
+    with open(source_path, encoding="utf-8") as source_file:
+        source = source_file.read()
+    changes = next(it[2] for it in MUTATIONS if it[0] == name)
+    for old, new in changes:
+        source = replace_once(source, old, new)
+    with open(out_path, "w", encoding="utf-8") as out_file:
+        out_file.write(source)
+
+
+main()
--- a/tests/support/test_cell.cpp
+++ b/tests/support/test_cell.cpp
@@ -474,7 +474,7 @@
 void TestCell::ReadStore(int entry, bool table) {
   ++store_calls_;
   const std::uint64_t incarnation = entries_[entry].incarnation;
-  if (store_mode_ == StoreMode::kDown) {
+  if (IsStoreDown(entry)) {
     At(now_ + kStoreTimeout, [this, entry, incarnation] {
       if (entries_[entry].incarnation != incarnation) return;
       PostToEntry(entry, StoreReadFailed{});
@@ -500,7 +500,7 @@
       if (entries_[entry].incarnation == incarnation) PostToEntry(entry, event);
     });
   };
-  if (store_mode_ == StoreMode::kDown) {
+  if (IsStoreDown(entry)) {
     return answer(kStoreTimeout, {WriteStatus::kNotApplied, 0});
   }
   const bool lost = store_mode_ == StoreMode::kLosesAnswers;
@@ -531,7 +531,7 @@
       if (entries_[entry].incarnation == incarnation) PostToEntry(entry, event);
     });
   };
-  if (store_mode_ == StoreMode::kDown) {
+  if (IsStoreDown(entry)) {
     return answer(kStoreTimeout, {write.call, WriteStatus::kNotApplied, 0});
   }
   const bool lost = store_mode_ == StoreMode::kLosesAnswers;
@@ -562,8 +562,8 @@
 void TestCell::NotifyWatch(int entry) {
   const std::uint64_t incarnation = entries_[entry].incarnation;
   At(now_ + StoreDelay(), [this, entry, incarnation] {
-    const bool reached = entries_[entry].incarnation == incarnation &&
-                         store_mode_ != StoreMode::kDown;
+    const bool reached =
+        entries_[entry].incarnation == incarnation && !IsStoreDown(entry);
     if (!reached) return;
     PostToEntry(entry, TableSeen{table_});
     PostToEntry(entry, ConfigSeen{config_});
--- a/tests/support/test_cell.h
+++ b/tests/support/test_cell.h
@@ -97,6 +97,8 @@
   // on the same connections, until then.
   void Stall(int end, int other, BootTime until);
   void SetStoreMode(StoreMode mode);
+  // Cuts one entry off the store.
+  void CutStore(int entry) { entries_[entry].store_cut = true; }
   // The minion restarts at the same address; what it ran is gone.
   void ReplaceMinion(int agent);
   // The minion tells its agent that it leaves.
@@ -136,6 +138,7 @@
     EntryBoard board;
     bool alive = true;
     bool frozen = false;
+    bool store_cut = false;
     std::vector<EntryEvent> held;
     std::uint64_t incarnation = 0;
     std::uint64_t config_seen = 0;
@@ -201,6 +204,9 @@
   void NotifyWatches();
   void NotifyWatch(int entry);
   BootTime StoreDelay() const;
+  bool IsStoreDown(int entry) const {
+    return store_mode_ == StoreMode::kDown || entries_[entry].store_cut;
+  }
   void FinishTask(int agent, const TaskStart& start, std::uint64_t incarnation,
                   AttemptEnded end);
   void NoteConfig(std::uint64_t revision, std::uint64_t* seen);
