--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <type_traits>
 
 #include "core/entry/changes.h"
@@ -42,6 +43,7 @@
     }
   } else {
     board->final_by_age.emplace(job.finished_at, job.id);
+    board->expected_end_by_job.erase(job.id);
   }
 }
 
@@ -94,6 +96,9 @@
     Usage& usage = board->usage_by_agent[task.agent];
     usage = Plus(usage, NeedsOf(*job, task));
     IndexRoom(board, task.agent);
+    board->ends_by_agent[task.agent].emplace(task.expected_end, task.id);
+    BootTime& job_end = board->expected_end_by_job[job->id];
+    job_end = std::max(job_end, task.expected_end);
   }
 }
 
@@ -106,6 +111,9 @@
   const auto usage = board->usage_by_agent.find(task.agent);
   usage->second = Minus(usage->second, NeedsOf(job, task));
   if (usage->second.slots == 0) board->usage_by_agent.erase(usage);
+  const auto ends = board->ends_by_agent.find(task.agent);
+  ends->second.erase({task.expected_end, task.id});
+  if (ends->second.empty()) board->ends_by_agent.erase(ends);
   IndexRoom(board, task.agent);
 }
 
@@ -142,6 +150,7 @@
   }
   void operator()(const Erase<Job>& change) const {
     if (const Job* old = board->jobs.Find(change.key)) UnindexJob(board, *old);
+    board->expected_end_by_job.erase(change.key);
     board->jobs.Erase(change.key);
   }
   void operator()(const Put<Task>& change) const {
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -338,6 +338,10 @@
   std::map<std::string, std::uint32_t> in_progress_by_team;
   std::map<AgentId, std::set<TaskId>> sent_by_agent;
   std::map<AgentId, Usage> usage_by_agent;
+  // Expected ends of started tasks.
+  std::map<AgentId, std::set<std::pair<BootTime, TaskId>>> ends_by_agent;
+  // The latest of an open job's started tasks.
+  std::map<SubmissionId, BootTime> expected_end_by_job;
   // Fenced agents with a free slot.
   std::set<AgentId> agents_with_room;
   // Slots of all fenced agents.
--- a/src/core/entry/candidates.cpp
+++ b/src/core/entry/candidates.cpp
@@ -37,6 +37,17 @@
   return agents;
 }
 
+std::vector<OpenAgent> WorkingAgents(const EntryBoard& board, const Now& now) {
+  std::vector<OpenAgent> agents;
+  for (const auto& [id, agent] : board.agents) {
+    if (!IsUsable(board, agent)) continue;
+    if (IsDraining(board.config.config, agent.minion)) continue;
+    const std::uint32_t slots = AllowedSlots(board, agent, now);
+    if (slots > 0) agents.push_back({&agent, slots});
+  }
+  return agents;
+}
+
 std::vector<Candidate> CandidatesFor(const EntryBoard& board,
                                      const WorkClass& work,
                                      const std::string& kind,
--- a/src/core/entry/candidates.h
+++ b/src/core/entry/candidates.h
@@ -1,19 +1,13 @@
 #pragma once
 
-#include <cstddef>
-#include <map>
+#include <cstdint>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "core/entry/board.h"
 
 namespace dottereltrack {
 
-// What the chosen placements of this round would take from each agent, on top
-// of the board's usage.
-using PlannedUsage = std::map<AgentId, Usage>;
-
 // An agent with a free slot, and the slots that may be in use at once.
 struct OpenAgent {
   const AgentRow* agent = nullptr;
@@ -38,6 +32,9 @@
 // ejected.
 std::vector<OpenAgent> OpenAgents(const EntryBoard& board, const Now& now);
 
+// Usable agents whose minions are neither draining nor ejected, busy or not.
+std::vector<OpenAgent> WorkingAgents(const EntryBoard& board, const Now& now);
+
 // Those of the agents that may run the class, best first.
 std::vector<Candidate> CandidatesFor(const EntryBoard& board,
                                      const WorkClass& work,
--- a/src/core/entry/placement.h
+++ b/src/core/entry/placement.h
@@ -10,6 +10,7 @@
 struct Placement {
   TaskId task;
   AgentId agent;
+  BootTime expected_end{0};
   friend auto operator<=>(const Placement&, const Placement&) = default;
 };
 
--- a/src/core/entry/starts.cpp
+++ b/src/core/entry/starts.cpp
@@ -24,7 +24,8 @@
   return start;
 }
 
-Task MarkSent(const Task& task, const AgentRow& agent, const Now& now) {
+Task MarkSent(const Task& task, const AgentRow& agent, BootTime expected_end,
+              const Now& now) {
   Task next = task;
   next.state = TaskState::kSent;
   next.agent = agent.id;
@@ -32,20 +33,22 @@
   next.fence = agent.fence;
   next.start_seq = agent.next_seq;
   next.sent_at = now.boot;
+  next.expected_end = expected_end;
   return next;
 }
 
 EntryChanges SendToOne(const EntryBoard& board, const AgentRow& agent,
-                       const std::vector<TaskId>& tasks, const Now& now) {
+                       const std::vector<Placement>& placements,
+                       const Now& now) {
   EntryChanges changes;
   Starts message;
   message.fence = agent.fence;
   message.seq = agent.next_seq;
-  for (const TaskId& id : tasks) {
-    const Task& task = *board.tasks.Find(id);
-    const Job& job = *board.jobs.Find(id.submission);
+  for (const Placement& it : placements) {
+    const Task& task = *board.tasks.Find(it.task);
+    const Job& job = *board.jobs.Find(it.task.submission);
     message.tasks.push_back(MakeStart(job, task, agent, now));
-    changes.Add(Put<Task>{MarkSent(task, agent, now)});
+    changes.Add(Put<Task>{MarkSent(task, agent, it.expected_end, now)});
   }
   changes.Add(Count{Counter::kStartsSent, message.tasks.size()});
   changes.Add(Count{Counter::kMessagesToAgents});
@@ -59,9 +62,9 @@
 EntryChanges SendStarts(const EntryBoard& board,
                         const std::vector<Placement>& placements,
                         const Now& now) {
-  std::map<AgentId, std::vector<TaskId>> by_agent;
+  std::map<AgentId, std::vector<Placement>> by_agent;
   for (const Placement& placement : placements) {
-    by_agent[placement.agent].push_back(placement.task);
+    by_agent[placement.agent].push_back(placement);
   }
   EntryChanges changes;
   for (const auto& [id, tasks] : by_agent) {
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -65,6 +65,8 @@
   // The agent whose ledger holds the record of this task.
   AgentId holder;
   BootTime sent_at{0};
+  // When the newest start was expected to end.
+  BootTime expected_end{0};
   // Starts that were proved not to have happened.
   std::uint32_t refused_starts = 0;
   std::optional<TaskOutcome> outcome;
