Send the starts of a job together and refuse earlier

Cause: spreading the tasks of a job over slow minions cost a message each, and estimates that were too short made jobs miss their deadline at twice the load. A task with slack prefers a minion that gets a start in this round anyway; its slack ends at the deadline. Admission counts 0.7 of the deadline for 0.8, and a task that would miss its deadline here is always held, at most 256 a round.

--- a/src/core/entry/placement.cpp
+++ b/src/core/entry/placement.cpp
@@ -12,6 +12,9 @@
 namespace dottereltrack {
 namespace {
 
+// Most tasks that one round passes over; it bounds the work of a round.
+constexpr std::uint32_t kMaxHeld = 256;
+
 void Place(const TaskId& task, const Choice& choice, const Needs& needs,
            PlacementRound* round) {
   const AgentId id = choice.agent->id;
@@ -84,7 +87,7 @@
   if (board.queue_by_team.empty() || !HasAuthority(board, now)) return {};
   PlacementRound round = BeginRound(board, now);
   std::vector<TeamCursor> teams = CursorsOf(board);
-  while (round.free_slots > 0) {
+  while (round.free_slots > 0 && round.held < kMaxHeld) {
     TeamCursor* team = NextTeam(&teams);
     if (team == nullptr) break;
     Step(team, &round);
--- a/src/core/entry/placement_round.cpp
+++ b/src/core/entry/placement_round.cpp
@@ -14,8 +14,8 @@
 // Waiting pays if the task ends within this share of the time that it takes
 // when it starts at once.
 constexpr double kWaitShare = 0.8;
-// Most tasks that one round holds back; it bounds the work of a round.
-constexpr std::uint32_t kMaxHeld = 32;
+// Most tasks that wait for a fast minion.
+constexpr std::uint32_t kMaxWaiting = 32;
 // No task waits for a fast minion while more tasks are queued than this share
 // of the slots, for then every slot is needed.
 constexpr std::uint64_t kMaxQueuedShare = 2;
@@ -84,16 +84,20 @@
 }
 
 // The slowest free minion on which the task still ends well within the time
-// that its job takes anyway; fast ones stay free for others.
+// that its job takes anyway; fast ones stay free for others. One that gets a
+// start in this round already is preferred, since it costs no more message.
 const Candidate* SlowestInTime(const std::vector<Candidate>& open,
                                const TaskSpec& spec, BootTime time_left,
                                const PlacementRound& round) {
   const BootTime limit = Scaled(time_left, kSlackShare);
+  const Candidate* slowest = nullptr;
   for (auto it = open.rbegin(); it != open.rend(); ++it) {
     if (ExpectedTime(*it, spec.declared_time) > limit) continue;
-    if (Fits(round, *it, spec.needs)) return &*it;
+    if (!Fits(round, *it, spec.needs)) continue;
+    if (round.planned_usage.count(it->agent->id) != 0) return &*it;
+    if (slowest == nullptr) slowest = &*it;
   }
-  return nullptr;
+  return slowest;
 }
 
 // A busy minion on which the task ends earlier, although it must wait.
@@ -101,7 +105,7 @@
                                    const TaskSpec& spec, BootTime end_if_now,
                                    PlacementRound* round) {
   const EntryBoard& board = *round->board;
-  if (round->held >= kMaxHeld) return std::nullopt;
+  if (round->held >= kMaxWaiting) return std::nullopt;
   if (board.queued_tasks * kMaxQueuedShare > board.fenced_slots) {
     return std::nullopt;
   }
@@ -126,7 +130,7 @@
 // Whether the task would miss its deadline here, but not on the fastest minion.
 bool BetterNotHere(const ClassCursor& cursor, const Job& job,
                    const TaskSpec& spec, BootTime end, PlacementRound* round) {
-  if (end <= job.deadline_at || round->held >= kMaxHeld) return false;
+  if (end <= job.deadline_at) return false;
   const Candidate& fastest = AllCandidates(cursor, job, round).front();
   return round->now.boot + ExpectedTime(fastest, spec.declared_time) <=
          job.deadline_at;
@@ -164,7 +168,8 @@
   const BootTime end = now + ExpectedTime(*first, spec.declared_time);
   const BootTime job_end = JobEnd(*round, job.id);
   if (job_end > end) {
-    const auto* slow = SlowestInTime(open, spec, job_end - now, *round);
+    const BootTime time_left = std::min(job_end, job.deadline_at) - now;
+    const auto* slow = SlowestInTime(open, spec, time_left, *round);
     const Candidate& chosen = slow != nullptr ? *slow : *first;
     return {Choice::Kind::kStart, chosen.agent,
             now + ExpectedTime(chosen, spec.declared_time)};
--- a/src/core/entry/queue_limits.cpp
+++ b/src/core/entry/queue_limits.cpp
@@ -12,7 +12,7 @@
 
 // Share of the deadline that the expected response may take; the rest covers
 // errors of the estimate, for a job that misses its deadline wastes its work.
-constexpr double kDeadlineShare = 0.8;
+constexpr double kDeadlineShare = 0.7;
 // A team may fill this share of the queue, so that others find room.
 constexpr double kTeamShare = 0.75;
 constexpr milliseconds kMinRetryAfter{1'000};
