--- /dev/null
+++ b/bench/slopes.cpp
@@ -0,0 +1,217 @@
+// Prints processor time and memory of the dispatcher's decisions by size.
+//
+// Usage: slopes
+
+#include <malloc.h>
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "core/entry/advance.h"
+#include "core/entry/changes.h"
+#include "core/entry/placement.h"
+
+namespace dottereltrack::bench {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::uint32_t kSlots = 8;
+// Results that one read of the dispatcher's connections brings.
+constexpr std::uint32_t kBatch = 64;
+
+Now NowAt(std::int64_t us) {
+  return {BootTime{us}, WallTime{1'800'000'000'000}, 1};
+}
+
+std::size_t HeapBytes() { return mallinfo2().uordblks; }
+
+AgentRow MakeAgent(std::uint64_t n) {
+  AgentRow agent;
+  agent.id = AgentId{n + 1};
+  agent.link = LinkId{n + 1};
+  agent.phase = AgentPhase::kFenced;
+  agent.fence = Fence{1, n + 1};
+  agent.acked_sent_at = BootTime{1'000'000};
+  agent.minion.name = "minion-" + std::to_string(n);
+  agent.minion.instance = 1;
+  agent.minion.slots = kSlots;
+  agent.minion.connections = 64;
+  agent.minion.labels = {{"site", "north"}};
+  agent.minion.rack = "rack-" + std::to_string(n / 3);
+  return agent;
+}
+
+// A board of a dispatcher with authority over that many agents.
+EntryBoard MakeBoard(std::uint32_t agents) {
+  EntryBoard board;
+  EntryChanges changes;
+  Authority authority;
+  authority.role = Role::kDispatcher;
+  authority.generation = 1;
+  authority.inventory_settled = true;
+  changes.Add(SetAuthority{authority});
+  StoredTable table;
+  table.revision = 1;
+  table.table.generation = 1;
+  for (std::uint32_t n = 0; n < agents; ++n) {
+    const AgentRow agent = MakeAgent(n);
+    table.table.roster.push_back(
+        {agent.id, agent.minion.name, "dc-0", agent.minion.rack});
+    changes.Add(Put<AgentRow>{agent});
+  }
+  changes.Add(SetTable{table});
+  Apply(&board, changes);
+  return board;
+}
+
+SubmissionId IdOf(std::uint64_t n) {
+  return MakeSubmissionId("north", std::to_string(n));
+}
+
+void AddJob(const std::string& team, std::uint64_t n, std::uint32_t tasks,
+            EntryBoard* board) {
+  SubmitRequest request;
+  request.team = team;
+  request.key = std::to_string(n);
+  request.kind = "render";
+  request.tasks.resize(tasks);
+  Job job;
+  job.id = IdOf(n);
+  job.team = team;
+  job.task_count = tasks;
+  job.arrival_seq = n;
+  job.accepted_at = BootTime{1'000'000};
+  job.deadline_at = BootTime{600'000'000};
+  job.body = request;
+  EntryChanges changes;
+  changes.Add(Put<Job>{job});
+  for (std::uint32_t i = 0; i < tasks; ++i) {
+    Task task;
+    task.id = {job.id, i};
+    changes.Add(Put<Task>{task});
+  }
+  Apply(board, changes);
+}
+
+// Tasks that run, with the agents that run them.
+struct Running {
+  std::vector<std::vector<TaskId>> by_agent;
+};
+
+void NoteStarts(const std::vector<EntryEffect>& effects, Running* running) {
+  for (const EntryEffect& effect : effects) {
+    const auto* send = std::get_if<SendToAgent>(&effect);
+    if (send == nullptr) continue;
+    const auto* starts = std::get_if<Starts>(&send->message);
+    if (starts == nullptr) continue;
+    for (const TaskStart& it : starts->tasks) {
+      running->by_agent[send->link.value - 1].push_back(it.id);
+    }
+  }
+}
+
+std::vector<EntryEvent> NextResults(std::uint32_t* turn, Running* running) {
+  std::vector<EntryEvent> events;
+  for (std::uint32_t n = 0; n < kBatch; ++n) {
+    const std::uint32_t agent = (*turn)++ % running->by_agent.size();
+    auto& tasks = running->by_agent[agent];
+    if (tasks.empty()) continue;
+    Results results;
+    results.ack = {Fence{1, agent + 1ULL}, 1'000'000};
+    results.results.push_back({tasks.front(), LedgerState::kDone,
+                               std::string("x"), microseconds{200'000}});
+    tasks.erase(tasks.begin());
+    events.emplace_back(AgentSays{LinkId{agent + 1ULL}, results});
+  }
+  return events;
+}
+
+// Processor time for a task through the whole of Advance, from its result to
+// the start of the next one, while the queue stays long.
+void PrintStartRate(std::uint32_t agents, std::uint32_t queued) {
+  constexpr std::uint32_t kRounds = 200;
+  EntryBoard board = MakeBoard(agents);
+  const std::uint32_t total = queued + agents * kSlots + kRounds * kBatch;
+  for (std::uint32_t n = 0; n < total / 4; ++n) AddJob("north", n, 4, &board);
+  Running running;
+  running.by_agent.resize(agents);
+  NoteStarts(Advance(&board, {Tick{}}, NowAt(1'200'000)), &running);
+  std::uint32_t turn = 0;
+  std::uint64_t starts = 0;
+  const auto before = board.counters;
+  const auto begin = Clock::now();
+  for (std::uint32_t n = 0; n < kRounds; ++n) {
+    const auto events = NextResults(&turn, &running);
+    const auto effects = Advance(&board, events, NowAt(1'300'000 + n * 10));
+    NoteStarts(effects, &running);
+  }
+  const std::chrono::duration<double> taken = Clock::now() - begin;
+  const auto index = static_cast<std::size_t>(Counter::kStartsSent);
+  starts = board.counters[index] - before[index];
+  std::printf("| %u | %u | %.2f | %.0f |\n", agents, queued,
+              1e6 * taken.count() / static_cast<double>(starts),
+              static_cast<double>(starts) / taken.count());
+}
+
+void PrintStartRates() {
+  std::printf(
+      "| minions | queued tasks | us a task | starts/s |\n"
+      "| --- | --- | --- | --- |\n");
+  for (const std::uint32_t agents : {10, 100, 600}) {
+    for (const std::uint32_t queued : {1'000, 10'000, 100'000}) {
+      PrintStartRate(agents, queued);
+    }
+  }
+}
+
+// Bytes of board for each of `count` things that `add` puts there.
+template <typename Add>
+void PrintBytes(const char* name, std::uint32_t count, Add add) {
+  EntryBoard board = MakeBoard(10);
+  const std::size_t before = HeapBytes();
+  for (std::uint32_t n = 0; n < count; ++n) add(n, &board);
+  const std::size_t after = HeapBytes();
+  std::printf("| %s | %u | %.0f |\n", name, count,
+              static_cast<double>(after - before) / count);
+}
+
+void PrintMemory() {
+  std::printf("\n| board row | count | bytes each |\n| --- | --- | --- |\n");
+  for (const std::uint32_t count : {100, 1'000, 10'000}) {
+    PrintBytes("job of 1 task", count, [](std::uint32_t n, EntryBoard* board) {
+      AddJob("north", n, 1, board);
+    });
+  }
+  for (const std::uint32_t count : {10, 100, 1'000}) {
+    PrintBytes("100 tasks of one job", count,
+               [](std::uint32_t n, EntryBoard* board) {
+                 AddJob("north", n, 100, board);
+               });
+  }
+  for (const std::uint32_t count : {10, 100, 600}) {
+    PrintBytes("agent", count, [](std::uint32_t n, EntryBoard* board) {
+      EntryChanges changes;
+      changes.Add(Put<AgentRow>{MakeAgent(n + 10)});
+      Apply(board, changes);
+    });
+  }
+  for (const std::uint32_t count : {10, 100, 370}) {
+    PrintBytes("team with one job of 1 task", count,
+               [](std::uint32_t n, EntryBoard* board) {
+                 AddJob("team-" + std::to_string(n), n, 1, board);
+               });
+  }
+}
+
+}  // namespace
+}  // namespace dottereltrack::bench
+
+int main() {
+  dottereltrack::bench::PrintStartRates();
+  dottereltrack::bench::PrintMemory();
+  return 0;
+}
--- a/src/core/entry/agent_messages.cpp
+++ b/src/core/entry/agent_messages.cpp
@@ -34,10 +34,9 @@
 }
 
 const AgentRow* FindAgentByLink(const EntryBoard& board, LinkId link) {
-  for (const auto& [id, agent] : board.agents) {
-    if (agent.link == link && agent.phase != AgentPhase::kLost) return &agent;
-  }
-  return nullptr;
+  const auto it = board.agent_by_link.find(link);
+  return it == board.agent_by_link.end() ? nullptr
+                                         : board.agents.Find(it->second);
 }
 
 bool IsUsable(const EntryBoard& board, const AgentRow& agent) {
--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -60,6 +60,14 @@
   if (it->second.empty()) board->records_by_holder.erase(it);
 }
 
+void UnindexAgent(EntryBoard* board, const AgentId& id) {
+  const AgentRow* old = board->agents.Find(id);
+  if (old == nullptr) return;
+  const auto it = board->agent_by_link.find(old->link);
+  const bool ours = it != board->agent_by_link.end() && it->second == id;
+  if (ours) board->agent_by_link.erase(it);
+}
+
 std::uint32_t FencedSlots(const AgentRow* agent) {
   const bool fenced = agent != nullptr && agent->phase == AgentPhase::kFenced;
   return fenced ? SlotLimit(agent->minion) : 0;
@@ -168,12 +176,17 @@
   }
   void operator()(const Put<AgentRow>& change) const {
     board->fenced_slots -= FencedSlots(board->agents.Find(change.row.id));
+    UnindexAgent(board, change.row.id);
     board->agents.Put(change.row);
+    if (change.row.phase != AgentPhase::kLost) {
+      board->agent_by_link.insert_or_assign(change.row.link, change.row.id);
+    }
     board->fenced_slots += FencedSlots(&change.row);
     IndexRoom(board, change.row.id);
   }
   void operator()(const Erase<AgentRow>& change) const {
     board->fenced_slots -= FencedSlots(board->agents.Find(change.key));
+    UnindexAgent(board, change.key);
     board->agents.Erase(change.key);
     IndexRoom(board, change.key);
   }
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -347,6 +347,8 @@
   // Slots of all fenced agents.
   std::uint64_t fenced_slots = 0;
   std::set<AgentId> roster_ids;
+  // Agents that are not lost.
+  std::map<LinkId, AgentId> agent_by_link;
   std::set<std::pair<BootTime, SubmissionId>> open_by_deadline;
   std::set<std::pair<BootTime, SubmissionId>> final_by_age;
   // Open jobs all of whose tasks have an outcome.
