--- a/src/core/entry/minion_health.cpp
+++ b/src/core/entry/minion_health.cpp
@@ -24,6 +24,10 @@
   return std::chrono::duration<double>(now.boot - then).count();
 }
 
+double Bounded(double ratio) {
+  return std::clamp(ratio, 1 / kMaxCorrection, kMaxCorrection);
+}
+
 // The row's ratio, nearer to 1 the older it is.
 double Aged(const MinionSpeed& row, const Now& now) {
   const double keep =
@@ -47,8 +51,7 @@
     row.weight = old->weight;
     row.time_ratio = Aged(*old, now);
   }
-  const double ratio =
-      std::clamp(taken / expected, 1 / kMaxCorrection, kMaxCorrection);
+  const double ratio = Bounded(taken / expected);
   const double share = expected / (row.weight + expected);
   row.time_ratio += share * (ratio - row.time_ratio);
   row.weight =
@@ -67,12 +70,13 @@
 
 double TimeRatioOf(const EntryBoard& board, const std::string& minion,
                    const std::string& kind, const Now& now) {
-  const double general =
-      KindRatioOf(board, kind, now) * RatioOfRow(board, minion, "", now);
+  const double general = Bounded(KindRatioOf(board, kind, now) *
+                                 RatioOfRow(board, minion, "", now));
   const MinionSpeed* row = board.speeds.Find({minion, kind});
   if (row == nullptr) return general;
   const double trust = row->weight / (row->weight + kTrustSeconds);
-  return std::pow(general, 1 - trust) * std::pow(Aged(*row, now), trust);
+  return Bounded(std::pow(general, 1 - trust) *
+                 std::pow(Aged(*row, now), trust));
 }
 
 EntryChanges LearnFromResult(const EntryBoard& board, const AgentRow& agent,
