--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <type_traits>
 
 #include "core/entry/changes.h"
@@ -44,6 +45,7 @@
     }
   } else {
     board->final_by_age.emplace(job.finished_at, job.id);
+    board->expected_end_by_job.erase(job.id);
   }
 }
 
@@ -68,6 +70,14 @@
   RemoveRecord(board, task.holder, task.id);
 }
 
+void UnindexAgent(EntryBoard* board, const AgentId& id) {
+  const AgentRow* old = board->agents.Find(id);
+  if (old == nullptr) return;
+  const auto it = board->agent_by_link.find(old->link);
+  const bool ours = it != board->agent_by_link.end() && it->second == id;
+  if (ours) board->agent_by_link.erase(it);
+}
+
 std::uint32_t FencedSlots(const AgentRow* agent) {
   const bool fenced = agent != nullptr && agent->phase == AgentPhase::kFenced;
   return fenced ? SlotLimit(agent->minion) : 0;
@@ -106,6 +116,9 @@
     Usage& usage = board->usage_by_agent[task.agent];
     usage = Plus(usage, NeedsOf(*job, task));
     IndexRoom(board, task.agent);
+    board->ends_by_agent[task.agent].emplace(task.expected_end, task.id);
+    BootTime& job_end = board->expected_end_by_job[job->id];
+    job_end = std::max(job_end, task.expected_end);
   }
 }
 
@@ -118,6 +131,9 @@
   const auto usage = board->usage_by_agent.find(task.agent);
   usage->second = Minus(usage->second, NeedsOf(job, task));
   if (usage->second.slots == 0) board->usage_by_agent.erase(usage);
+  const auto ends = board->ends_by_agent.find(task.agent);
+  ends->second.erase({task.expected_end, task.id});
+  if (ends->second.empty()) board->ends_by_agent.erase(ends);
   IndexRoom(board, task.agent);
 }
 
@@ -155,6 +171,7 @@
   }
   void operator()(const Erase<Job>& change) const {
     if (const Job* old = board->jobs.Find(change.key)) UnindexJob(board, *old);
+    board->expected_end_by_job.erase(change.key);
     board->jobs.Erase(change.key);
   }
   void operator()(const Put<Task>& change) const {
@@ -172,12 +189,17 @@
   }
   void operator()(const Put<AgentRow>& change) const {
     board->fenced_slots -= FencedSlots(board->agents.Find(change.row.id));
+    UnindexAgent(board, change.row.id);
     board->agents.Put(change.row);
+    if (change.row.phase != AgentPhase::kLost) {
+      board->agent_by_link.insert_or_assign(change.row.link, change.row.id);
+    }
     board->fenced_slots += FencedSlots(&change.row);
     IndexRoom(board, change.row.id);
   }
   void operator()(const Erase<AgentRow>& change) const {
     board->fenced_slots -= FencedSlots(board->agents.Find(change.key));
+    UnindexAgent(board, change.key);
     board->agents.Erase(change.key);
     IndexRoom(board, change.key);
   }
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -366,11 +366,17 @@
   std::map<std::string, std::uint32_t> in_progress_by_team;
   std::map<AgentId, std::set<TaskId>> sent_by_agent;
   std::map<AgentId, Usage> usage_by_agent;
+  // Expected ends of started tasks.
+  std::map<AgentId, std::set<std::pair<BootTime, TaskId>>> ends_by_agent;
+  // The latest of an open job's started tasks.
+  std::map<SubmissionId, BootTime> expected_end_by_job;
   // Fenced agents with a free slot.
   std::set<AgentId> agents_with_room;
   // Slots of all fenced agents.
   std::uint64_t fenced_slots = 0;
   std::set<AgentId> roster_ids;
+  // Agents that are not lost.
+  std::map<LinkId, AgentId> agent_by_link;
   std::set<std::pair<BootTime, SubmissionId>> open_by_deadline;
   std::set<std::pair<BootTime, SubmissionId>> final_by_age;
   // Open jobs all of whose tasks have an outcome.
