Check the end-to-end tests' failures by what they prove

Cause: the first bound on failed jobs after the loss of dispatcher and agent was wrong. The check now is that each job whose key was made after the takeover plus clock_skew completes, that no task waits until its deadline, and that the takeover has happened.

--- a/tests/process/checks.py
+++ b/tests/process/checks.py
@@ -80,6 +80,16 @@
     assert not failed, "jobs that failed:\n" + "\n".join(failed[:20])
 
 
+def check_no_deadline_passed(runs):
+    """No task may wait until its deadline, which is far above any run time:
+    whatever it waits for does not come."""
+    late = [f"{run.spec.name} task {n}: {task}" for run in runs
+            for n, task in enumerate(run.answer["tasks"])
+            if "deadline" in task.get("reason", "")]
+    assert not late, "tasks that waited for their deadline:\n" + (
+        "\n".join(late[:20]))
+
+
 def summary(runs, starts):
     states = Counter(task["state"] for run in runs if run.answer
                      for task in run.answer["tasks"])
--- a/tests/process/faults.py
+++ b/tests/process/faults.py
@@ -43,6 +43,7 @@
     processes.send(cell.agents[0], signal.SIGKILL)
     processes.kill(cell.entries[leader])
     cell.agents[0].child.wait()
+    find_dispatcher(cell)
 
 
 def freeze_dispatcher(cell):
--- a/tools/local_cell/api.py
+++ b/tools/local_cell/api.py
@@ -31,7 +31,7 @@
 ABORTED = -1
 
 
-def call(address, method, path, body: Optional[dict] = None, timeout_s=60.0,
+def call(address, method, path, body: Optional[dict] = None, timeout_s=90.0,
          token: Optional[str] = None):
     """Makes one call on a new connection. Never raises on a network fault."""
     connection = http.client.HTTPConnection(address.host, address.port,
--- a/tools/local_cell/jobs.py
+++ b/tools/local_cell/jobs.py
@@ -41,6 +41,8 @@
     attempts: int = 0
     # Calls whose connection ended without a response.
     aborted: int = 0
+    # Unix time at which the key was made.
+    issued_at: float = 0.0
 
 
 def submission_id(team, key):
@@ -50,8 +52,9 @@
     return hashlib.sha256(data).digest()[:16].hex()
 
 
-def make_jobs(count, max_tasks, max_ms, seed):
-    """Jobs of 1 to max_tasks tasks, half of them with timed keys."""
+def make_jobs(count, max_tasks, max_ms, seed, keys="both"):
+    """Jobs of 1 to max_tasks tasks. Keys are "timed", "opaque" or "both" in
+    turn."""
     rng = random.Random(seed)
     jobs = []
     for n in range(count):
@@ -59,7 +62,8 @@
             f"{rng.randint(10, max_ms)} job-{n}-task-{k}-{rng.getrandbits(32)}"
             for k in range(rng.randint(1, max_tasks)))
         jobs.append(JobSpec(f"job-{n}", rng.choice(("north", "south")),
-                            payloads, n % 2 == 0, n % 2))
+                            payloads, keys == "timed" or
+                            (keys == "both" and n % 2 == 0), n // 2 % 2))
     return jobs
 
 
@@ -84,13 +88,14 @@
     if error.get("outcome") != "not_run":
         return run
     return dataclasses.replace(run, key=make_key(run.spec),
+                               issued_at=time.time(),
                                refused_keys=run.refused_keys + (run.key,))
 
 
 def submit(spec, entries: Callable[[], list]):
     """Submits until there is an answer. `entries` lists the addresses that the
     balancer would choose from."""
-    run = JobRun(spec, make_key(spec))
+    run = JobRun(spec, make_key(spec), issued_at=time.time())
     end = time.monotonic() + GIVE_UP_S
     while time.monotonic() < end:
         choices = entries()
