--- a/src/core/entry/agent_messages.cpp
+++ b/src/core/entry/agent_messages.cpp
@@ -47,12 +47,12 @@
 
 bool IsFencedMember(const EntryBoard& board, const AgentRow& agent) {
   return agent.phase == AgentPhase::kFenced &&
-         IsListed(board.table.table, agent.id);
+         board.roster_ids.count(agent.id) != 0;
 }
 
 bool StaysInRoster(const EntryBoard& board, AgentId agent) {
   const auto& pending = board.store.pending_table;
-  return IsListed(board.table.table, agent) &&
+  return board.roster_ids.count(agent) != 0 &&
          (!pending || IsListed(*pending, agent));
 }
 
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "core/cell.h"
+#include "core/entry/capacity.h"
+#include "core/entry/job_queue.h"
 #include "core/entry/settings.h"
 #include "core/ids.h"
 #include "core/job.h"
@@ -107,25 +109,37 @@
   friend bool operator==(const WitnessRecord&, const WitnessRecord&) = default;
 };
 
-// What has been learned of one minion for one kind of work.
+// What has been learned of run times. A row with both names is of one minion
+// and one kind of work, relative to the declared time. A row with a kind only
+// is of that kind on all minions. A row with a minion only is of that minion
+// relative to the rows of the kinds.
 struct MinionSpeed {
   std::string minion;
   std::string kind;
-  // Moving average of run time over declared time; below 1 is fast.
+  // Average of run time over expected time, weighted by the latter; below 1 is
+  // fast.
   double time_ratio = 1.0;
-  double samples = 0.0;
+  // Expected time that the average covers, decaying, in seconds.
+  double weight = 0.0;
   BootTime updated_at{0};
 
   std::pair<std::string, std::string> Key() const { return {minion, kind}; }
   friend bool operator==(const MinionSpeed&, const MinionSpeed&) = default;
 };
 
-// Recent failures of one minion, and whether it is ejected.
+// Recent failures of one minion, and whether it is ejected. The row without a
+// name stands for the whole cell.
 struct MinionHealth {
   std::string minion;
+  // Decaying counts of results.
   double failures = 0.0;
   double successes = 0.0;
+  // Failures since the newest success.
+  std::uint32_t streak = 0;
   bool ejected = false;
+  // Probes since the ejection, failed and successful.
+  std::uint32_t failed_probes = 0;
+  std::uint32_t good_probes = 0;
   BootTime updated_at{0};
   BootTime next_probe_at{0};
 
@@ -317,13 +331,6 @@
 inline constexpr std::size_t kCounterCount =
     static_cast<std::size_t>(Counter::kMessagesToPeers) + 1;
 
-// Position of a queued task: jobs of a team by arrival, tasks by index.
-struct QueueKey {
-  std::uint64_t arrival_seq = 0;
-  TaskId task;
-  friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
-};
-
 // The whole state of an entry. Only `Apply` alters it.
 struct EntryBoard {
   EntrySettings settings;
@@ -354,10 +361,16 @@
   std::set<AgentId> confirmed_dead;
 
   // Indexes that `Apply` derives from the tables above.
-  std::map<std::string, std::set<QueueKey>> queue_by_team;
+  TeamQueues queue_by_team;
   std::size_t queued_tasks = 0;
   std::map<std::string, std::uint32_t> in_progress_by_team;
   std::map<AgentId, std::set<TaskId>> sent_by_agent;
+  std::map<AgentId, Usage> usage_by_agent;
+  // Fenced agents with a free slot.
+  std::set<AgentId> agents_with_room;
+  // Slots of all fenced agents.
+  std::uint64_t fenced_slots = 0;
+  std::set<AgentId> roster_ids;
   std::set<std::pair<BootTime, SubmissionId>> open_by_deadline;
   std::set<std::pair<BootTime, SubmissionId>> final_by_age;
   // Open jobs all of whose tasks have an outcome.
