--- a/src/core/entry/agent_messages.cpp
+++ b/src/core/entry/agent_messages.cpp
@@ -9,6 +9,11 @@
 // makes the authority expire sooner.
 constexpr milliseconds kMarkSpacing{50};
 
+bool IsListed(const CellTable& table, AgentId agent) {
+  return std::any_of(table.roster.begin(), table.roster.end(),
+                     [&](const RosterAgent& it) { return it.id == agent; });
+}
+
 }  // namespace
 
 AgentRow AfterSend(const AgentRow& agent, const Now& now) {
@@ -39,11 +44,22 @@
                                          : board.agents.Find(it->second);
 }
 
-bool IsUsable(const EntryBoard& board, const AgentRow& agent) {
+bool IsFencedMember(const EntryBoard& board, const AgentRow& agent) {
   return agent.phase == AgentPhase::kFenced &&
          board.roster_ids.count(agent.id) != 0;
 }
 
+bool StaysInRoster(const EntryBoard& board, AgentId agent) {
+  const auto& pending = board.store.pending_table;
+  return board.roster_ids.count(agent) != 0 &&
+         (!pending || IsListed(*pending, agent));
+}
+
+bool IsUsable(const EntryBoard& board, const AgentRow& agent) {
+  return agent.phase == AgentPhase::kFenced && !agent.leaving &&
+         !agent.reprotected && StaysInRoster(board, agent.id);
+}
+
 std::string RackOf(const MinionDescription& minion) {
   return minion.rack.empty() ? "minion:" + minion.name : minion.rack;
 }
