Count recovered tasks as busy slots and bound the stop of a dispatcher

Running tasks that an inventory names took no slot until a caller submitted their job again, so the new dispatcher overfilled the agents and used up the start retries. They now count as used slots until a job claims them.

Also mended: after the loss of dispatcher and agent, callers submitted new jobs into the clock-skew window, all of which became unknown; jobs are held until the window has passed. A start under the current fence over another link is refused. Starts of large payloads are split below the frame limit. A store that answers every write with a conflict is retried with back-off. A stopping dispatcher that cannot hand over ends after 30 s. The entry's settings name seed addresses.

--- a/src/core/agent/starts.cpp
+++ b/src/core/agent/starts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/agent/draining.h"
+#include "core/agent/fencing.h"
 #include "core/agent/results.h"
 
 namespace dottereltrack {
@@ -26,10 +27,10 @@
 
 }  // namespace
 
-std::optional<StartRefusal> CheckStart(const AgentBoard& board,
+std::optional<StartRefusal> CheckStart(const AgentBoard& board, LinkId link,
                                        const Fence& fence,
                                        const TaskStart& start) {
-  if (fence != board.fence) return StartRefusal::kStaleFence;
+  if (!IsUnderFence(board, link, fence)) return StartRefusal::kStaleFence;
   if (!board.minion || board.minion->instance != start.minion_instance) {
     return StartRefusal::kStaleInstance;
   }
@@ -42,7 +43,7 @@
                          const Fence& fence, const TaskStart& start,
                          const Now& now) {
   AgentChanges changes;
-  const auto refusal = CheckStart(board, fence, start);
+  const auto refusal = CheckStart(board, link, fence, start);
   if (refusal == StartRefusal::kStaleFence) {
     changes.Add(CountAgent{AgentCounter::kStaleFenceMessages});
     changes.Append(SendRefusal(board, link, {start.id, fence, *refusal}));
--- a/src/core/agent/starts.h
+++ b/src/core/agent/starts.h
@@ -8,7 +8,7 @@
 
 // Why the agent must not start the task now; empty if it may. The checks prove
 // that a refused task did not start here.
-std::optional<StartRefusal> CheckStart(const AgentBoard& board,
+std::optional<StartRefusal> CheckStart(const AgentBoard& board, LinkId link,
                                        const Fence& fence,
                                        const TaskStart& start);
 
--- a/src/core/entry/advance.cpp
+++ b/src/core/entry/advance.cpp
@@ -142,7 +142,7 @@
   }
   void On(const StopRequested&) {
     EntryChanges changes;
-    changes.Add(SetStopping{});
+    changes.Add(SetStopping{now_.boot});
     Run(std::move(changes));
   }
 
@@ -328,7 +328,9 @@
     for (const SubmissionId& id : decided) Continue(id);
   }
 
-  bool IsStopped() const { return board_->stopping && OwesNothing(*board_); }
+  bool IsStopped() const {
+    return board_->stopping && OwesNothing(*board_, now_);
+  }
 
   EntryBoard* board_;
   Now now_;
--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -149,6 +149,34 @@
   if (task.state == TaskState::kSent) UnindexSent(board, *job, task);
 }
 
+// Whether an inventory names the task as running and no job has it yet. It
+// takes a slot of its minion all the same.
+bool RunsUnclaimed(const EntryBoard& board, const TaskId& id) {
+  const RecoveredTask* recovered = board.recovered.Find(id);
+  if (recovered == nullptr) return false;
+  if (recovered->entry.state != LedgerState::kRunning) return false;
+  const Task* task = board.tasks.Find(id);
+  return task == nullptr || task->state == TaskState::kUnresolved ||
+         task->state == TaskState::kQueued;
+}
+
+void AddUnclaimedUsage(EntryBoard* board, const TaskId& id) {
+  if (!RunsUnclaimed(*board, id)) return;
+  const AgentId holder = board->recovered.Find(id)->holder;
+  Usage& usage = board->usage_by_agent[holder];
+  usage = Plus(usage, Needs{});
+  IndexRoom(board, holder);
+}
+
+void RemoveUnclaimedUsage(EntryBoard* board, const TaskId& id) {
+  if (!RunsUnclaimed(*board, id)) return;
+  const AgentId holder = board->recovered.Find(id)->holder;
+  const auto it = board->usage_by_agent.find(holder);
+  it->second = Minus(it->second, Needs{});
+  if (it->second.slots == 0) board->usage_by_agent.erase(it);
+  IndexRoom(board, holder);
+}
+
 // Applies one change of the board. Job rows come before the task rows that
 // refer to them, and task rows are erased before their job.
 struct Applier {
@@ -175,17 +203,21 @@
     board->jobs.Erase(change.key);
   }
   void operator()(const Put<Task>& change) const {
+    RemoveUnclaimedUsage(board, change.row.id);
     if (const Task* old = board->tasks.Find(change.row.id)) {
       UnindexTask(board, *old);
     }
     board->tasks.Put(change.row);
     IndexTask(board, change.row);
+    AddUnclaimedUsage(board, change.row.id);
   }
   void operator()(const Erase<Task>& change) const {
+    RemoveUnclaimedUsage(board, change.key);
     if (const Task* old = board->tasks.Find(change.key)) {
       UnindexTask(board, *old);
     }
     board->tasks.Erase(change.key);
+    AddUnclaimedUsage(board, change.key);
   }
   void operator()(const Put<AgentRow>& change) const {
     board->fenced_slots -= FencedSlots(board->agents.Find(change.row.id));
@@ -204,13 +236,16 @@
     IndexRoom(board, change.key);
   }
   void operator()(const Put<RecoveredTask>& change) const {
+    RemoveUnclaimedUsage(board, change.row.entry.id);
     if (const auto* old = board->recovered.Find(change.row.entry.id)) {
       RemoveRecord(board, old->holder, old->entry.id);
     }
     board->recovered.Put(change.row);
     board->records_by_holder[change.row.holder].insert(change.row.entry.id);
+    AddUnclaimedUsage(board, change.row.entry.id);
   }
   void operator()(const Erase<RecoveredTask>& change) const {
+    RemoveUnclaimedUsage(board, change.key);
     if (const auto* old = board->recovered.Find(change.key)) {
       RemoveRecord(board, old->holder, change.key);
     }
@@ -280,7 +315,10 @@
     board->store.pending_table.reset();
     board->store.write_undecided = false;
   }
-  void operator()(const SetStopping&) const { board->stopping = true; }
+  void operator()(const SetStopping& change) const {
+    if (!board->stopping) board->stopping_since = change.since;
+    board->stopping = true;
+  }
   void operator()(const SetConfirmedDead& change) const {
     board->confirmed_dead = change.agents;
   }
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -339,6 +339,7 @@
   StoredConfig config;
   StoreStatus store;
   bool stopping = false;
+  BootTime stopping_since{0};
   std::uint64_t next_arrival_seq = 1;
   std::uint64_t next_request_id = 1;
 
--- a/src/core/entry/changes.h
+++ b/src/core/entry/changes.h
@@ -25,7 +25,9 @@
 };
 // No table write is unresolved any more.
 struct DropPendingTable {};
-struct SetStopping {};
+struct SetStopping {
+  BootTime since{0};
+};
 struct SetConfirmedDead {
   std::set<AgentId> agents;
 };
--- a/src/core/entry/membership.cpp
+++ b/src/core/entry/membership.cpp
@@ -301,6 +301,7 @@
       break;
     case WriteStatus::kConflict:
       // The other writer may be our own lost call, so only a read resolves it.
+      next = AfterFailure(next, board.settings, now);
       next.write_undecided = true;
       next.read_pending = true;
       changes.Add(ReadTable{});
@@ -575,8 +576,12 @@
   return changes;
 }
 
-bool OwesNothing(const EntryBoard& board) {
+bool OwesNothing(const EntryBoard& board, const Now& now) {
   if (!board.calls.empty()) return false;
+  // Without the store nobody can be named; a takeover follows later.
+  if (board.stopping_since + board.settings.stop_timeout <= now.boot) {
+    return true;
+  }
   if (board.authority.role == Role::kMember) return true;
   // Without another member there is nobody to hand over to.
   const auto& members = board.table.table.members;
--- a/src/core/entry/membership.h
+++ b/src/core/entry/membership.h
@@ -59,7 +59,7 @@
 
 // Whether a stopping entry may end: its callers have their answers, and it does
 // not dispatch, or dispatches alone and has no open job.
-bool OwesNothing(const EntryBoard& board);
+bool OwesNothing(const EntryBoard& board, const Now& now);
 
 // The peer on that link, or null.
 const PeerRow* FindPeerByLink(const EntryBoard& board, LinkId link);
--- a/src/core/entry/settings.h
+++ b/src/core/entry/settings.h
@@ -37,6 +37,9 @@
   milliseconds peer_timeout{2'000};
   milliseconds takeover_stagger{200};
   milliseconds agent_timeout{3'000};
+  // A stopping dispatcher that cannot hand over ends after this time, once its
+  // own callers have their replies.
+  milliseconds stop_timeout{30'000};
   // Longest time that a call waits for a dispatcher.
   milliseconds no_dispatcher_timeout{10'000};
   // Time beyond the deadline after which a call ends without an answer.
--- a/src/core/entry/starts.cpp
+++ b/src/core/entry/starts.cpp
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 #include <map>
+#include <span>
 
 #include "core/entry/agent_messages.h"
 
 namespace dottereltrack {
 namespace {
 
+// Payloads in one message, so that it stays below the frame limit of 8 MiB.
+constexpr std::size_t kMaxBytesPerMessage = 4U << 20;
+
 TaskStart MakeStart(const Job& job, const Task& task, const AgentRow& agent,
                     const Now& now) {
   const TaskSpec& spec = job.body->tasks[task.id.index];
@@ -37,23 +41,50 @@
   return next;
 }
 
-EntryChanges SendToOne(const EntryBoard& board, const AgentRow& agent,
-                       const std::vector<Placement>& placements,
-                       const Now& now) {
-  EntryChanges changes;
+std::size_t PayloadBytes(const EntryBoard& board, const Placement& placement) {
+  const Job& job = *board.jobs.Find(placement.task.submission);
+  return job.body->tasks[placement.task.index].payload->size();
+}
+
+// Sends as many of the placements as fit into one message; at least one.
+// Returns how many were taken and the agent's row after the message.
+std::size_t SendOneMessage(const EntryBoard& board,
+                           std::span<const Placement> placements,
+                           const Now& now, AgentRow* agent,
+                           EntryChanges* changes) {
   Starts message;
-  message.fence = agent.fence;
-  message.seq = agent.next_seq;
+  message.fence = agent->fence;
+  message.seq = agent->next_seq;
+  std::size_t bytes = 0;
   for (const Placement& it : placements) {
+    bytes += PayloadBytes(board, it);
+    const bool full =
+        bytes > kMaxBytesPerMessage ||
+        message.tasks.size() >= board.settings.max_starts_per_message;
+    if (full && !message.tasks.empty()) break;
     const Task& task = *board.tasks.Find(it.task);
     const Job& job = *board.jobs.Find(it.task.submission);
-    message.tasks.push_back(MakeStart(job, task, agent, now));
-    changes.Add(Put<Task>{MarkSent(task, agent, it.expected_end, now)});
+    message.tasks.push_back(MakeStart(job, task, *agent, now));
+    changes->Add(Put<Task>{MarkSent(task, *agent, it.expected_end, now)});
+  }
+  const std::size_t n = message.tasks.size();
+  changes->Add(Count{Counter::kStartsSent, n});
+  changes->Add(Count{Counter::kMessagesToAgents});
+  changes->Add(SendToAgent{agent->link, std::move(message)});
+  *agent = AfterSend(*agent, now);
+  return n;
+}
+
+EntryChanges SendToOne(const EntryBoard& board, const AgentRow& agent,
+                       std::span<const Placement> placements, const Now& now) {
+  EntryChanges changes;
+  AgentRow next = agent;
+  while (!placements.empty()) {
+    const std::size_t n =
+        SendOneMessage(board, placements, now, &next, &changes);
+    placements = placements.subspan(n);
   }
-  changes.Add(Count{Counter::kStartsSent, message.tasks.size()});
-  changes.Add(Count{Counter::kMessagesToAgents});
-  changes.Add(Put<AgentRow>{AfterSend(agent, now)});
-  changes.Add(SendToAgent{agent.link, std::move(message)});
+  changes.Add(Put<AgentRow>{next});
   return changes;
 }
 
--- a/src/core/entry/takeover.cpp
+++ b/src/core/entry/takeover.cpp
@@ -289,10 +289,15 @@
   // By then the old dispatcher has lost its own majority, even if its clock is
   // a tenth slower than ours.
   const auto wait = board.settings.authority_timeout * 11 / 10;
-  const bool waited = next.majority_at && *next.majority_at + wait <= now.boot;
+  // Keys issued up to a clock skew later stay in doubt. Their jobs are held
+  // until then, so that callers do not submit the next ones into the same
+  // window.
+  const auto hold = wait + board.settings.clock_skew;
+  const bool waited = next.majority_at && *next.majority_at + hold <= now.boot;
   if (all || waited) {
     next.role = Role::kDispatcher;
-    next.fresh_after_wall = now.wall;
+    next.fresh_after_wall =
+        all ? now.wall : now.wall - board.settings.clock_skew;
     next.inventory_settled = true;
   }
   if (next != board.authority) changes.Add(SetAuthority{next});
--- a/src/runtime/settings/agent_settings.cpp
+++ b/src/runtime/settings/agent_settings.cpp
@@ -24,7 +24,7 @@
           "http_listen", [](auto& s) -> auto& { return s.http_listen; }, 0,
           "Where the minion announces itself by HTTP."),
       Required(EndpointListKey<S>(
-          "entry_seeds", [](auto& s) -> auto& { return s.entry_seeds; },
+          "entry_seeds", [](auto& s) -> auto& { return s.entry_seeds; }, 1,
           kMaxSeeds,
           "Link addresses of entries; the agent learns the others from them.")),
       Required(TextKey<S>(
--- a/src/runtime/settings/entry_settings.cpp
+++ b/src/runtime/settings/entry_settings.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kMaxNameBytes = 64;
 constexpr std::size_t kMaxTokenBytes = 256;
+constexpr std::size_t kMaxSeeds = 64;
 constexpr std::string_view kScheme = "http://";
 
 Key Required(Key key) {
@@ -95,6 +96,11 @@
           kMaxNameBytes, "Data centre of this VM.")),
       CellKey(),
       StoreUrlKey(),
+      EndpointListKey<S>(
+          "entry_seeds", [](auto& s) -> auto& { return s.core.seeds; }, 0,
+          kMaxSeeds,
+          "Link addresses of other entries; with them an entry finds its peers "
+          "while the store is down."),
       TokenKey(),
   };
 }
--- a/src/runtime/settings/key_kinds.h
+++ b/src/runtime/settings/key_kinds.h
@@ -124,13 +124,15 @@
 // A list of at least one IP address with port.
 template <typename T, typename Member>
 SettingKey<T> EndpointListKey(const std::string& name, Member member,
-                              std::size_t max_items,
+                              std::size_t min_items, std::size_t max_items,
                               const std::string& meaning) {
-  SettingKey<T> key = DescribeKey<T>(
-      name, meaning,
-      "a list of 1 to " + std::to_string(max_items) + " texts \"IP:PORT\"");
+  SettingKey<T> key =
+      DescribeKey<T>(name, meaning,
+                     "a list of " + std::to_string(min_items) + " to " +
+                         std::to_string(max_items) + " texts \"IP:PORT\"");
   key.read = [=](T* settings, const nlohmann::json& value) {
-    if (!value.is_array() || value.empty() || value.size() > max_items) {
+    if (!value.is_array() || value.size() < min_items ||
+        value.size() > max_items) {
       return false;
     }
     std::vector<Endpoint> list;
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -12,7 +12,7 @@
 # Name, source file, and what is replaced by what. Each text occurs once.
 MUTATIONS = [
     ("fence_check", AGENT + "starts.cpp", [
-        ("if (fence != board.fence) return StartRefusal::kStaleFence;",
+        ("if (!IsUnderFence(board, link, fence)) return StartRefusal::kStaleFence;",
          "(void)fence;")]),
     ("ledger_duplicate_check", AGENT + "starts.cpp", [
         ("if (const LedgerRow* row = board.ledger.Find(start.id)) {",
@@ -53,7 +53,8 @@
         ("task.state = TaskState::kUnresolved;",
          "task.state = TaskState::kQueued;")]),
     ("fresh_after_the_wait", ENTRY + "takeover.cpp", [
-        ("next.fresh_after_wall = now.wall;", "")]),
+        ("next.fresh_after_wall = all ? now.wall : now.wall - "
+         "board.settings.clock_skew;", "")]),
     ("stale_pending_table", ENTRY + "membership.cpp", [
         ("changes.Add(DropPendingTable{});", "")]),
 ]
