--- a/src/core/entry/advance.cpp
+++ b/src/core/entry/advance.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/entry/admission.h"
+#include "core/entry/agent_links.h"
 #include "core/entry/agent_messages.h"
 #include "core/entry/authority.h"
 #include "core/entry/cancellation.h"
@@ -14,10 +15,12 @@
 #include "core/entry/minion_health.h"
 #include "core/entry/outcomes.h"
 #include "core/entry/peer_traffic.h"
+#include "core/entry/peers.h"
 #include "core/entry/placement.h"
 #include "core/entry/replies.h"
 #include "core/entry/reprotection.h"
 #include "core/entry/starts.h"
+#include "core/entry/table_store.h"
 #include "core/entry/takeover.h"
 #include "core/entry/witnesses.h"
 
--- a/src/core/entry/peer_traffic.cpp
+++ b/src/core/entry/peer_traffic.cpp
@@ -1,6 +1,6 @@
 #include "core/entry/peer_traffic.h"
 
-#include "core/entry/membership.h"
+#include "core/entry/peers.h"
 
 namespace dottereltrack {
 
--- /dev/null
+++ b/src/core/entry/table_store.cpp
@@ -0,0 +1,169 @@
+#include "core/entry/table_store.h"
+
+#include <algorithm>
+
+#include "core/entry/forwarding.h"
+#include "core/entry/membership.h"
+
+namespace dottereltrack {
+namespace {
+
+milliseconds RetryDelay(const EntrySettings& settings, std::uint32_t failures,
+                        const Now& now) {
+  const std::uint32_t shift = std::min<std::uint32_t>(failures, 6);
+  const milliseconds longest =
+      std::min(settings.store_retry * (1 << shift), settings.max_store_retry);
+  // Half of the delay is random, so that entries do not retry in step.
+  return longest / 2 + milliseconds{now.random % (longest.count() / 2 + 1)};
+}
+
+StoreStatus AfterFailure(const StoreStatus& status,
+                         const EntrySettings& settings, const Now& now) {
+  StoreStatus next = status;
+  next.read_pending = false;
+  next.next_try_at = now.boot + RetryDelay(settings, next.failures, now);
+  ++next.failures;
+  return next;
+}
+
+EntryChanges PushTableToPeers(const EntryBoard& board,
+                              const StoredTable& table) {
+  EntryChanges changes;
+  for (const auto& [id, peer] : board.peers) {
+    if (peer.links.empty()) continue;
+    changes.Add(SendToPeer{*peer.links.begin(), TableUpdate{table}});
+    changes.Add(Count{Counter::kMessagesToPeers});
+  }
+  return changes;
+}
+
+EntryChanges PushTableToAgents(const EntryBoard& board,
+                               const StoredTable& table) {
+  EntryChanges changes;
+  for (const auto& [id, agent] : board.agents) {
+    if (agent.phase == AgentPhase::kLost) continue;
+    changes.Add(SendToAgent{agent.link, TableUpdate{table}});
+    changes.Add(Count{Counter::kMessagesToAgents});
+  }
+  return changes;
+}
+
+}  // namespace
+
+EntryChanges WriteDesiredTable(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  if (board.store.write_under_way || board.store.read_pending) return changes;
+  if (now.boot < board.store.next_try_at) return changes;
+  std::optional<CellTable> table = board.store.pending_table;
+  if (!table) {
+    table = DesiredTable(board, now);
+    if (!table) return changes;
+    table->writer_nonce = now.random;
+  }
+  StoreStatus next = board.store;
+  next.pending_table = table;
+  next.write_under_way = true;
+  const EntryId self = board.settings.id;
+  const bool joins =
+      !IsMember(board.table.table, self) && IsMember(*table, self);
+  if (joins) next.joined_at = now.boot;
+  changes.Add(SetStoreStatus{next});
+  changes.Add(WriteTable{board.table.revision, *table});
+  changes.Add(Count{Counter::kStoreCalls});
+  return changes;
+}
+
+EntryChanges HandleTableWritten(const EntryBoard& board,
+                                const TableWritten& event, const Now& now) {
+  EntryChanges changes;
+  StoreStatus next = board.store;
+  next.write_under_way = false;
+  if (!board.store.pending_table) {
+    // A newer table has been adopted, so this write cannot have any effect.
+    changes.Add(SetStoreStatus{next});
+    return changes;
+  }
+  switch (event.status) {
+    case WriteStatus::kApplied:
+      changes.Append(
+          AdoptTable(board, {event.revision, *board.store.pending_table}));
+      next.pending_table.reset();
+      next.write_undecided = false;
+      next.failures = 0;
+      break;
+    case WriteStatus::kConflict:
+      // The other writer may be our own lost call, so only a read resolves it.
+      next = AfterFailure(next, board.settings, now);
+      next.write_undecided = true;
+      next.read_pending = true;
+      changes.Add(ReadTable{});
+      changes.Add(Count{Counter::kStoreCalls});
+      break;
+    case WriteStatus::kNotApplied:
+      next = AfterFailure(next, board.settings, now);
+      // An earlier attempt of the same write may still take effect.
+      if (!board.store.write_undecided) next.pending_table.reset();
+      break;
+    case WriteStatus::kUndecided:
+      next = AfterFailure(next, board.settings, now);
+      next.write_undecided = true;
+      break;
+  }
+  changes.Add(SetStoreStatus{next});
+  return changes;
+}
+
+EntryChanges HandleTableSeen(const EntryBoard& board, const StoredTable& table,
+                             const Now& now) {
+  (void)now;
+  EntryChanges changes;
+  StoreStatus next = board.store;
+  next.table_known = true;
+  next.read_pending = false;
+  next.failures = 0;
+  changes.Add(SetStoreStatus{next});
+  changes.Append(AdoptTable(board, table));
+  return changes;
+}
+
+EntryChanges HandleStoreReadFailed(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  changes.Add(SetStoreStatus{AfterFailure(board.store, board.settings, now)});
+  return changes;
+}
+
+EntryChanges ReadTableIfNeeded(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  if (board.store.table_known || board.store.read_pending) return changes;
+  if (now.boot < board.store.next_try_at) return changes;
+  StoreStatus next = board.store;
+  next.read_pending = true;
+  changes.Add(SetStoreStatus{next});
+  changes.Add(ReadTable{});
+  changes.Add(Count{Counter::kStoreCalls});
+  return changes;
+}
+
+EntryChanges AdoptTable(const EntryBoard& board, const StoredTable& table) {
+  EntryChanges changes;
+  if (table.revision <= board.table.revision) return changes;
+  changes.Add(SetTable{table});
+  // No write against an older revision can take effect any more, wherever the
+  // newer one was learned.
+  changes.Add(DropPendingTable{});
+  if (table.table.generation != board.table.table.generation) {
+    changes.Append(UnrouteCalls(board));
+  }
+  // A dispatcher that hands over tells its successor and the others.
+  const bool dispatches = table.table.dispatcher == board.settings.id ||
+                          board.authority.role != Role::kMember;
+  if (dispatches) changes.Append(PushTableToPeers(board, table));
+  // An agent may be connected to this entry only. Without the new members it
+  // would never connect to a new dispatcher.
+  if (dispatches || table.table.members != board.table.table.members) {
+    changes.Append(PushTableToAgents(board, table));
+  }
+  return changes;
+}
+
+}  // namespace dottereltrack
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -55,7 +55,7 @@
     ("fresh_after_the_wait", ENTRY + "takeover.cpp", [
         ("next.fresh_after_wall = all ? now.wall : now.wall - "
          "board.settings.clock_skew;", "")]),
-    ("stale_pending_table", ENTRY + "membership.cpp", [
+    ("stale_pending_table", ENTRY + "table_store.cpp", [
         ("changes.Add(DropPendingTable{});", "")]),
 ]
 
--- a/tests/support/schedule.cpp
+++ b/tests/support/schedule.cpp
@@ -261,8 +261,8 @@
       const bool exact = cell_.stored_table().table.lost.empty();
       if (exact) fresh.push_back(submitted_.size());
       Submit(n, "again-" + std::to_string(n), 2);
-      // All at once, the jobs of a cell with one slot would miss their deadline,
-      // and refusing them would be right.
+      // All at once, the jobs of a cell with one slot would miss their
+      // deadline, and refusing them would be right.
       cell_.RunFor(seconds{1});
     }
     cell_.RunFor(kDeadline + seconds{6});
