--- a/bench/frames.cpp
+++ b/bench/frames.cpp
@@ -1,5 +1,6 @@
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <functional>
 #include <string>
 #include <vector>
@@ -84,6 +85,7 @@
 void PrintRow(const char* name, std::size_t count, const Message& message,
               const Decode& decode) {
   const std::string frame = Encode(message);
+  if (!decode(frame)) std::exit(1);
   const double encode_us = TimeOf([&] { Encode(message); });
   const double decode_us = TimeOf([&] { decode(frame); });
   std::printf("| %s | %zu | %zu | %.1f | %.2f | %.2f |\n", name, count,
@@ -94,8 +96,12 @@
 }
 
 void PrintTable() {
-  const auto to_agent = [](const std::string& frame) { DecodeToAgent(frame); };
-  const auto to_entry = [](const std::string& frame) { DecodeToEntry(frame); };
+  const auto to_agent = [](const std::string& frame) {
+    return DecodeToAgent(frame).has_value();
+  };
+  const auto to_entry = [](const std::string& frame) {
+    return DecodeToEntry(frame).has_value();
+  };
   std::printf(
       "| message | items | bytes | bytes an item | encode us an item | decode "
       "us an item |\n| --- | --- | --- | --- | --- | --- |\n");
