--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -8,8 +8,10 @@
 #include <cstdint>
 #include <cstdio>
 #include <string>
+#include <type_traits>
 #include <vector>
 
+#include "core/agent/changes.h"
 #include "core/entry/advance.h"
 #include "core/entry/changes.h"
 #include "core/entry/placement.h"
@@ -169,9 +171,10 @@
 }
 
 // Bytes of board for each of `count` things that `add` puts there.
-template <typename Add>
+template <typename Board = EntryBoard, typename Add>
 void PrintBytes(const char* name, std::uint32_t count, Add add) {
-  EntryBoard board = MakeBoard(10);
+  Board board;
+  if constexpr (std::is_same_v<Board, EntryBoard>) board = MakeBoard(10);
   const std::size_t before = HeapBytes();
   for (std::uint32_t n = 0; n < count; ++n) add(n, &board);
   const std::size_t after = HeapBytes();
@@ -199,6 +202,20 @@
       Apply(board, changes);
     });
   }
+  for (const std::uint32_t count : {100, 1'000, 10'000}) {
+    PrintBytes<AgentBoard>(
+        "ledger row of an agent, 32 bytes of output", count,
+        [](std::uint32_t n, AgentBoard* board) {
+          LedgerRow row;
+          row.entry.id = {MakeSubmissionId("north", "job"), n};
+          row.entry.state = LedgerState::kDone;
+          row.entry.output = std::string(32, 'r');
+          row.finished_at = BootTime{n};
+          AgentChanges changes;
+          changes.Add(Put<LedgerRow>{row});
+          Apply(board, changes);
+        });
+  }
   for (const std::uint32_t count : {10, 100, 370}) {
     PrintBytes("team with one job of 1 task", count,
                [](std::uint32_t n, EntryBoard* board) {
