Keep a minion draining when it repeats its announcement

Cause: an agent took an announcement as the whole truth, also for draining. Minions repeat it every few seconds, so a minion that was leaving, or whose agent was stopping, was offered new work again. A running minion stays draining now until another run of it announces itself. The endpoint's stand-in repeats its announcement, since a restarted agent knows nothing.

--- a/src/core/agent/draining.cpp
+++ b/src/core/agent/draining.cpp
@@ -37,12 +37,16 @@
                                    const MinionAnnounces& event,
                                    const Now& now) {
   AgentChanges changes;
-  if (board.minion == event.minion) return changes;
-  if (board.minion && board.minion->instance != event.minion.instance) {
-    changes.Append(EndRunningTasks(board, now));
-  }
-  changes.Add(SetMinion{event.minion});
-  changes.Append(TellEntries(board, event.minion, false));
+  MinionDescription minion = event.minion;
+  const bool same_run =
+      board.minion && board.minion->instance == minion.instance;
+  // Minions repeat their announcement, also after they or the agent have said
+  // that they take no more work.
+  minion.draining |= board.stopping || (same_run && board.minion->draining);
+  if (board.minion == minion) return changes;
+  if (board.minion && !same_run) changes.Append(EndRunningTasks(board, now));
+  changes.Add(SetMinion{minion});
+  changes.Append(TellEntries(board, minion, false));
   return changes;
 }
 
--- a/tools/standins/endpoint/announcer.cpp
+++ b/tools/standins/endpoint/announcer.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAnnounceInterval{1'000};
+// An agent that has restarted knows nothing of its minion.
+constexpr std::chrono::milliseconds kRepeatInterval{2'000};
 
 std::string ToHexText(std::uint64_t value) {
   char buf[17];
@@ -62,8 +64,9 @@
 void Announcer::Announce() {
   http_.Start(PostTo(agent_url_ + "/v1/announce", description_),
               [this](const HttpResult& result) {
-                if (IsAccepted(result) || is_leaving_) return;
-                timer_.expires_after(kAnnounceInterval);
+                if (is_leaving_) return;
+                timer_.expires_after(IsAccepted(result) ? kRepeatInterval
+                                                        : kAnnounceInterval);
                 timer_.async_wait([this](const std::error_code& ec) {
                   if (!ec) Announce();
                 });
--- a/tools/standins/endpoint/announcer.h
+++ b/tools/standins/endpoint/announcer.h
@@ -11,8 +11,8 @@
 
 namespace dottereltrack::standins {
 
-// Announces the stand-in to its agent every second until the agent accepts it,
-// and tells the agent when it leaves.
+// Announces the stand-in to its agent, again and again, since an agent keeps no
+// state over a restart, and tells the agent when it leaves.
 class Announcer {
  public:
   // The instance is a random number of this run of the process.
