Use one check for an agent's place in the roster

reprotection.cpp and agent_messages.cpp had the same function under the name IsListed. IsInRoster serves both; behaviour is unchanged.

--- a/src/core/entry/agent_messages.cpp
+++ b/src/core/entry/agent_messages.cpp
@@ -9,13 +9,13 @@
 // makes the authority expire sooner.
 constexpr milliseconds kMarkSpacing{50};
 
-bool IsListed(const CellTable& table, AgentId agent) {
+}  // namespace
+
+bool IsInRoster(const CellTable& table, AgentId agent) {
   return std::any_of(table.roster.begin(), table.roster.end(),
                      [&](const RosterAgent& it) { return it.id == agent; });
 }
 
-}  // namespace
-
 AgentRow AfterSend(const AgentRow& agent, const Now& now) {
   AgentRow next = agent;
   const std::uint64_t seq = next.next_seq++;
@@ -52,7 +52,7 @@
 bool StaysInRoster(const EntryBoard& board, AgentId agent) {
   const auto& pending = board.store.pending_table;
   return board.roster_ids.count(agent) != 0 &&
-         (!pending || IsListed(*pending, agent));
+         (!pending || IsInRoster(*pending, agent));
 }
 
 bool IsUsable(const EntryBoard& board, const AgentRow& agent) {
--- a/src/core/entry/agent_messages.h
+++ b/src/core/entry/agent_messages.h
@@ -28,6 +28,9 @@
 // to leave the roster, since nobody would look for its records there.
 bool IsUsable(const EntryBoard& board, const AgentRow& agent);
 
+// Whether the table lists the agent among those that may receive starts.
+bool IsInRoster(const CellTable& table, AgentId agent);
+
 // The rack of an agent; an agent that names none counts as a rack of its own.
 std::string RackOf(const MinionDescription& minion);
 
--- a/src/core/entry/reprotection.cpp
+++ b/src/core/entry/reprotection.cpp
@@ -18,11 +18,6 @@
 // A roster agent of a takeover that has not come back for this long is removed.
 constexpr milliseconds kMissingTimeout{10'000};
 
-bool IsListed(const CellTable& table, AgentId id) {
-  return std::any_of(table.roster.begin(), table.roster.end(),
-                     [&](const RosterAgent& it) { return it.id == id; });
-}
-
 bool HasRunningTasks(const EntryBoard& board, AgentId id) {
   return board.sent_by_agent.count(id) != 0;
 }
@@ -38,7 +33,7 @@
 
 // Whether the agent holds records that must go elsewhere.
 bool IsGone(const EntryBoard& board, const AgentRow& agent, const Now& now) {
-  if (!IsListed(board.table.table, agent.id)) return false;
+  if (!IsInRoster(board.table.table, agent.id)) return false;
   if (board.authority.uninventoried.count(agent.id) != 0) return false;
   if (agent.phase == AgentPhase::kLost) {
     return agent.lost_at + board.settings.agent_timeout <= now.boot;
