--- /dev/null
+++ b/apps/pool_agent/main.cpp
@@ -0,0 +1,30 @@
+// dotterel-pool-agent: starts tasks on the minion beside it.
+
+#include <asio/io_context.hpp>
+#include <exception>
+#include <iostream>
+
+#include "apps/pool_agent/pool_agent.h"
+#include "apps/pool_common/daemon.h"
+#include "runtime/command_line.h"
+
+int main(int argc, char** argv) {
+  using namespace dottereltrack;  // NOLINT(google-build-using-namespace)
+  try {
+    return pool::RunDaemon(
+        "dotterel-pool-agent", "starts tasks on the minion beside it.",
+        DOTTERELTRACK_VERSION, {argv + 1, argv + argc},
+        [](const users_platform::NodeSettings& node, EventLog& log) {
+          asio::io_context loop(1);
+          pool::PoolAgent agent(loop, node, log);
+          if (!agent.Start()) return kExitFailed;
+          loop.run();
+          return kExitOk;
+        });
+  } catch (const std::exception& error) {
+    std::cerr << "dotterel-pool-agent stops on an unexpected error: "
+              << error.what()
+              << "; report it with the command line and the settings\n";
+    return kExitFailed;
+  }
+}
--- /dev/null
+++ b/apps/pool_agent/pool_agent.cpp
@@ -0,0 +1,228 @@
+#include "apps/pool_agent/pool_agent.h"
+
+#include <asio/post.hpp>
+#include <csignal>
+#include <utility>
+
+#include "platform/minion.h"
+#include "pool_wire/codec.h"
+#include "runtime/clock.h"
+#include "runtime/settings/endpoint_text.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+using users_platform::MinionCallKind;
+
+constexpr milliseconds kTickInterval{25};
+
+// New entries also announce themselves through the entries that are known.
+constexpr milliseconds kEntriesWait{10'000};
+constexpr milliseconds kEntriesRetry{500};
+
+// The last messages leave within this time.
+constexpr milliseconds kExitDelay{50};
+
+// Calls in flight and kept connections: a look, and starts and stops of a few
+// jobs at once. The minion accepts 64 connections.
+HttpClientLimits MinionLimits() { return {256, 16}; }
+
+AgentBoard MakeBoard() {
+  AgentBoard board;
+  board.settings.id = RandomId();
+  board.fencing_token = WallNow().count();
+  return board;
+}
+
+}  // namespace
+
+PoolAgent::PoolAgent(asio::io_context& loop,
+                     const users_platform::NodeSettings& node, EventLog& log)
+    : loop_(loop),
+      node_(node),
+      log_(log),
+      board_(MakeBoard()),
+      links_(loop, LinkLimits{},
+             {[this](LinkId link, const std::string& frame) {
+                OnFrame(link, frame);
+              },
+              [this](LinkId link) { Post(EntryLinkClosed{link}); }}),
+      reports_(loop, HttpLimits{},
+               {[this](const HttpRequest& request, const HttpReplier& reply) {
+                  reply(OnMinionRequest(request));
+                },
+                {},
+                {}}),
+      minion_(loop, MinionLimits()),
+      store_(loop, node.store_address),
+      entry_watch_(loop, store_, log,
+                   {kEntryPrefix, kEntriesWait, kEntriesRetry},
+                   [this](const auto& values) {
+                     Post(EntriesRegistered{ReadEntries(values)});
+                   }),
+      tick_(loop),
+      exit_timer_(loop),
+      signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
+
+bool PoolAgent::Start() {
+  if (!reports_.Listen(node_.report_address)) {
+    log_.Write("start_failed",
+               {{"problem",
+                 "the address for reports cannot be used; check it and "
+                 "whether its port is in use"},
+                {"address", ToText(node_.report_address)}},
+               false);
+    return false;
+  }
+  log_.Write("started",
+             {{"reports", ToText(node_.report_address)},
+              {"data_centre", node_.data_centre},
+              {"seeds", node_.seeds.size()}},
+             false);
+  AwaitSignal();
+  Post(EntriesNamed{node_.seeds});
+  entry_watch_.Start();
+  Tick();
+  return true;
+}
+
+void PoolAgent::Post(AgentEvent event) {
+  events_.push_back(std::move(event));
+  if (turn_posted_ || exiting_) return;
+  turn_posted_ = true;
+  // Runs after the handlers that are ready now, whose events join this turn.
+  asio::post(loop_, [this] { Turn(); });
+}
+
+void PoolAgent::Turn() {
+  turn_posted_ = false;
+  if (exiting_) return;
+  const Now now = TakeNow();
+  std::vector<AgentEvent> events = std::exchange(events_, {});
+  const milliseconds pause = pause_clock_.Note(now.boot, kTickInterval);
+  if (pause.count() > 0) {
+    // Starts that have waited during the pause may run elsewhere by now.
+    std::erase_if(events, [](const AgentEvent& event) {
+      return std::holds_alternative<EntryMessage>(event);
+    });
+    events.insert(events.begin(), AgentPaused{pause});
+  }
+  const auto effects = Advance(&board_, events, now);
+  for (const AgentEffect& effect : effects) {
+    std::visit([this](const auto& it) { Do(it); }, effect);
+  }
+}
+
+void PoolAgent::Tick() {
+  Post(AgentTick{});
+  tick_.expires_after(kTickInterval);
+  tick_.async_wait([this](const asio::error_code& ec) {
+    if (!ec) Tick();
+  });
+}
+
+void PoolAgent::AwaitSignal() {
+  signals_.async_wait([this](const asio::error_code& ec, int signal) {
+    if (ec) return;
+    if (signal == SIGHUP) {
+      // Addresses are fixed for the life of the process, and nothing else in
+      // the file concerns a running agent.
+      log_.Write("reload", {{"changed", 0}}, false);
+    } else {
+      Post(AgentStopRequested{});
+    }
+    AwaitSignal();
+  });
+}
+
+Now PoolAgent::TakeNow() const { return {BootNow(), WallNow(), 0}; }
+
+void PoolAgent::OnFrame(LinkId link, const std::string& frame) {
+  auto message = DecodeFrame(frame);
+  if (!message) {
+    log_.Write("frame_refused", {{"problem", message.error().message}}, true);
+    return links_.Abort(link);
+  }
+  Post(EntryMessage{link, std::move(message.value())});
+}
+
+HttpResponse PoolAgent::OnMinionRequest(const HttpRequest& request) {
+  const auto call = users_platform::ReadMinionCall(request);
+  if (!call) {
+    HttpResponse unknown;
+    unknown.status = 404;
+    return unknown;
+  }
+  if (call->kind == MinionCallKind::kLeave) {
+    Post(MinionLeft{call->instance});
+    return users_platform::AcceptedReportResponse();
+  }
+  auto report = users_platform::ReadMinionReport(call->instance, request.body);
+  if (!report) {
+    log_.Write(
+        "report_refused",
+        {{"minion", call->instance}, {"problem", report.error().message}},
+        true);
+    return users_platform::MalformedReportResponse(report.error());
+  }
+  if (!node_.service.empty() && report.value().service != node_.service) {
+    log_.Write("report_ignored",
+               {{"minion", call->instance},
+                {"service", report.value().service},
+                {"reason", "another service than this machine's"}},
+               true);
+    return users_platform::AcceptedReportResponse();
+  }
+  Post(MinionReported{std::move(report.value())});
+  return users_platform::AcceptedReportResponse();
+}
+
+void PoolAgent::Do(const SendToEntry& effect) {
+  links_.Send(effect.link, EncodeFrame(effect.message));
+}
+
+void PoolAgent::Do(const DialEntry& effect) {
+  links_.Dial(effect.address,
+              [this, address = effect.address](std::optional<LinkId> link) {
+                Post(EntryDialed{address, link});
+              });
+}
+
+void PoolAgent::Do(const AbortEntryLink& effect) {
+  links_.Abort(effect.link);
+}
+
+void PoolAgent::Do(const CallStart& effect) {
+  minion_.Start(users_platform::HttpCallOf(effect),
+                [this, run = effect.run](const HttpResult& result) {
+                  Post(StartAnswered{run,
+                                     users_platform::ReadCallAnswer(result)});
+                });
+}
+
+void PoolAgent::Do(const CallStop& effect) {
+  minion_.Start(users_platform::HttpCallOf(effect),
+                [this, run = effect.run](const HttpResult& result) {
+                  Post(StopAnswered{run,
+                                    users_platform::ReadCallAnswer(result)});
+                });
+}
+
+void PoolAgent::Do(const CallLook& effect) {
+  minion_.Start(
+      users_platform::HttpCallOf(effect),
+      [this, sequence = effect.sequence](const HttpResult& result) {
+        Post(users_platform::ReadLookAnswer(sequence, result));
+      });
+}
+
+void PoolAgent::Do(const ExitAgent&) {
+  exiting_ = true;
+  log_.Write("stopped", {{"runs", board_.runs.size()}}, false);
+  exit_timer_.expires_after(kExitDelay);
+  exit_timer_.async_wait([this](const asio::error_code&) { loop_.stop(); });
+}
+
+void PoolAgent::Do(const Decision& effect) { LogDecision(&log_, effect); }
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/apps/pool_common/daemon.cpp
@@ -0,0 +1,101 @@
+#include "apps/pool_common/daemon.h"
+
+#include <docopt/docopt.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "core/pool/task.h"
+#include "runtime/command_line.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+// A loop turn that is later than this has followed a pause: other processes
+// have then given up their links to this one or soon will.
+constexpr milliseconds kPauseBound{350};
+
+std::string Usage(const std::string& name, const std::string& summary) {
+  return name + ": " + summary + R"(
+
+Usage:
+  )" + name + R"( [--settings FILE] [--check-settings]
+  )" + name +
+         R"( (--help | --version)
+
+Options:
+  --settings FILE   The platform's settings file; by default the file that the
+                    environment variable DOTTERELTRACK_CONFIG names.
+  --check-settings  Read the settings file, report what is wrong, and exit.
+  --help            Show this text.
+  --version         Show the version.
+)";
+}
+
+std::string SettingsPath(const std::map<std::string, docopt::value>& options) {
+  const auto it = options.find("--settings");
+  if (it != options.end() && it->second.isString()) {
+    return it->second.asString();
+  }
+  const char* path = std::getenv(users_platform::kSettingsVariable);
+  return path == nullptr ? std::string() : path;
+}
+
+int ReportFault(const std::string& path, const std::string& problem) {
+  std::cerr << "settings file '" << path << "': " << problem << "\n";
+  return kExitBadSettings;
+}
+
+}  // namespace
+
+void LogDecision(EventLog* log, const Decision& decision) {
+  nlohmann::json fields = nlohmann::json::object();
+  if (decision.job != 0) fields["job"] = JobText(decision.job);
+  for (const auto& [name, value] : decision.texts) fields[name] = value;
+  for (const auto& [name, value] : decision.figures) fields[name] = value;
+  log->Write(decision.what, std::move(fields),
+             decision.weight != Weight::kBelief);
+}
+
+milliseconds PauseClock::Note(BootTime now, milliseconds interval) {
+  const BootTime last = last_;
+  last_ = now;
+  if (last == BootTime{0} || now - last < interval + kPauseBound) {
+    return milliseconds{0};
+  }
+  return std::chrono::duration_cast<milliseconds>(now - last);
+}
+
+int RunDaemon(const std::string& name, const std::string& summary,
+              const std::string& version, const std::vector<std::string>& args,
+              const std::function<int(const users_platform::NodeSettings&,
+                                      EventLog&)>& run) {
+  std::map<std::string, docopt::value> options;
+  try {
+    options = docopt::docopt_parse(Usage(name, summary), args, true, true);
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << Usage(name, summary);
+    return kExitOk;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::cout << name << " " << version << "\n";
+    return kExitOk;
+  } catch (const std::runtime_error& error) {
+    std::cerr << error.what() << "\n" << Usage(name, summary);
+    return kExitBadUsage;
+  }
+  const std::string path = SettingsPath(options);
+  const auto text = ReadFile(path);
+  if (!text) {
+    return ReportFault(path,
+                       "cannot be read; name it with --settings or in "
+                       "DOTTERELTRACK_CONFIG");
+  }
+  const auto settings = users_platform::ReadNodeSettings(*text);
+  if (!settings) return ReportFault(path, settings.error().message);
+  if (options["--check-settings"].asBool()) return kExitOk;
+  EventLog log(STDOUT_FILENO, settings.value().node);
+  return run(settings.value(), log);
+}
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/apps/pool_common/daemon.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "core/pool/decision.h"
+#include "core/time.h"
+#include "platform/settings.h"
+#include "runtime/log/event_log.h"
+
+namespace dottereltrack::pool {
+
+// Writes a decision to the log. Routine ones count against the budget.
+void LogDecision(EventLog* log, const Decision& decision);
+
+// Notices that the process did not run for a while.
+class PauseClock {
+ public:
+  // Takes note of a turn of the loop, which timers start at least every
+  // `interval`. Returns by how much it came too late, or zero if that is within
+  // the bounds of a busy machine.
+  milliseconds Note(BootTime now, milliseconds interval);
+
+ private:
+  BootTime last_{0};
+};
+
+// Parses the command line, loads the settings and runs the daemon. Returns the
+// exit code.
+int RunDaemon(const std::string& name, const std::string& summary,
+              const std::string& version, const std::vector<std::string>& args,
+              const std::function<int(const users_platform::NodeSettings&,
+                                      EventLog&)>& run);
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/apps/pool_entry/pool_entry.cpp
@@ -0,0 +1,292 @@
+#include "apps/pool_entry/pool_entry.h"
+
+#include <asio/post.hpp>
+#include <csignal>
+#include <utility>
+
+#include "platform/config.h"
+#include "pool_wire/codec.h"
+#include "runtime/clock.h"
+#include "runtime/settings/endpoint_text.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+using users_platform::ClientCall;
+using users_platform::ClientCallKind;
+
+constexpr milliseconds kTickInterval{25};
+
+// A configuration has to be in force 2 s after its write. A watch that has gone
+// silent without a reset is noticed after its wait and the store's timeout.
+constexpr milliseconds kConfigWait{800};
+constexpr milliseconds kConfigRetry{200};
+// Entries change rarely and also learn of each other from agents.
+constexpr milliseconds kEntriesWait{10'000};
+constexpr milliseconds kEntriesRetry{500};
+
+// Waits of clients that do not say how long they wait.
+constexpr milliseconds kDefaultPatience{5'000};
+
+// The last responses and messages leave within this time.
+constexpr milliseconds kExitDelay{100};
+
+HttpLimits ClientLimits() {
+  HttpLimits limits;
+  limits.max_body_bytes = 256U << 10;
+  // Below the 4,100 descriptors of the smallest machine, of which 200 are
+  // reserved.
+  limits.max_connections = 3'500;
+  return limits;
+}
+
+EntryBoard MakeBoard(const users_platform::NodeSettings& node) {
+  EntryBoard board;
+  board.settings.id = RandomId();
+  board.settings.address = node.internal_address;
+  return board;
+}
+
+}  // namespace
+
+PoolEntry::PoolEntry(asio::io_context& loop,
+                     const users_platform::NodeSettings& node, EventLog& log)
+    : loop_(loop),
+      node_(node),
+      log_(log),
+      board_(MakeBoard(node)),
+      links_(loop, LinkLimits{},
+             {[this](LinkId link, const std::string& frame) {
+                OnFrame(link, frame);
+              },
+              [this](LinkId link) { Post(LinkClosed{link}); }}),
+      clients_(loop, ClientLimits(),
+               {[this](const HttpRequest& request, const HttpReplier& reply) {
+                  OnClientRequest(request, reply);
+                },
+                [this](std::uint64_t connection) { OnClientGone(connection); },
+                {}}),
+      readiness_(loop, HttpLimits{},
+                 {[this](const HttpRequest& request, const HttpReplier& reply) {
+                    reply(users_platform::IsReadinessCheck(request)
+                              ? users_platform::ReadinessResponse(
+                                    IsReady(board_))
+                              : users_platform::UnknownCallResponse());
+                  },
+                  {},
+                  {}}),
+      store_(loop, node.store_address),
+      registration_(loop, store_, log, node.internal_address),
+      config_watch_(loop, store_, log,
+                    {users_platform::kConfigKey, kConfigWait, kConfigRetry},
+                    [this](const auto& values) {
+                      const auto it = values.find(users_platform::kConfigKey);
+                      if (it != values.end()) OnConfigText(it->second);
+                    }),
+      entry_watch_(loop, store_, log,
+                   {kEntryPrefix, kEntriesWait, kEntriesRetry},
+                   [this](const auto& values) {
+                     Post(EntriesListed{ReadEntries(values)});
+                   }),
+      tick_(loop),
+      exit_timer_(loop),
+      signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
+
+bool PoolEntry::Start() {
+  if (!Listen()) return false;
+  log_.Write("started",
+             {{"clients", ToText(node_.client_address)},
+              {"internal", ToText(node_.internal_address)},
+              {"data_centre", node_.data_centre},
+              {"seeds", node_.seeds.size()}},
+             false);
+  AwaitSignal();
+  Post(EntriesSuggested{node_.seeds});
+  registration_.Start();
+  config_watch_.Start();
+  entry_watch_.Start();
+  Tick();
+  return true;
+}
+
+bool PoolEntry::Listen() {
+  const bool listens = links_.Listen(node_.internal_address) &&
+                       readiness_.Listen(node_.readiness_address) &&
+                       clients_.Listen(node_.client_address);
+  if (!listens) {
+    log_.Write("start_failed",
+               {{"problem",
+                 "an address cannot be used; check the listen addresses and "
+                 "whether their ports are in use"}},
+               false);
+  }
+  return listens;
+}
+
+void PoolEntry::Post(EntryEvent event) {
+  events_.push_back(std::move(event));
+  if (turn_posted_ || exiting_) return;
+  turn_posted_ = true;
+  // Runs after the handlers that are ready now, whose events join this turn.
+  asio::post(loop_, [this] { Turn(); });
+}
+
+void PoolEntry::Turn() {
+  turn_posted_ = false;
+  if (exiting_) return;
+  const Now now = TakeNow();
+  std::vector<EntryEvent> events = std::exchange(events_, {});
+  const milliseconds pause = pause_clock_.Note(now.boot, kTickInterval);
+  if (pause.count() > 0) events.insert(events.begin(), PauseNoticed{pause});
+  const auto effects = Advance(&board_, events, now);
+  for (const EntryEffect& effect : effects) {
+    std::visit([this](const auto& it) { Do(it); }, effect);
+  }
+}
+
+void PoolEntry::Tick() {
+  Post(EntryTick{});
+  tick_.expires_after(kTickInterval);
+  tick_.async_wait([this](const asio::error_code& ec) {
+    if (!ec) Tick();
+  });
+}
+
+void PoolEntry::AwaitSignal() {
+  signals_.async_wait([this](const asio::error_code& ec, int signal) {
+    if (ec) return;
+    if (signal == SIGHUP) {
+      // Addresses are fixed for the life of the process, and nothing else in
+      // the file concerns a running entry.
+      log_.Write("reload", {{"changed", 0}}, false);
+    } else {
+      registration_.Withdraw();
+      Post(StopRequested{});
+    }
+    AwaitSignal();
+  });
+}
+
+Now PoolEntry::TakeNow() const { return {BootNow(), WallNow(), 0}; }
+
+void PoolEntry::OnFrame(LinkId link, const std::string& frame) {
+  auto message = DecodeFrame(frame);
+  if (!message) {
+    log_.Write("frame_refused", {{"problem", message.error().message}}, true);
+    return links_.Abort(link);
+  }
+  if (const auto* offer = std::get_if<ConfigOffer>(&message.value())) {
+    if (offer->version > board_.config.version) OnConfigText(*offer->text);
+  }
+  Post(MessageReceived{link, std::move(message.value())});
+}
+
+void PoolEntry::OnConfigText(const std::string& text) {
+  auto config = users_platform::ReadConfig(text);
+  if (!config) {
+    log_.Write("config_refused", {{"problem", config.error().message}}, false);
+    return;
+  }
+  Post(ConfigRead{std::move(config.value()), text});
+}
+
+CallId PoolEntry::OpenCallFor(const HttpRequest& request,
+                              const HttpReplier& reply) {
+  const CallId id{next_call_++};
+  calls_.emplace(id, OpenCall{request.connection, reply});
+  return id;
+}
+
+void PoolEntry::OnClientRequest(const HttpRequest& request,
+                                const HttpReplier& reply) {
+  const auto call = users_platform::ReadClientCall(request);
+  if (!call) return reply(users_platform::UnknownCallResponse());
+  switch (call->kind) {
+    case ClientCallKind::kSubmit:
+      return Submit(*call, request, reply);
+    case ClientCallKind::kReadState:
+      return reply(ReadState(*call));
+    case ClientCallKind::kCountPending:
+      return reply(CountPendingJobs(*call));
+    case ClientCallKind::kCancel:
+      return Post(JobCancelled{OpenCallFor(request, reply), call->job});
+  }
+}
+
+void PoolEntry::Submit(const ClientCall& call, const HttpRequest& request,
+                       const HttpReplier& reply) {
+  auto job = users_platform::ReadJob(call.job, request.body);
+  if (!job) {
+    log_.Write("job_malformed",
+               {{"request", call.request_id},
+                {"job", JobText(call.job)},
+                {"problem", job.error().message}},
+               true);
+    return reply(users_platform::MalformedJobResponse(job.error()));
+  }
+  Post(JobSubmitted{OpenCallFor(request, reply), call.host, call.path,
+                    std::move(job.value()),
+                    call.patience.value_or(kDefaultPatience)});
+}
+
+HttpResponse PoolEntry::ReadState(const ClientCall& call) const {
+  const JobRow* job = board_.jobs.Find(call.job);
+  if (job == nullptr) return users_platform::UnknownJobResponse();
+  return users_platform::StateResponse(job->state, job->offered);
+}
+
+HttpResponse PoolEntry::CountPendingJobs(const ClientCall& call) const {
+  if (board_.config.version == 0) {
+    return users_platform::ResponseOf({{}, ReplyKind::kNoConfig, seconds{1}});
+  }
+  const QueueConfig* queue = FindQueue(board_.config, call.host, call.path);
+  if (queue == nullptr) return users_platform::UnknownQueueResponse();
+  return users_platform::PendingResponse(CountPending(board_, queue->name));
+}
+
+void PoolEntry::OnClientGone(std::uint64_t connection) {
+  for (auto it = calls_.begin(); it != calls_.end();) {
+    if (it->second.connection != connection) {
+      ++it;
+      continue;
+    }
+    Post(CallerGone{it->first});
+    it = calls_.erase(it);
+  }
+}
+
+void PoolEntry::Do(const Reply& effect) {
+  const auto it = calls_.find(effect.call);
+  if (it == calls_.end()) return;
+  const HttpReplier reply = std::move(it->second.reply);
+  calls_.erase(it);
+  HttpResponse response = users_platform::ResponseOf(effect);
+  // Sends the client's next call to another entry.
+  response.close = board_.stopping;
+  reply(std::move(response));
+}
+
+void PoolEntry::Do(const SendMessage& effect) {
+  links_.Send(effect.link, EncodeFrame(effect.message));
+}
+
+void PoolEntry::Do(const DialPeer& effect) {
+  links_.Dial(effect.address,
+              [this, address = effect.address](std::optional<LinkId> link) {
+                Post(PeerDialed{address, link});
+              });
+}
+
+void PoolEntry::Do(const AbortLink& effect) { links_.Abort(effect.link); }
+
+void PoolEntry::Do(const Exit&) {
+  exiting_ = true;
+  clients_.StopListening();
+  log_.Write("stopped", {{"open_calls", calls_.size()}}, false);
+  exit_timer_.expires_after(kExitDelay);
+  exit_timer_.async_wait([this](const asio::error_code&) { loop_.stop(); });
+}
+
+void PoolEntry::Do(const Decision& effect) { LogDecision(&log_, effect); }
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/agent/apply.cpp
@@ -0,0 +1,40 @@
+#include "core/pool/agent/changes.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+struct Applier {
+  AgentBoard* board;
+
+  void operator()(const Put<RunRow>& it) const { board->runs.Put(it.row); }
+  void operator()(const Erase<RunRow>& it) const { board->runs.Erase(it.key); }
+  void operator()(const Put<EntryLinkRow>& it) const { board->links.Put(it.row); }
+  void operator()(const Erase<EntryLinkRow>& it) const {
+    board->links.Erase(it.key);
+  }
+  void operator()(const Put<EntryRow>& it) const { board->entries.Put(it.row); }
+  void operator()(const Erase<EntryRow>& it) const {
+    board->entries.Erase(it.key);
+  }
+  void operator()(const SetMinion& it) const { board->minion = it.minion; }
+  void operator()(const SetClock& it) const { board->clock = it.clock; }
+  void operator()(const SetLook& it) const { board->look = it.look; }
+  void operator()(const SetHealth& it) const { board->health = it.health; }
+  void operator()(const SetFencingToken& it) const {
+    board->fencing_token = it.token;
+  }
+  void operator()(const SetAgentStopping& it) const {
+    board->stopping = true;
+    board->stopping_since = it.since;
+  }
+};
+
+}  // namespace
+
+void Apply(AgentBoard* board, const AgentChanges& changes) {
+  for (const AgentRowChange& change : changes.rows) {
+    std::visit(Applier{board}, change);
+  }
+}
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/agent/capacity.cpp
@@ -0,0 +1,31 @@
+#include "core/pool/agent/capacity.h"
+
+#include <algorithm>
+
+namespace dottereltrack::pool {
+
+Resources FreeRoom(const AgentBoard& board) {
+  if (!board.minion) return {};
+  Resources free = board.minion->capacity;
+  for (const auto& [key, run] : board.runs) free -= run.needs;
+  return free;
+}
+
+bool IsAccepting(const AgentBoard& board, const Now& now) {
+  if (!board.minion || board.minion->draining || board.stopping) return false;
+  if (!board.look.inventoried || board.look.failures > 0) return false;
+  const MinionHealth& health = board.health;
+  if (now.boot < health.suspended_until) return false;
+  if (health.on_trial && !board.runs.empty()) return false;
+  // A run that was found on the minion has unknown needs.
+  return std::none_of(board.runs.begin(), board.runs.end(),
+                      [](const auto& it) { return it.second.entry == 0; });
+}
+
+std::uint64_t MinionClock(const AgentBoard& board, const Now& now) {
+  const auto elapsed = std::chrono::duration_cast<milliseconds>(
+      now.boot - board.clock.at);
+  return board.clock.minion_ms + elapsed.count();
+}
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/agent/changes.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <optional>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/pool/agent/board.h"
+#include "core/pool/decision.h"
+
+namespace dottereltrack::pool {
+
+struct SetMinion {
+  std::optional<MinionReport> minion;
+};
+struct SetClock {
+  ClockReading clock;
+};
+struct SetLook {
+  LookState look;
+};
+struct SetHealth {
+  MinionHealth health;
+};
+struct SetFencingToken {
+  std::uint64_t token = 0;
+};
+struct SetAgentStopping {
+  BootTime since{0};
+};
+
+using AgentRowChange =
+    std::variant<Put<RunRow>, Erase<RunRow>, Put<EntryLinkRow>, Erase<EntryLinkRow>,
+                 Put<EntryRow>, Erase<EntryRow>, SetMinion, SetClock, SetLook,
+                 SetHealth, SetFencingToken, SetAgentStopping>;
+
+struct SendToEntry {
+  LinkId link;
+  Message message;
+};
+struct DialEntry {
+  Endpoint address;
+};
+// Ends a link at once; what waits on it is discarded.
+struct AbortEntryLink {
+  LinkId link;
+};
+
+// Calls on the minion. All name the instance that they are for.
+struct CallStart {
+  MinionReport minion;
+  RunKey run;
+  Bytes payload;
+  // On the minion's clock.
+  std::uint64_t lease_ends_ms = 0;
+  std::uint64_t fencing_token = 0;
+  milliseconds timeout{0};
+};
+struct CallStop {
+  MinionReport minion;
+  RunKey run;
+  std::uint64_t fencing_token = 0;
+  milliseconds timeout{0};
+};
+struct CallLook {
+  MinionReport minion;
+  std::uint64_t sequence = 0;
+  // On the minion's clock; absent if the lease is not to be renewed.
+  std::optional<std::uint64_t> lease_ends_ms;
+  std::uint64_t last_end = 0;
+  milliseconds wait{0};
+  std::uint64_t fencing_token = 0;
+  milliseconds timeout{0};
+};
+struct ExitAgent {};
+
+using AgentEffect =
+    std::variant<SendToEntry, DialEntry, AbortEntryLink, CallStart, CallStop,
+                 CallLook, ExitAgent, Decision>;
+
+// What a controller of the agent wants changed and sent.
+struct AgentChanges {
+  std::vector<AgentRowChange> rows;
+  std::vector<AgentEffect> effects;
+
+  template <typename Change>
+  void Add(Change change) {
+    if constexpr (std::is_constructible_v<AgentRowChange, Change>) {
+      rows.emplace_back(std::move(change));
+    } else {
+      effects.emplace_back(std::move(change));
+    }
+  }
+};
+
+// Applies the row changes in order.
+void Apply(AgentBoard* board, const AgentChanges& changes);
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/agent/links.cpp
@@ -0,0 +1,230 @@
+#include "core/pool/agent/links.h"
+
+#include <algorithm>
+
+#include "core/pool/agent/capacity.h"
+#include "core/pool/agent/runs.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+// As for entries: an address that the store does not list is dialed for this
+// long after it was last heard of.
+constexpr milliseconds kForgetEntryAfter{60'000};
+
+AgentHello HelloOf(const AgentBoard& board) {
+  AgentHello hello;
+  hello.agent = board.settings.id;
+  if (!board.minion) return hello;
+  const MinionReport& minion = *board.minion;
+  hello.minion = minion.id;
+  hello.service = minion.service;
+  hello.data_centre = minion.data_centre;
+  hello.rack = minion.rack;
+  hello.capacity = minion.capacity;
+  return hello;
+}
+
+bool IsSettled(const AgentBoard& board, const EntryLinkRow& link) {
+  if (!board.look.inventoried) return false;
+  return std::none_of(
+      board.runs.begin(), board.runs.end(), [&](const auto& it) {
+        const RunRow& run = it.second;
+        const bool is_earlier = run.entry == link.entry && run.link != link.id;
+        return is_earlier || run.entry == 0;
+      });
+}
+
+LoadReport ReportFor(const AgentBoard& board, const EntryLinkRow& link,
+                     const Now& now) {
+  return {link.handled_starts, FreeRoom(board), IsAccepting(board, now),
+          IsSettled(board, link), board.health.log_slowness};
+}
+
+}  // namespace
+
+AgentChanges AddEntries(const AgentBoard& board,
+                        const std::vector<Endpoint>& entries, bool from_store,
+                        const Now& now) {
+  AgentChanges changes;
+  for (const Endpoint& address : entries) {
+    const EntryRow* known = board.entries.Find(address);
+    if (known != nullptr && !from_store) continue;
+    EntryRow row = known == nullptr ? EntryRow{} : *known;
+    row.address = address;
+    row.registered = from_store;
+    row.seen_at = now.boot;
+    changes.Add(Put<EntryRow>{row});
+  }
+  if (!from_store) return changes;
+  for (const auto& [address, entry] : board.entries) {
+    const bool is_listed =
+        std::find(entries.begin(), entries.end(), address) != entries.end();
+    if (is_listed || !entry.registered) continue;
+    EntryRow row = entry;
+    row.registered = false;
+    changes.Add(Put<EntryRow>{row});
+  }
+  return changes;
+}
+
+AgentChanges DialEntries(const AgentBoard& board, const Now& now) {
+  AgentChanges changes;
+  for (const auto& [address, entry] : board.entries) {
+    if (entry.link || entry.dialing || now.boot < entry.next_dial_at) continue;
+    if (!entry.registered && now.boot - entry.seen_at > kForgetEntryAfter) {
+      changes.Add(Erase<EntryRow>{address});
+      continue;
+    }
+    EntryRow row = entry;
+    row.dialing = true;
+    changes.Add(Put<EntryRow>{row});
+    changes.Add(DialEntry{address});
+  }
+  return changes;
+}
+
+AgentChanges HandleEntryDialed(const AgentBoard& board, const EntryDialed& e,
+                               const Now& now) {
+  AgentChanges changes;
+  const EntryRow* known = board.entries.Find(e.address);
+  if (known == nullptr) {
+    if (e.link) changes.Add(AbortEntryLink{*e.link});
+    return changes;
+  }
+  EntryRow entry = *known;
+  entry.dialing = false;
+  entry.link = e.link;
+  entry.next_dial_at = now.boot + board.settings.dial_retry;
+  if (e.link) {
+    entry.seen_at = now.boot;
+    EntryLinkRow link;
+    link.id = *e.link;
+    link.address = e.address;
+    link.heard_at = now.boot;
+    link.sent_at = now.boot;
+    changes.Add(Put<EntryLinkRow>{link});
+    changes.Add(SendToEntry{*e.link, HelloOf(board)});
+  }
+  changes.Add(Put<EntryRow>{entry});
+  return changes;
+}
+
+AgentChanges HandleEntryLinkClosed(const AgentBoard& board, LinkId link,
+                                   const Now& now) {
+  AgentChanges changes = StopRunsOf(board, link, now);
+  const EntryLinkRow* known = board.links.Find(link);
+  if (known == nullptr) return changes;
+  changes.Add(Erase<EntryLinkRow>{link});
+  if (const EntryRow* entry = board.entries.Find(known->address)) {
+    EntryRow row = *entry;
+    row.link.reset();
+    row.next_dial_at = now.boot + board.settings.dial_retry;
+    changes.Add(Put<EntryRow>{row});
+  }
+  changes.Add(Decision{Weight::kBelief,
+                       "entry_lost",
+                       0,
+                       {{"address", known->address.host}},
+                       {{"heard_ms_ago",
+                         std::chrono::duration_cast<milliseconds>(
+                             now.boot - known->heard_at)
+                             .count()}}});
+  return changes;
+}
+
+AgentChanges HandleEntryHello(const AgentBoard& board, LinkId link,
+                              const EntryHello& message, const Now& now) {
+  AgentChanges changes = AddEntries(board, message.known_entries, false, now);
+  const EntryLinkRow* known = board.links.Find(link);
+  if (known == nullptr) return changes;
+  EntryLinkRow row = *known;
+  row.entry = message.entry;
+  row.report_due = true;
+  changes.Add(Put<EntryLinkRow>{row});
+  changes.Add(Decision{Weight::kBelief,
+                       "entry_known",
+                       0,
+                       {{"address", known->address.host}},
+                       {}});
+  return changes;
+}
+
+AgentChanges NoteEntryMessage(const AgentBoard& board, LinkId link,
+                              const Now& now) {
+  AgentChanges changes;
+  const EntryLinkRow* known = board.links.Find(link);
+  if (known == nullptr) return changes;
+  EntryLinkRow row = *known;
+  row.heard_at = now.boot;
+  changes.Add(Put<EntryLinkRow>{row});
+  return changes;
+}
+
+AgentChanges AbortSilentEntries(const AgentBoard& board, const Now& now) {
+  AgentChanges changes;
+  for (const auto& [id, link] : board.links) {
+    if (now.boot - link.heard_at < board.settings.link_timeout) continue;
+    changes.Add(AbortEntryLink{id});
+  }
+  return changes;
+}
+
+AgentChanges AbortAllEntries(const AgentBoard& board, milliseconds pause) {
+  AgentChanges changes;
+  for (const auto& [id, link] : board.links) changes.Add(AbortEntryLink{id});
+  changes.Add(Decision{
+      Weight::kBelief, "paused", 0, {}, {{"pause_ms", pause.count()}}});
+  return changes;
+}
+
+AgentChanges PingIdleEntries(const AgentBoard& board, const Now& now) {
+  AgentChanges changes;
+  for (const auto& [id, link] : board.links) {
+    if (now.boot - link.sent_at < board.settings.ping_interval) continue;
+    EntryLinkRow row = link;
+    row.sent_at = now.boot;
+    changes.Add(Put<EntryLinkRow>{row});
+    changes.Add(SendToEntry{id, Ping{}});
+  }
+  return changes;
+}
+
+AgentChanges AnnounceMinion(const AgentBoard& board,
+                            const std::optional<MinionReport>& before) {
+  AgentChanges changes;
+  const bool is_known = before && board.minion &&
+                        before->id == board.minion->id &&
+                        before->capacity == board.minion->capacity;
+  if (!board.minion || is_known) return changes;
+  for (const auto& [id, link] : board.links) {
+    EntryLinkRow row = link;
+    row.reported.reset();
+    changes.Add(Put<EntryLinkRow>{row});
+    changes.Add(SendToEntry{id, HelloOf(board)});
+  }
+  return changes;
+}
+
+AgentChanges ReportLoad(const AgentBoard& board, const Now& now) {
+  AgentChanges changes;
+  for (const auto& [id, link] : board.links) {
+    if (link.entry == 0) continue;
+    const bool is_due =
+        link.report_due ||
+        now.boot - link.reported_at >= board.settings.report_interval;
+    if (!is_due) continue;
+    const LoadReport report = ReportFor(board, link, now);
+    if (report == link.reported && !link.report_due) continue;
+    EntryLinkRow row = link;
+    row.reported = report;
+    row.report_due = false;
+    row.reported_at = now.boot;
+    row.sent_at = now.boot;
+    changes.Add(Put<EntryLinkRow>{row});
+    changes.Add(SendToEntry{id, report});
+  }
+  return changes;
+}
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/agent/looks.cpp
@@ -0,0 +1,299 @@
+#include "core/pool/agent/looks.h"
+
+#include <algorithm>
+#include <map>
+
+#include "core/pool/agent/capacity.h"
+#include "core/pool/agent/runs.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+void Add(AgentChanges* to, AgentChanges from) {
+  for (auto& row : from.rows) to->rows.push_back(std::move(row));
+  for (auto& effect : from.effects) to->effects.push_back(std::move(effect));
+}
+
+bool IsSameInstance(const MinionReport& a, const MinionReport& b) {
+  return a.id == b.id && a.started_ms == b.started_ms;
+}
+
+Decision MinionDecision(const MinionReport& minion, std::string what) {
+  return {Weight::kBelief,
+          std::move(what),
+          0,
+          {{"minion", minion.id}, {"service", minion.service}},
+          {{"cpu_millis", minion.capacity.cpu_millis},
+           {"draining", minion.draining ? 1 : 0},
+           {"started_ms", static_cast<std::int64_t>(minion.started_ms)}}};
+}
+
+// An instance that has restarted under its id accepts calls meant for the former
+// one, so it may hold some of the runs; the next look decides.
+AgentChanges AdoptRestarted(const AgentBoard& board, const MinionReport& report,
+                            const Now& now) {
+  AgentChanges changes;
+  for (const auto& [key, run] : board.runs) {
+    if (run.phase != RunPhase::kRunning) continue;
+    RunRow row = run;
+    row.phase = RunPhase::kUnconfirmed;
+    row.phase_since = now.boot;
+    changes.Add(Put<RunRow>{row});
+  }
+  LookState look = board.look;
+  ++look.sequence;
+  look.in_flight = false;
+  look.last_end = 0;
+  look.next_at = now.boot;
+  look.inventoried = false;
+  changes.Add(SetLook{look});
+  changes.Add(SetMinion{report});
+  changes.Add(SetClock{{report.clock_ms, now.boot}});
+  changes.Add(SetHealth{});
+  changes.Add(MinionDecision(report, "minion_restarted"));
+  return changes;
+}
+
+AgentChanges AdoptInstance(const AgentBoard& board, const MinionReport& report,
+                           const Now& now) {
+  AgentChanges changes =
+      LoseAllRuns(board, "another instance of the minion has started", now);
+  LookState look;
+  // Answers to looks at the former instance are recognised by their number.
+  look.sequence = board.look.sequence + 1;
+  look.lease_ends_at = board.look.lease_ends_at;
+  changes.Add(SetMinion{report});
+  changes.Add(SetClock{{report.clock_ms, now.boot}});
+  changes.Add(SetLook{look});
+  changes.Add(SetHealth{});
+  changes.Add(MinionDecision(report, "minion_known"));
+  return changes;
+}
+
+// Stops runs that an earlier run of this process has left on the minion.
+void StopFoundRuns(const AgentBoard& board, const LookAnswered& e,
+                   const Now& now, AgentChanges* changes) {
+  for (const ListedRun& listed : e.running) {
+    if (board.runs.Contains(listed.run)) continue;
+    RunRow found;
+    found.key = listed.run;
+    found.phase = RunPhase::kStopping;
+    found.started_at = now.boot;
+    found.next_stop_at = now.boot;
+    changes->Add(Put<RunRow>{found});
+    changes->Add(Decision{Weight::kFailure,
+                          "run_found",
+                          listed.run.task.job,
+                          {{"task", ToText(listed.run.task)}},
+                          {}});
+  }
+}
+
+void NoteRunning(const RunRow& run, int percent, const Now& now,
+                 AgentChanges* changes) {
+  RunRow row = run;
+  if (run.phase == RunPhase::kStarting ||
+      run.phase == RunPhase::kUnconfirmed) {
+    row.phase = RunPhase::kRunning;
+    row.phase_since = now.boot;
+    row.progress_at = now.boot;
+  }
+  if (percent > run.percent) {
+    row.percent = percent;
+    row.progress_at = now.boot;
+  }
+  if (row != run) changes->Add(Put<RunRow>{row});
+}
+
+// A run that the minion does not list.
+void NoteAbsent(const AgentBoard& board, const RunRow& run, const Now& now,
+                MinionHealth* health, AgentChanges* changes) {
+  const BootTime sent_at = board.look.sent_at;
+  switch (run.phase) {
+    case RunPhase::kStarting:
+      return;
+    case RunPhase::kUnconfirmed: {
+      // The start may still arrive; after a stop the minion refuses it.
+      if (run.phase_since > sent_at) return;
+      RunRow row = run;
+      row.phase = RunPhase::kStopping;
+      row.stop_reason = RunEnd::kLost;
+      row.next_stop_at = now.boot;
+      changes->Add(Put<RunRow>{row});
+      return;
+    }
+    case RunPhase::kRunning:
+      // Its start may have been answered after the minion made this list.
+      if (run.phase_since >= sent_at) return;
+      Add(changes, EndRun(board, run, RunEnd::kLost,
+                          "the minion does not list it", now, health));
+      return;
+    case RunPhase::kStopping:
+      if (!run.stop_answered_at ||
+          sent_at < *run.stop_answered_at + board.settings.stop_bound) {
+        return;
+      }
+      Add(changes, EndRun(board, run, run.stop_reason,
+                          "the minion has accepted the stop", now, health));
+      return;
+  }
+}
+
+RunEnd EndOf(const RunRow& run, RunEnd listed) {
+  const bool is_stop = run.phase == RunPhase::kStopping &&
+                       (listed == RunEnd::kStopped || listed == RunEnd::kLost);
+  return is_stop ? run.stop_reason : listed;
+}
+
+void ReadLists(const AgentBoard& board, const LookAnswered& e, const Now& now,
+               AgentChanges* changes) {
+  std::map<RunKey, int> running;
+  for (const ListedRun& it : e.running) running[it.run] = it.percent;
+  std::map<RunKey, RunEnd> ended;
+  for (const ListedEnd& it : e.ended) ended[it.run] = it.end;
+  MinionHealth health = board.health;
+  for (const auto& [key, run] : board.runs) {
+    if (const auto end = ended.find(key); end != ended.end()) {
+      Add(changes, EndRun(board, run, EndOf(run, end->second),
+                          "the minion lists its end", now, &health));
+    } else if (const auto it = running.find(key); it != running.end()) {
+      NoteRunning(run, it->second, now, changes);
+    } else {
+      NoteAbsent(board, run, now, &health, changes);
+    }
+  }
+  changes->Add(SetHealth{health});
+}
+
+AgentChanges NoteFailedLook(const AgentBoard& board, const LookAnswered& e,
+                            const Now& now) {
+  AgentChanges changes;
+  LookState look = board.look;
+  look.in_flight = false;
+  ++look.failures;
+  look.next_at = look.failures == 1
+                     ? now.boot
+                     : now.boot + board.settings.probe_interval;
+  changes.Add(SetLook{look});
+  if (e.answer == CallAnswer::kFenced) {
+    const auto wall = static_cast<std::uint64_t>(now.wall.count());
+    changes.Add(SetFencingToken{std::max(board.fencing_token + 1, wall)});
+  }
+  if (look.failures == 2) {
+    changes.Add(Decision{Weight::kBelief,
+                         "minion_unreachable",
+                         0,
+                         {{"minion", board.minion->id}},
+                         {{"answer", static_cast<int>(e.answer)}}});
+  }
+  return changes;
+}
+
+}  // namespace
+
+AgentChanges HandleMinionReport(const AgentBoard& board,
+                                const MinionReport& report, const Now& now) {
+  if (!board.minion) return AdoptInstance(board, report, now);
+  const MinionReport& known = *board.minion;
+  if (!IsSameInstance(known, report)) {
+    // A delayed report of an instance that has been replaced.
+    if (report.started_ms < known.started_ms) return {};
+    return report.id == known.id ? AdoptRestarted(board, report, now)
+                                 : AdoptInstance(board, report, now);
+  }
+  AgentChanges changes;
+  if (report.sequence <= known.sequence) return changes;
+  changes.Add(SetMinion{report});
+  if (report.draining != known.draining) {
+    changes.Add(MinionDecision(report, "minion_state_changed"));
+  }
+  return changes;
+}
+
+AgentChanges HandleMinionLeft(const AgentBoard& board, const MinionLeft& e,
+                              const Now& now) {
+  if (!board.minion || board.minion->id != e.id) return {};
+  AgentChanges changes = LoseAllRuns(board, "the minion has left", now);
+  MinionReport left = *board.minion;
+  // Kept, so that a delayed report does not bring the instance back.
+  left.draining = true;
+  changes.Add(SetMinion{left});
+  changes.Add(MinionDecision(left, "minion_left"));
+  return changes;
+}
+
+AgentChanges LookAtMinion(const AgentBoard& board, const Now& now) {
+  AgentChanges changes;
+  const LookState& known = board.look;
+  if (!board.minion || known.in_flight) return changes;
+  const bool has_runs = !board.runs.empty();
+  const bool is_left = board.minion->draining && !has_runs;
+  const bool has_reason = has_runs || !known.inventoried || known.failures > 0;
+  if (!has_reason || is_left || now.boot < known.next_at) return changes;
+  LookState look = known;
+  ++look.sequence;
+  look.in_flight = true;
+  look.sent_at = now.boot;
+  const AgentSettings& settings = board.settings;
+  const bool is_probe = look.failures > 0 || !look.inventoried;
+  CallLook call{*board.minion,
+                look.sequence,
+                {},
+                look.last_end,
+                is_probe ? milliseconds{0} : settings.look_wait,
+                board.fencing_token,
+                {}};
+  call.timeout = call.wait + settings.look_slack;
+  // A minion that does not answer is not kept from killing its runs, so that
+  // they are certainly dead at a known time.
+  if (has_runs && !is_probe) {
+    call.lease_ends_ms = MinionClock(board, now) + settings.lease.count();
+    look.lease_ends_at = now.boot + settings.lease_bound;
+  }
+  changes.Add(SetLook{look});
+  changes.Add(std::move(call));
+  return changes;
+}
+
+AgentChanges HandleLookAnswered(const AgentBoard& board, const LookAnswered& e,
+                                const Now& now) {
+  if (!board.look.in_flight || e.sequence != board.look.sequence) return {};
+  if (e.answer != CallAnswer::kAccepted) return NoteFailedLook(board, e, now);
+  if (e.started_ms > board.minion->started_ms) {
+    MinionReport restarted = *board.minion;
+    restarted.started_ms = e.started_ms;
+    restarted.sequence = 0;
+    restarted.clock_ms = e.clock_ms;
+    return AdoptRestarted(board, restarted, now);
+  }
+  AgentChanges changes;
+  const bool was_unreachable = board.look.failures > 1;
+  ReadLists(board, e, now, &changes);
+  StopFoundRuns(board, e, now, &changes);
+  LookState look = board.look;
+  look.in_flight = false;
+  look.failures = 0;
+  look.next_at = now.boot;
+  look.inventoried = true;
+  for (const ListedEnd& it : e.ended) {
+    look.last_end = std::max(look.last_end, it.number);
+  }
+  changes.Add(SetLook{look});
+  changes.Add(SetClock{{e.clock_ms, now.boot}});
+  if (was_unreachable) {
+    changes.Add(MinionDecision(*board.minion, "minion_reachable"));
+  }
+  return changes;
+}
+
+AgentChanges EndLapsedRuns(const AgentBoard& board, const Now& now) {
+  if (board.runs.empty() || board.look.failures == 0 ||
+      now.boot < board.look.lease_ends_at) {
+    return {};
+  }
+  // A start without an answer carries its own lease, so it has lapsed, too.
+  return LoseAllRuns(board, "no answer of the minion until the lease lapsed",
+                     now);
+}
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/entry/advance.cpp
@@ -0,0 +1,179 @@
+#include "core/pool/entry/advance.h"
+
+#include <algorithm>
+
+#include "core/pool/entry/links.h"
+#include "core/pool/entry/outcomes.h"
+#include "core/pool/entry/placement.h"
+#include "core/pool/entry/submission.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+// Applies the changes of one controller after the other and collects their
+// effects, so that each controller reads the board that the former left.
+class Stepper {
+ public:
+  Stepper(EntryBoard* board, const Now& now) : board_(board), now_(now) {}
+
+  void Handle(const EntryEvent& event) {
+    std::visit([this](const auto& e) { On(e); }, event);
+  }
+
+  void Settle() {
+    Run(PlaceTasks(*board_, now_));
+    Run(DialPeers(*board_, now_));
+    Run(OfferConfig(*board_));
+  }
+
+  std::vector<EntryEffect> TakeEffects() { return std::move(effects_); }
+
+ private:
+  void Run(EntryChanges changes) {
+    Apply(board_, changes);
+    for (EntryEffect& effect : changes.effects) {
+      effects_.push_back(std::move(effect));
+    }
+  }
+
+  void On(const JobSubmitted& e) { Run(HandleSubmission(*board_, e, now_)); }
+  void On(const CallerGone& e) {
+    Run(HandleCallerGone(*board_, e.call, now_));
+  }
+  void On(const JobCancelled& e) { Run(HandleCancel(*board_, e, now_)); }
+  void On(const LinkOpened& e) { Run(NoteMessage(*board_, e.link, now_)); }
+  void On(const LinkClosed& e) {
+    Run(HandleLinkClosed(*board_, e.link, now_));
+  }
+  void On(const MessageReceived& e) {
+    Run(NoteMessage(*board_, e.link, now_));
+    std::visit([&](const auto& message) { OnMessage(e.link, message); },
+               e.message);
+  }
+  void On(const PeerDialed& e) { Run(HandlePeerDialed(*board_, e, now_)); }
+  void On(const ConfigRead& e) {
+    if (e.config.version <= board_->config.version) return;
+    EntryChanges changes;
+    changes.Add(SetConfig{e.config, e.text});
+    changes.Add(Decision{
+        Weight::kBelief,
+        "config_adopted",
+        0,
+        {},
+        {{"version", static_cast<std::int64_t>(e.config.version)},
+         {"former_version", static_cast<std::int64_t>(board_->config.version)},
+         {"queues", static_cast<std::int64_t>(e.config.queues.size())}}});
+    Run(std::move(changes));
+  }
+  void On(const EntriesListed& e) {
+    Run(AddPeers(*board_, e.entries, true, now_));
+  }
+  void On(const EntriesSuggested& e) {
+    Run(AddPeers(*board_, e.entries, false, now_));
+  }
+  void On(const EntryTick&) {
+    Run(AbortSilentLinks(*board_, now_));
+    Run(CheckJobTimes(*board_, now_));
+    Run(PingIdleLinks(*board_, now_));
+    ExitWhenIdle();
+  }
+  void On(const StopRequested&) {
+    if (board_->stopping) return;
+    EntryChanges changes;
+    changes.Add(SetStopping{now_.boot});
+    changes.Add(
+        Decision{Weight::kBelief,
+                 "stop_requested",
+                 0,
+                 {},
+                 {{"jobs", static_cast<std::int64_t>(CountActive())}}});
+    Run(std::move(changes));
+  }
+  void On(const PauseNoticed& e) { Run(AbortAllLinks(*board_, e.length)); }
+
+  void OnMessage(LinkId link, const AgentHello& message) {
+    Run(HandleAgentHello(*board_, link, message, now_));
+  }
+  void OnMessage(LinkId link, const LoadReport& message) {
+    Run(HandleLoadReport(*board_, link, message, now_));
+  }
+  void OnMessage(LinkId link, const RunEnded& message) {
+    Run(HandleRunEnded(*board_, link, message, now_));
+  }
+  void OnMessage(LinkId link, const StartRefused& message) {
+    Run(HandleStartRefused(*board_, link, message, now_));
+  }
+  void OnMessage(LinkId, const EntryHello& message) {
+    Run(AddPeers(*board_, message.known_entries, false, now_));
+  }
+  void OnMessage(LinkId, const KnownEntries& message) {
+    Run(AddPeers(*board_, message.entries, false, now_));
+  }
+  // The front end decodes the text and posts ConfigRead.
+  void OnMessage(LinkId, const ConfigOffer&) {}
+  void OnMessage(LinkId, const Ping&) {}
+  // Sent to agents only.
+  void OnMessage(LinkId, const StartRun&) {}
+  void OnMessage(LinkId, const StopRun&) {}
+
+  std::size_t CountActive() const {
+    return std::count_if(
+        board_->jobs.begin(), board_->jobs.end(),
+        [](const auto& it) { return it.second.state == JobState::kActive; });
+  }
+
+  void ExitWhenIdle() {
+    if (!board_->stopping) return;
+    const EntrySettings& settings = board_->settings;
+    const BootTime age = now_.boot - board_->stopping_since;
+    const bool is_idle = CountActive() == 0;
+    if (age < settings.stop_max && !(is_idle && age >= settings.stop_min)) {
+      return;
+    }
+    EntryChanges changes;
+    for (const auto& [id, job] : board_->jobs) {
+      if (job.state != JobState::kActive) continue;
+      EntryChanges given_up =
+          GiveUp(*board_, job,
+                 job.offered ? ReplyKind::kGivenUp : ReplyKind::kStopping,
+                 "this process ends", now_);
+      for (auto& effect : given_up.effects) {
+        changes.effects.push_back(std::move(effect));
+      }
+    }
+    changes.Add(Exit{});
+    Run(std::move(changes));
+  }
+
+  EntryBoard* board_;
+  Now now_;
+  std::vector<EntryEffect> effects_;
+};
+
+}  // namespace
+
+std::vector<EntryEffect> Advance(EntryBoard* board,
+                                 const std::vector<EntryEvent>& events,
+                                 const Now& now) {
+  Stepper stepper(board, now);
+  for (const EntryEvent& event : events) stepper.Handle(event);
+  stepper.Settle();
+  return stepper.TakeEffects();
+}
+
+bool IsReady(const EntryBoard& board) {
+  if (board.stopping || board.config.version == 0) return false;
+  return std::any_of(board.agents.begin(), board.agents.end(),
+                     [](const auto& it) { return it.second.load.accepting; });
+}
+
+std::size_t CountPending(const EntryBoard& board, const std::string& queue) {
+  return std::count_if(
+      board.jobs.begin(), board.jobs.end(), [&](const auto& it) {
+        const JobRow& job = it.second;
+        return job.state == JobState::kActive && !job.offered &&
+               job.queue == queue;
+      });
+}
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/entry/board.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/cell.h"
+#include "core/ids.h"
+#include "core/pool/config.h"
+#include "core/pool/entry/settings.h"
+#include "core/pool/messages.h"
+#include "core/pool/task.h"
+#include "core/table.h"
+
+namespace dottereltrack::pool {
+
+// Identifies a call of a client that waits for its reply.
+struct CallId {
+  std::uint64_t value = 0;
+  friend auto operator<=>(const CallId&, const CallId&) = default;
+};
+
+enum class JobState {
+  kActive,
+  kCompleted,
+  kFailed,
+  // Ended without an outcome; a repeated submission runs it again.
+  kAbandoned,
+};
+
+struct JobRow {
+  std::uint64_t id = 0;
+  Bytes payload;
+  std::string queue;
+  std::string service;
+  int priority = 0;
+  int max_attempts = 1;
+  JobState state = JobState::kActive;
+  // Calls to be answered when the job ends.
+  std::vector<CallId> waiters;
+  BootTime arrived_at{0};
+  // When its response-time objective ends, and when its callers stop waiting.
+  BootTime goal_at{0};
+  BootTime deadline_at{0};
+  std::uint32_t open_tasks = 0;
+  // A start has left this process, so the job may have begun.
+  bool offered = false;
+  BootTime ended_at{0};
+
+  std::uint64_t Key() const { return id; }
+  friend bool operator==(const JobRow&, const JobRow&) = default;
+};
+
+enum class TaskState {
+  kWaiting,
+  // Sent to an agent.
+  kPlaced,
+  // A stop has been sent; the end is awaited.
+  kStopping,
+  // The link to the agent is gone; the run may live until `dead_at`.
+  kLost,
+  kDone,
+};
+
+struct TaskRow {
+  TaskKey key;
+  Resources needs;
+  milliseconds estimate{0};
+  TaskState state = TaskState::kWaiting;
+  // Number of the last start; 0 before the first.
+  std::uint64_t run_number = 0;
+  LinkId link;
+  // Minion of the last start.
+  std::string minion;
+  BootTime placed_at{0};
+  BootTime dead_at{0};
+  int failures = 0;
+  // Minions on which a run has failed or stalled.
+  std::vector<std::string> failed_on;
+
+  const TaskKey& Key() const { return key; }
+  friend bool operator==(const TaskRow&, const TaskRow&) = default;
+};
+
+// A start that the agent's last load report does not cover yet.
+struct UnreportedStart {
+  std::uint64_t sequence = 0;
+  Resources needs;
+  friend bool operator==(const UnreportedStart&,
+                         const UnreportedStart&) = default;
+};
+
+// An agent as its link shows it.
+struct AgentRow {
+  LinkId link;
+  AgentHello hello;
+  LoadReport load;
+  // Room by the last report less the starts that it does not cover.
+  Resources free;
+  std::vector<UnreportedStart> unreported;
+  std::uint64_t starts_sent = 0;
+
+  const LinkId& Key() const { return link; }
+  friend bool operator==(const AgentRow&, const AgentRow&) = default;
+};
+
+// Any link of this entry.
+struct LinkRow {
+  LinkId id;
+  // Set on links that this entry has dialed to another entry.
+  std::optional<Endpoint> dialed;
+  BootTime heard_at{0};
+  BootTime sent_at{0};
+  std::uint64_t config_sent = 0;
+
+  const LinkId& Key() const { return id; }
+  friend bool operator==(const LinkRow&, const LinkRow&) = default;
+};
+
+// Another entry, by its address.
+struct PeerRow {
+  Endpoint address;
+  // Registered in the store at the last complete reading.
+  bool registered = false;
+  bool dialing = false;
+  std::optional<LinkId> link;
+  BootTime next_dial_at{0};
+  // Dropped when it is neither registered nor reachable for a while.
+  BootTime seen_at{0};
+
+  const Endpoint& Key() const { return address; }
+  friend bool operator==(const PeerRow&, const PeerRow&) = default;
+};
+
+// The whole state of an entry. Only `Apply` alters it.
+struct EntryBoard {
+  EntrySettings settings;
+  PoolConfig config;
+  Bytes config_text;
+  Table<JobRow> jobs;
+  Table<TaskRow> tasks;
+  Table<AgentRow> agents;
+  Table<LinkRow> links;
+  Table<PeerRow> peers;
+  bool stopping = false;
+  BootTime stopping_since{0};
+};
+
+// First and last task of a job, as a range of the table.
+inline auto TasksOf(const EntryBoard& board, std::uint64_t job) {
+  return std::pair(board.tasks.LowerBound({job, 0, 0}),
+                   board.tasks.LowerBound({job + 1, 0, 0}));
+}
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/entry/events.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/pool/entry/board.h"
+
+namespace dottereltrack::pool {
+
+// A client hands in a job. The host and the path select its queue.
+struct JobSubmitted {
+  CallId call;
+  std::string host;
+  std::string path;
+  JobSpec job;
+  // How long the client waits.
+  milliseconds patience{0};
+};
+// The client of a call has closed its connection.
+struct CallerGone {
+  CallId call;
+};
+struct JobCancelled {
+  CallId call;
+  std::uint64_t job = 0;
+};
+struct LinkOpened {
+  LinkId link;
+};
+struct LinkClosed {
+  LinkId link;
+};
+struct MessageReceived {
+  LinkId link;
+  Message message;
+};
+struct PeerDialed {
+  Endpoint address;
+  // Empty if the dial has failed.
+  std::optional<LinkId> link;
+};
+// A configuration from the store or another entry, with its text.
+struct ConfigRead {
+  PoolConfig config;
+  Bytes text;
+};
+// All entries that the store lists.
+struct EntriesListed {
+  std::vector<Endpoint> entries;
+};
+// Entries that the settings name; they may be out of date.
+struct EntriesSuggested {
+  std::vector<Endpoint> entries;
+};
+struct EntryTick {};
+struct StopRequested {};
+// The process did not run for a while; what it knew of others is out of date.
+struct PauseNoticed {
+  milliseconds length{0};
+};
+
+using EntryEvent =
+    std::variant<JobSubmitted, CallerGone, JobCancelled, LinkOpened, LinkClosed,
+                 MessageReceived, PeerDialed, ConfigRead, EntriesListed,
+                 EntriesSuggested, EntryTick, StopRequested, PauseNoticed>;
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/entry/outcomes.cpp
@@ -0,0 +1,285 @@
+#include "core/pool/entry/outcomes.h"
+
+#include <algorithm>
+
+namespace dottereltrack::pool {
+namespace {
+
+// A task that has failed on fewer distinct minions may have met faulty minions
+// only, so its job has not failed yet.
+constexpr std::size_t kMinFailedMinions = 3;
+
+// Added to a run number that a minion has refused as old: the other entry's
+// clock may be ahead by seconds.
+constexpr std::uint64_t kRunNumberJump = 60'000;
+
+// Wait before a refused caller should try again.
+constexpr milliseconds kRetryAfter{1'000};
+
+std::int64_t ToMilliseconds(BootTime time) {
+  return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
+Decision JobDecision(const JobRow& job, Weight weight, std::string what,
+                     const std::string& reason, const Now& now) {
+  Decision decision{weight, std::move(what), job.id, {}, {}};
+  if (!reason.empty()) decision.texts.emplace_back("reason", reason);
+  decision.texts.emplace_back("queue", job.queue);
+  decision.figures = {{"age_ms", ToMilliseconds(now.boot - job.arrived_at)},
+                      {"goal_ms", ToMilliseconds(job.goal_at - job.arrived_at)},
+                      {"open_tasks", job.open_tasks}};
+  return decision;
+}
+
+void Answer(const JobRow& job, ReplyKind kind, EntryChanges* changes) {
+  for (const CallId& call : job.waiters) {
+    const bool refused = kind == ReplyKind::kNoMinions ||
+                         kind == ReplyKind::kOverloaded ||
+                         kind == ReplyKind::kStopping;
+    changes->Add(Reply{call, kind, refused ? kRetryAfter : milliseconds{0}});
+  }
+}
+
+void StopRuns(const EntryBoard& board, std::uint64_t job,
+              EntryChanges* changes) {
+  const auto [begin, end] = TasksOf(board, job);
+  for (auto it = begin; it != end; ++it) {
+    const TaskRow& task = it->second;
+    if (task.state != TaskState::kPlaced) continue;
+    changes->Add(
+        SendMessage{task.link, StopRun{{task.key, task.run_number}}});
+    TaskRow stopping = task;
+    stopping.state = TaskState::kStopping;
+    changes->Add(Put<TaskRow>{stopping});
+  }
+}
+
+void EndJob(const EntryBoard& board, JobRow job, JobState state, ReplyKind kind,
+            const Now& now, EntryChanges* changes) {
+  Answer(job, kind, changes);
+  StopRuns(board, job.id, changes);
+  job.waiters.clear();
+  job.state = state;
+  job.ended_at = now.boot;
+  changes->Add(Put<JobRow>{job});
+}
+
+// The task that a message of an agent is about; null if the message is about
+// an earlier run.
+const TaskRow* FindRun(const EntryBoard& board, LinkId link,
+                       const RunKey& run) {
+  const TaskRow* task = board.tasks.Find(run.task);
+  if (task == nullptr || task->run_number != run.number ||
+      task->link != link) {
+    return nullptr;
+  }
+  const bool is_open = task->state == TaskState::kPlaced ||
+                       task->state == TaskState::kStopping;
+  return is_open ? task : nullptr;
+}
+
+Decision RunDecision(const TaskRow& task, std::string what,
+                     const std::string& reason, const Now& now) {
+  return {Weight::kFailure,
+          std::move(what),
+          task.key.job,
+          {{"task", ToText(task.key)},
+           {"reason", reason},
+           {"minion", task.minion}},
+          {{"run", static_cast<std::int64_t>(task.run_number)},
+           {"after_ms", ToMilliseconds(now.boot - task.placed_at)}}};
+}
+
+void CompleteTask(const EntryBoard& board, const TaskRow& task, const Now& now,
+                  EntryChanges* changes) {
+  TaskRow done = task;
+  done.state = TaskState::kDone;
+  changes->Add(Put<TaskRow>{done});
+  const JobRow* found = board.jobs.Find(task.key.job);
+  if (found == nullptr) return;
+  JobRow job = *found;
+  --job.open_tasks;
+  if (job.state != JobState::kActive || job.open_tasks > 0) {
+    changes->Add(Put<JobRow>{job});
+    return;
+  }
+  changes->Add(JobDecision(job, Weight::kRoutine, "job_completed", "", now));
+  EndJob(board, job, JobState::kCompleted, ReplyKind::kCompleted, now, changes);
+}
+
+bool HasFailed(const TaskRow& task, const JobRow& job) {
+  return task.failures >= job.max_attempts &&
+         task.failed_on.size() >= kMinFailedMinions;
+}
+
+void FailRun(const EntryBoard& board, const TaskRow& task, bool by_itself,
+             const Now& now, EntryChanges* changes) {
+  TaskRow failed = task;
+  failed.state = TaskState::kWaiting;
+  if (by_itself) ++failed.failures;
+  auto& minions = failed.failed_on;
+  if (std::find(minions.begin(), minions.end(), task.minion) ==
+      minions.end()) {
+    minions.push_back(task.minion);
+  }
+  changes->Add(Put<TaskRow>{failed});
+  const JobRow* job = board.jobs.Find(task.key.job);
+  if (job == nullptr || job->state != JobState::kActive) return;
+  if (!by_itself || !HasFailed(failed, *job)) return;
+  changes->Add(JobDecision(*job, Weight::kFailure, "job_failed",
+                           "a task failed on " +
+                               std::to_string(minions.size()) + " minions",
+                           now));
+  EndJob(board, *job, JobState::kFailed, ReplyKind::kFailed, now, changes);
+}
+
+void Wait(const TaskRow& task, EntryChanges* changes) {
+  TaskRow waiting = task;
+  waiting.state = TaskState::kWaiting;
+  changes->Add(Put<TaskRow>{waiting});
+}
+
+bool HasLiveRuns(const EntryBoard& board, std::uint64_t job) {
+  const auto [begin, end] = TasksOf(board, job);
+  return std::any_of(begin, end, [](const auto& it) {
+    const TaskState state = it.second.state;
+    return state == TaskState::kPlaced || state == TaskState::kStopping ||
+           state == TaskState::kLost;
+  });
+}
+
+void ForgetIfOld(const EntryBoard& board, const JobRow& job, const Now& now,
+                 EntryChanges* changes) {
+  if (now.boot < job.ended_at + board.settings.outcome_retention) return;
+  if (HasLiveRuns(board, job.id)) return;
+  const auto [begin, end] = TasksOf(board, job.id);
+  for (auto it = begin; it != end; ++it) {
+    changes->Add(Erase<TaskRow>{it->first});
+  }
+  changes->Add(Erase<JobRow>{job.id});
+}
+
+void Add(EntryChanges* to, EntryChanges from) {
+  for (auto& row : from.rows) to->rows.push_back(std::move(row));
+  for (auto& effect : from.effects) to->effects.push_back(std::move(effect));
+}
+
+}  // namespace
+
+bool HasAcceptingAgent(const EntryBoard& board, const std::string& service) {
+  return std::any_of(
+      board.agents.begin(), board.agents.end(), [&](const auto& it) {
+        return it.second.load.accepting && it.second.hello.service == service;
+      });
+}
+
+EntryChanges HandleRunEnded(const EntryBoard& board, LinkId link,
+                            const RunEnded& message, const Now& now) {
+  EntryChanges changes;
+  const TaskRow* task = FindRun(board, link, message.run);
+  if (task == nullptr) return changes;
+  if (message.end == RunEnd::kDone) {
+    CompleteTask(board, *task, now, &changes);
+    return changes;
+  }
+  changes.Add(RunDecision(*task, "run_ended", ToString(message.end), now));
+  const bool failed = message.end == RunEnd::kFailed;
+  if (failed || message.end == RunEnd::kStalled) {
+    FailRun(board, *task, failed, now, &changes);
+  } else {
+    Wait(*task, &changes);
+  }
+  return changes;
+}
+
+EntryChanges HandleStartRefused(const EntryBoard& board, LinkId link,
+                                const StartRefused& message, const Now& now) {
+  EntryChanges changes;
+  const TaskRow* task = FindRun(board, link, message.run);
+  if (task == nullptr) return changes;
+  changes.Add(
+      RunDecision(*task, "start_refused", ToString(message.refusal), now));
+  if (message.refusal == StartRefusal::kRejected) {
+    FailRun(board, *task, true, now, &changes);
+    return changes;
+  }
+  TaskRow waiting = *task;
+  waiting.state = TaskState::kWaiting;
+  if (message.refusal == StartRefusal::kOldNumber) {
+    waiting.run_number += kRunNumberJump;
+  }
+  changes.Add(Put<TaskRow>{waiting});
+  return changes;
+}
+
+EntryChanges GiveUp(const EntryBoard& board, const JobRow& job, ReplyKind reply,
+                    const std::string& reason, const Now& now) {
+  EntryChanges changes;
+  changes.Add(
+      JobDecision(job, Weight::kFailure, "job_given_up", reason, now));
+  EndJob(board, job, JobState::kAbandoned, reply, now, &changes);
+  return changes;
+}
+
+EntryChanges HandleCallerGone(const EntryBoard& board, CallId call,
+                              const Now& now) {
+  for (const auto& [id, job] : board.jobs) {
+    const auto& waiters = job.waiters;
+    const auto it = std::find(waiters.begin(), waiters.end(), call);
+    if (it == waiters.end()) continue;
+    JobRow left = job;
+    left.waiters.erase(left.waiters.begin() + (it - waiters.begin()));
+    if (left.waiters.empty() && left.state == JobState::kActive) {
+      return GiveUp(board, left, ReplyKind::kGivenUp,
+                    "the caller closed its connection", now);
+    }
+    EntryChanges changes;
+    changes.Add(Put<JobRow>{left});
+    return changes;
+  }
+  return {};
+}
+
+EntryChanges HandleCancel(const EntryBoard& board, const JobCancelled& e,
+                          const Now& now) {
+  const JobRow* job = board.jobs.Find(e.job);
+  EntryChanges changes;
+  if (job == nullptr || job->state != JobState::kActive) {
+    changes.Add(Reply{e.call, ReplyKind::kUnknownJob});
+    return changes;
+  }
+  changes = GiveUp(board, *job, ReplyKind::kCancelled, "cancelled", now);
+  changes.Add(Reply{e.call, ReplyKind::kCancelled});
+  return changes;
+}
+
+EntryChanges CheckJobTimes(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  for (const auto& [id, job] : board.jobs) {
+    if (job.state != JobState::kActive) {
+      ForgetIfOld(board, job, now, &changes);
+      continue;
+    }
+    if (now.boot >= job.deadline_at) {
+      const ReplyKind reply =
+          job.offered ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;
+      Add(&changes, GiveUp(board, job, reply, "deadline reached", now));
+      continue;
+    }
+    const auto goal = job.goal_at - job.arrived_at;
+    const auto patience = board.settings.refusal_share * goal;
+    if (!job.offered && now.boot - job.arrived_at >= patience &&
+        !HasAcceptingAgent(board, job.service)) {
+      Add(&changes, GiveUp(board, job, ReplyKind::kNoMinions,
+                           "no minion takes runs", now));
+    }
+  }
+  for (const auto& [key, task] : board.tasks) {
+    if (task.state == TaskState::kLost && now.boot >= task.dead_at) {
+      Wait(task, &changes);
+    }
+  }
+  return changes;
+}
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/entry/settings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "core/cell.h"
+#include "core/time.h"
+
+namespace dottereltrack::pool {
+
+// Settings of an entry's decisions.
+struct EntrySettings {
+  // Random id of this run of the process.
+  std::uint64_t id = 0;
+  // Where this entry listens for agents and other entries.
+  Endpoint address;
+
+  // An idle link carries a ping this often; four may be lost before the link
+  // counts as dead.
+  milliseconds ping_interval{100};
+  // A link without any message for this long is dead.
+  milliseconds link_timeout{500};
+  // A run whose link is gone is certainly dead after this time: the agent stops
+  // it within link_timeout and 100 ms, and if the agent dies meanwhile, the
+  // minion's lease of 500 ms (2% longer on a slow clock) ends it.
+  milliseconds lost_run_bound{1'130};
+  // A job that no minion can take is refused after this share of its goal.
+  double refusal_share = 0.2;
+  // Jobs are accepted for this long after a stop request; later callers are
+  // refused, since their jobs might outlast the grace period.
+  milliseconds stop_accepts{3'000};
+  // The process stays at least this long after a stop request, so that the load
+  // balancer has seen it unready (two checks of 1 s).
+  milliseconds stop_min{2'600};
+  // The process ends at the latest this long after a stop request, before the
+  // platform's grace period of 6 s ends.
+  milliseconds stop_max{5'600};
+  // Outcomes of ended jobs are kept this long for repeated submissions.
+  milliseconds outcome_retention{10'000};
+  // Wait between two attempts to connect to an entry.
+  milliseconds dial_retry{250};
+  friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
+};
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/task.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/shared.h"
+#include "core/time.h"
+
+namespace dottereltrack::pool {
+
+// One task of a job. The caller chooses the job's id.
+struct TaskKey {
+  std::uint64_t job = 0;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+};
+
+// One start of a task. Numbers of later starts of the same task are higher,
+// also those given by another entry.
+struct RunKey {
+  TaskKey task;
+  std::uint64_t number = 0;
+  friend auto operator<=>(const RunKey&, const RunKey&) = default;
+};
+
+// What a task occupies on a minion, and what a minion offers.
+struct Resources {
+  // Thousandths of a core.
+  std::int64_t cpu_millis = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  Resources& operator+=(const Resources& other) {
+    cpu_millis += other.cpu_millis;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+  }
+  Resources& operator-=(const Resources& other) {
+    cpu_millis -= other.cpu_millis;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+  friend Resources operator+(Resources a, const Resources& b) { return a += b; }
+  friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
+  friend bool operator==(const Resources&, const Resources&) = default;
+};
+
+// Whether `needs` can be taken out of `room`.
+inline bool Fits(const Resources& needs, const Resources& room) {
+  return needs.cpu_millis <= room.cpu_millis &&
+         needs.memory_mb <= room.memory_mb &&
+         needs.accelerators <= room.accelerators;
+}
+
+// One step of a job: `count` equal tasks.
+struct StepSpec {
+  std::uint32_t count = 0;
+  Resources needs;
+  // The submitter's estimate of one task's duration; often far off.
+  milliseconds estimate{0};
+  friend bool operator==(const StepSpec&, const StepSpec&) = default;
+};
+
+// A job that is answered when it has ended and is kept nowhere else.
+struct JobSpec {
+  std::uint64_t id = 0;
+  // Passed to the minion as it is.
+  Bytes payload;
+  std::vector<StepSpec> steps;
+  // Names what the job needs and this release lacks; empty if nothing.
+  std::string unsupported{};
+  friend bool operator==(const JobSpec&, const JobSpec&) = default;
+};
+
+// How a run has ended.
+enum class RunEnd {
+  kDone,
+  // The task or its minion failed.
+  kFailed,
+  // The agent stopped it because it made no progress.
+  kStalled,
+  // Stopped on request.
+  kStopped,
+  // Its lease expired, or its minion is gone.
+  kLost,
+};
+
+// Why an agent did not start a run.
+enum class StartRefusal {
+  kNoRoom,
+  // The minion is draining, suspended, absent or not yet known.
+  kNotAccepting,
+  // The minion has seen the same or a higher run number.
+  kOldNumber,
+  // The minion rejected the task.
+  kRejected,
+};
+
+const char* ToString(RunEnd end);
+const char* ToString(StartRefusal refusal);
+
+// The task's name on the wire and in logs: JOB.STEP.INDEX, the job in hex.
+std::string ToText(const TaskKey& task);
+// 16 hexadecimal digits.
+std::string JobText(std::uint64_t job);
+
+}  // namespace dottereltrack::pool
--- a/src/platform/json_fields.cpp
+++ b/src/json/json_fields.cpp
@@ -1,4 +1,4 @@
-#include "platform/json_fields.h"
+#include "json/json_fields.h"
 
 #include <charconv>
 #include <limits>
@@ -59,6 +59,18 @@
   *out = at.value->get<std::int64_t>();
 }
 
+void Read(const JsonCursor& at, double* out) {
+  if (*at.error) return;
+  if (!at.value->is_number()) return WrongType(at, "a number");
+  *out = at.value->get<double>();
+}
+
+void Read(const JsonCursor& at, bool* out) {
+  if (*at.error) return;
+  if (!at.value->is_boolean()) return WrongType(at, "true or false");
+  *out = at.value->get<bool>();
+}
+
 void ReadPositive(const JsonCursor& at, std::uint32_t* out) {
   std::uint32_t value = 0;
   Read(at, &value);
--- a/src/platform/json_fields.h
+++ b/src/json/json_fields.h
@@ -55,6 +55,8 @@
 void Read(const JsonCursor& at, std::uint32_t* out);
 void Read(const JsonCursor& at, std::uint16_t* out);
 void Read(const JsonCursor& at, std::int64_t* out);
+void Read(const JsonCursor& at, double* out);
+void Read(const JsonCursor& at, bool* out);
 // A whole number of at least 1.
 void ReadPositive(const JsonCursor& at, std::uint32_t* out);
 // A 64-bit id as a text of 16 hexadecimal digits, since many JSON readers
--- a/src/platform/cell_json.h
+++ b/src/platform/cell_json.h
@@ -4,7 +4,7 @@
 #include <string_view>
 
 #include "core/cell.h"
-#include "platform/json_fields.h"
+#include "json/json_fields.h"
 
 namespace dottereltrack {
 
--- /dev/null
+++ b/src/pool_wire/codec.cpp
@@ -0,0 +1,248 @@
+#include "pool_wire/codec.h"
+
+#include <utility>
+
+#include "pool_generated.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+// Verification visits at most this many tables, which bounds the decoded size
+// of a hostile frame; an entry knows far fewer entries.
+constexpr flatbuffers::uoffset_t kMaxTables = 10'000;
+constexpr flatbuffers::uoffset_t kMaxDepth = 8;
+
+wire::RunKey ToWire(const RunKey& run) {
+  return {run.task.job, run.task.step, run.task.index, run.number};
+}
+
+RunKey FromWire(const wire::RunKey& run) {
+  return {{run.job(), run.step(), run.index()}, run.number()};
+}
+
+wire::Resources ToWire(const Resources& it) {
+  return {it.cpu_millis, it.memory_mb, it.accelerators};
+}
+
+Resources FromWire(const wire::Resources& it) {
+  return {it.cpu_millis(), it.memory_mb(), it.accelerators()};
+}
+
+std::string FromWire(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+using EndpointVector =
+    flatbuffers::Vector<flatbuffers::Offset<wire::Endpoint>>;
+
+flatbuffers::Offset<EndpointVector> WriteEndpoints(
+    Builder* to, const std::vector<Endpoint>& endpoints) {
+  std::vector<flatbuffers::Offset<wire::Endpoint>> rows;
+  rows.reserve(endpoints.size());
+  for (const Endpoint& it : endpoints) {
+    rows.push_back(
+        wire::CreateEndpoint(*to, to->CreateString(it.host), it.port));
+  }
+  return to->CreateVector(rows);
+}
+
+std::vector<Endpoint> FromWire(const EndpointVector* rows) {
+  std::vector<Endpoint> endpoints;
+  if (rows == nullptr) return endpoints;
+  endpoints.reserve(rows->size());
+  for (const wire::Endpoint* it : *rows) {
+    endpoints.push_back({it->host()->str(), it->port()});
+  }
+  return endpoints;
+}
+
+// The kind of a body and its offset.
+struct Body {
+  wire::Body kind;
+  flatbuffers::Offset<void> offset;
+};
+
+Body Write(Builder* to, const EntryHello& it) {
+  const auto known = WriteEndpoints(to, it.known_entries);
+  return {wire::Body::EntryHello,
+          wire::CreateEntryHello(*to, it.entry, known).Union()};
+}
+
+Body Write(Builder* to, const StartRun& it) {
+  const auto payload = to->CreateString(*it.payload);
+  const auto run = ToWire(it.run);
+  const auto needs = ToWire(it.needs);
+  return {wire::Body::StartRun,
+          wire::CreateStartRun(*to, it.sequence, &run, payload, &needs,
+                               it.estimate.count())
+              .Union()};
+}
+
+Body Write(Builder* to, const StopRun& it) {
+  const auto run = ToWire(it.run);
+  return {wire::Body::StopRun, wire::CreateStopRun(*to, &run).Union()};
+}
+
+Body Write(Builder* to, const Ping&) {
+  return {wire::Body::Ping, wire::CreatePing(*to).Union()};
+}
+
+Body Write(Builder* to, const ConfigOffer& it) {
+  const auto text = to->CreateString(*it.text);
+  return {wire::Body::ConfigOffer,
+          wire::CreateConfigOffer(*to, it.version, text).Union()};
+}
+
+Body Write(Builder* to, const KnownEntries& it) {
+  const auto entries = WriteEndpoints(to, it.entries);
+  return {wire::Body::KnownEntries,
+          wire::CreateKnownEntries(*to, entries).Union()};
+}
+
+Body Write(Builder* to, const AgentHello& it) {
+  const auto minion = to->CreateString(it.minion);
+  const auto service = to->CreateString(it.service);
+  const auto data_centre = to->CreateString(it.data_centre);
+  const auto rack = to->CreateString(it.rack);
+  const auto capacity = ToWire(it.capacity);
+  return {wire::Body::AgentHello,
+          wire::CreateAgentHello(*to, it.agent, minion, service, data_centre,
+                                 rack, &capacity)
+              .Union()};
+}
+
+Body Write(Builder* to, const LoadReport& it) {
+  const auto free = ToWire(it.free);
+  return {wire::Body::LoadReport,
+          wire::CreateLoadReport(*to, it.handled_starts, &free, it.accepting,
+                                 it.settled, it.log_slowness)
+              .Union()};
+}
+
+Body Write(Builder* to, const StartRefused& it) {
+  const auto run = ToWire(it.run);
+  return {wire::Body::StartRefused,
+          wire::CreateStartRefused(*to, &run,
+                                   static_cast<wire::StartRefusal>(it.refusal))
+              .Union()};
+}
+
+Body Write(Builder* to, const RunEnded& it) {
+  const auto run = ToWire(it.run);
+  return {wire::Body::RunEnded,
+          wire::CreateRunEnded(*to, &run, static_cast<wire::RunEnd>(it.end),
+                               it.duration.count())
+              .Union()};
+}
+
+Message Read(const wire::EntryHello& it) {
+  return EntryHello{it.entry(), FromWire(it.known_entries())};
+}
+
+Message Read(const wire::StartRun& it) {
+  return StartRun{it.sequence(), FromWire(*it.run()), FromWire(it.payload()),
+                  FromWire(*it.needs()), milliseconds{it.estimate_ms()}};
+}
+
+Message Read(const wire::StopRun& it) { return StopRun{FromWire(*it.run())}; }
+
+Message Read(const wire::Ping&) { return Ping{}; }
+
+Message Read(const wire::ConfigOffer& it) {
+  return ConfigOffer{it.version(), FromWire(it.text())};
+}
+
+Message Read(const wire::KnownEntries& it) {
+  return KnownEntries{FromWire(it.entries())};
+}
+
+Message Read(const wire::AgentHello& it) {
+  return AgentHello{it.agent(),
+                    FromWire(it.minion()),
+                    FromWire(it.service()),
+                    FromWire(it.data_centre()),
+                    FromWire(it.rack()),
+                    FromWire(*it.capacity())};
+}
+
+Message Read(const wire::LoadReport& it) {
+  return LoadReport{it.handled_starts(), FromWire(*it.free()), it.accepting(),
+                    it.settled(), it.log_slowness()};
+}
+
+Message Read(const wire::StartRefused& it) {
+  return StartRefused{FromWire(*it.run()),
+                      static_cast<StartRefusal>(it.refusal())};
+}
+
+Message Read(const wire::RunEnded& it) {
+  return RunEnded{FromWire(*it.run()), static_cast<RunEnd>(it.end()),
+                  milliseconds{it.duration_ms()}};
+}
+
+// Enumerators that this release does not know come from a newer one.
+bool HasKnownEnums(const wire::Frame& frame) {
+  if (const auto* it = frame.body_as_StartRefused()) {
+    return it->refusal() <= wire::StartRefusal::MAX;
+  }
+  if (const auto* it = frame.body_as_RunEnded()) {
+    return it->end() <= wire::RunEnd::MAX;
+  }
+  return true;
+}
+
+FrameError UnknownFrame() {
+  return {"the frame is of a kind that this release does not know; run one "
+          "release on all machines"};
+}
+
+}  // namespace
+
+std::string EncodeFrame(const Message& message) {
+  Builder to;
+  const Body body =
+      std::visit([&](const auto& it) { return Write(&to, it); }, message);
+  to.Finish(wire::CreateFrame(to, body.kind, body.offset));
+  return {reinterpret_cast<const char*>(to.GetBufferPointer()), to.GetSize()};
+}
+
+FrameResult DecodeFrame(std::string_view bytes) {
+  flatbuffers::Verifier verifier(
+      reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size(),
+      kMaxDepth, kMaxTables);
+  if (!wire::VerifyFrameBuffer(verifier)) {
+    return FrameError{"the frame is malformed; check what connects to the "
+                      "internal port"};
+  }
+  const wire::Frame& frame = *wire::GetFrame(bytes.data());
+  if (!HasKnownEnums(frame)) return UnknownFrame();
+  switch (frame.body_type()) {
+    case wire::Body::EntryHello:
+      return Read(*frame.body_as_EntryHello());
+    case wire::Body::StartRun:
+      return Read(*frame.body_as_StartRun());
+    case wire::Body::StopRun:
+      return Read(*frame.body_as_StopRun());
+    case wire::Body::Ping:
+      return Read(*frame.body_as_Ping());
+    case wire::Body::ConfigOffer:
+      return Read(*frame.body_as_ConfigOffer());
+    case wire::Body::KnownEntries:
+      return Read(*frame.body_as_KnownEntries());
+    case wire::Body::AgentHello:
+      return Read(*frame.body_as_AgentHello());
+    case wire::Body::LoadReport:
+      return Read(*frame.body_as_LoadReport());
+    case wire::Body::StartRefused:
+      return Read(*frame.body_as_StartRefused());
+    case wire::Body::RunEnded:
+      return Read(*frame.body_as_RunEnded());
+    case wire::Body::NONE:
+      break;
+  }
+  return UnknownFrame();
+}
+
+}  // namespace dottereltrack::pool
--- a/src/runtime/http/http_server.cpp
+++ b/src/runtime/http/http_server.cpp
@@ -75,6 +75,8 @@
       return "Method Not Allowed";
     case 409:
       return "Conflict";
+    case 410:
+      return "Gone";
     case 413:
       return "Payload Too Large";
     case 429:
@@ -121,7 +123,9 @@
     builder.append_header(name, value);
   }
   builder.set_body(std::move(response.body));
-  if (!request->header().should_keep_alive()) builder.connection_close();
+  if (response.close || !request->header().should_keep_alive()) {
+    builder.connection_close();
+  }
   builder.done([send = std::move(send)](const asio::error_code&) {});
 }
 
@@ -130,7 +134,8 @@
           "the body has " + std::to_string(size) + " bytes; send at most " +
               std::to_string(limit) + "\n",
           "text/plain",
-          {}};
+          {},
+          false};
 }
 
 }  // namespace
--- a/src/runtime/http/http_server.h
+++ b/src/runtime/http/http_server.h
@@ -46,6 +46,8 @@
   std::string body;
   std::string content_type = "application/json";
   std::map<std::string, std::string> headers;
+  // Closes the connection after this response.
+  bool close = false;
   friend bool operator==(const HttpResponse&, const HttpResponse&) = default;
 };
 
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -161,6 +161,15 @@
   socket_.close(ec);
 }
 
+void Link::Abort() {
+  if (state_ == State::kEnded) return;
+  asio::error_code ec;
+  // With a linger time of zero the kernel discards unsent bytes and sends a
+  // reset.
+  socket_.set_option(asio::socket_base::linger(true, 0), ec);
+  End();
+}
+
 void Link::Drop() {
   state_ = State::kEnded;
   handlers_ = {};
--- a/src/runtime/link.h
+++ b/src/runtime/link.h
@@ -32,6 +32,8 @@
   void Send(std::string_view frame);
   // Sends what is queued, then closes, at the latest after the dial timeout.
   void Close();
+  // Resets the connection at once.
+  void Abort();
   // Closes at once and calls no handler any more.
   void Drop();
 
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -182,4 +182,8 @@
   if (Link* it = impl_->Find(link)) it->Close();
 }
 
+void LinkHub::Abort(LinkId link) {
+  if (Link* it = impl_->Find(link)) it->Abort();
+}
+
 }  // namespace dottereltrack
--- a/src/runtime/link_hub.h
+++ b/src/runtime/link_hub.h
@@ -52,6 +52,9 @@
   void Send(LinkId link, std::string_view frame);
   // Sends what is queued, then closes.
   void Close(LinkId link);
+  // Closes at once with a reset, so that nothing that is on its way in either
+  // direction is delivered later.
+  void Abort(LinkId link);
 
  private:
   class Impl;
--- /dev/null
+++ b/src/runtime/log/event_log.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "core/time.h"
+
+namespace dottereltrack {
+
+// Limits of an event log.
+struct EventLogLimits {
+  // Lines of one kind that are written in a second; further ones are counted.
+  std::uint32_t lines_per_second = 20;
+  // Bytes that wait for a full pipe; further lines are counted as dropped.
+  std::size_t max_waiting_bytes = 64U << 10;
+};
+
+// Writes one JSON object a line to a file descriptor, without ever waiting.
+// Lines that were left out are counted in the next line of their kind
+// ("omitted") and in all lines ("dropped").
+class EventLog {
+ public:
+  EventLog(int fd, std::string node, const EventLogLimits& limits = {});
+
+  // Writes a line with the fields, the kind and the time. `limited` lines count
+  // against the budget of their kind.
+  void Write(const std::string& kind, nlohmann::json fields, bool limited);
+
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  // Lines of one kind in the current second.
+  struct Budget {
+    std::int64_t second = 0;
+    std::uint32_t written = 0;
+    std::uint64_t omitted = 0;
+  };
+
+  bool TakeBudget(const std::string& kind, nlohmann::json* fields);
+  void Send(const std::string& line);
+
+  int fd_;
+  std::string node_;
+  EventLogLimits limits_;
+  std::map<std::string, Budget> budgets_;
+  std::string waiting_;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace dottereltrack
