--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -42,7 +42,7 @@
       node_(node),
       log_(log),
       board_(MakeBoard()),
-      links_(loop, LinkLimits{},
+      links_(loop, InternalLinkLimits(),
              {[this](LinkId link, const std::string& frame) {
                 OnFrame(link, frame);
               },
@@ -188,34 +188,31 @@
               });
 }
 
-void PoolAgent::Do(const AbortEntryLink& effect) {
-  links_.Abort(effect.link);
-}
+void PoolAgent::Do(const AbortEntryLink& effect) { links_.Abort(effect.link); }
 
 void PoolAgent::Do(const CallStart& effect) {
-  minion_.Start(users_platform::HttpCallOf(effect),
-                [this, run = effect.run](const HttpResult& result) {
-                  Post(StartAnswered{run,
-                                     users_platform::ReadCallAnswer(result)});
-                });
+  minion_.Start(
+      users_platform::HttpCallOf(effect),
+      [this, run = effect.run](const HttpResult& result) {
+        Post(StartAnswered{run, users_platform::ReadCallAnswer(result)});
+      });
 }
 
 void PoolAgent::Do(const CallStop& effect) {
-  minion_.Start(users_platform::HttpCallOf(effect),
-                [this, run = effect.run](const HttpResult& result) {
-                  Post(StopAnswered{run,
-                                    users_platform::ReadCallAnswer(result)});
-                });
-}
-
-void PoolAgent::Do(const CallLook& effect) {
   minion_.Start(
       users_platform::HttpCallOf(effect),
-      [this, sequence = effect.sequence](const HttpResult& result) {
-        Post(users_platform::ReadLookAnswer(sequence, result));
+      [this, run = effect.run](const HttpResult& result) {
+        Post(StopAnswered{run, users_platform::ReadCallAnswer(result)});
       });
 }
 
+void PoolAgent::Do(const CallLook& effect) {
+  minion_.Start(users_platform::HttpCallOf(effect),
+                [this, sequence = effect.sequence](const HttpResult& result) {
+                  Post(users_platform::ReadLookAnswer(sequence, result));
+                });
+}
+
 void PoolAgent::Do(const ExitAgent&) {
   exiting_ = true;
   log_.Write("stopped", {{"runs", board_.runs.size()}}, false);
--- a/apps/pool_agent/pool_agent.h
+++ b/apps/pool_agent/pool_agent.h
@@ -9,8 +9,8 @@
 #include "apps/pool_common/store_watches.h"
 #include "core/pool/agent/advance.h"
 #include "http_client/http_client.h"
-#include "platform/settings.h"
 #include "platform/metadata_store.h"
+#include "platform/settings.h"
 #include "runtime/http/http_server.h"
 #include "runtime/link_hub.h"
 
--- a/apps/pool_common/daemon.cpp
+++ b/apps/pool_common/daemon.cpp
@@ -16,11 +16,16 @@
 // have then given up their links to this one or soon will.
 constexpr milliseconds kPauseBound{350};
 
+// A machine without power does not answer; connecting to a live one takes a few
+// milliseconds.
+constexpr milliseconds kDialTimeout{150};
+
 std::string Usage(const std::string& name, const std::string& summary) {
   return name + ": " + summary + R"(
 
 Usage:
-  )" + name + R"( [--settings FILE] [--check-settings]
+  )" + name +
+         R"( [--settings FILE] [--check-settings]
   )" + name +
          R"( (--help | --version)
 
@@ -58,6 +63,12 @@
              decision.weight != Weight::kBelief);
 }
 
+LinkLimits InternalLinkLimits() {
+  LinkLimits limits;
+  limits.dial_timeout = kDialTimeout;
+  return limits;
+}
+
 milliseconds PauseClock::Note(BootTime now, milliseconds interval) {
   const BootTime last = last_;
   last_ = now;
--- a/apps/pool_common/daemon.h
+++ b/apps/pool_common/daemon.h
@@ -7,6 +7,7 @@
 #include "core/pool/decision.h"
 #include "core/time.h"
 #include "platform/settings.h"
+#include "runtime/link_hub.h"
 #include "runtime/log/event_log.h"
 
 namespace dottereltrack::pool {
@@ -14,6 +15,9 @@
 // Writes a decision to the log. Routine ones count against the budget.
 void LogDecision(EventLog* log, const Decision& decision);
 
+// Limits of the links between the processes of a pool.
+LinkLimits InternalLinkLimits();
+
 // Notices that the process did not run for a while.
 class PauseClock {
  public:
--- a/apps/pool_common/store_watches.cpp
+++ b/apps/pool_common/store_watches.cpp
@@ -28,8 +28,8 @@
   if (works) {
     log_.Write("dependency_regained", {{"dependency", name_}}, false);
   } else {
-    log_.Write("dependency_lost",
-               {{"dependency", name_}, {"problem", problem}}, false);
+    log_.Write("dependency_lost", {{"dependency", name_}, {"problem", problem}},
+               false);
   }
 }
 
@@ -115,10 +115,9 @@
                  return After(kRenewInterval, &EntryRegistration::Renew);
                }
                dependency_.NoteResult(false, result.message);
-               After(kRegistrationRetry,
-                     result.status == StoreStatus::kGone
-                         ? &EntryRegistration::Grant
-                         : &EntryRegistration::PutAddress);
+               After(kRegistrationRetry, result.status == StoreStatus::kGone
+                                             ? &EntryRegistration::Grant
+                                             : &EntryRegistration::PutAddress);
              });
 }
 
@@ -155,7 +154,8 @@
     const std::map<std::string, std::string>& values) {
   std::vector<Endpoint> entries;
   for (const auto& [key, value] : values) {
-    if (const auto endpoint = ParseEndpoint(value)) entries.push_back(*endpoint);
+    if (const auto endpoint = ParseEndpoint(value))
+      entries.push_back(*endpoint);
   }
   return entries;
 }
--- a/apps/pool_common/store_watches.h
+++ b/apps/pool_common/store_watches.h
@@ -37,7 +37,8 @@
     milliseconds retry{0};
   };
   // Called with all values after each change.
-  using Changed = std::function<void(const std::map<std::string, std::string>&)>;
+  using Changed =
+      std::function<void(const std::map<std::string, std::string>&)>;
 
   PrefixWatch(asio::io_context& loop, users_platform::StoreClient& store,
               EventLog& log, Settings settings, Changed changed);
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -44,6 +44,7 @@
   EntryBoard board;
   board.settings.id = RandomId();
   board.settings.address = node.internal_address;
+  board.started_at = BootNow();
   return board;
 }
 
@@ -55,7 +56,7 @@
       node_(node),
       log_(log),
       board_(MakeBoard(node)),
-      links_(loop, LinkLimits{},
+      links_(loop, InternalLinkLimits(),
              {[this](LinkId link, const std::string& frame) {
                 OnFrame(link, frame);
               },
@@ -66,15 +67,15 @@
                 },
                 [this](std::uint64_t connection) { OnClientGone(connection); },
                 {}}),
-      readiness_(loop, HttpLimits{},
-                 {[this](const HttpRequest& request, const HttpReplier& reply) {
-                    reply(users_platform::IsReadinessCheck(request)
-                              ? users_platform::ReadinessResponse(
-                                    IsReady(board_))
-                              : users_platform::UnknownCallResponse());
-                  },
-                  {},
-                  {}}),
+      readiness_(
+          loop, HttpLimits{},
+          {[this](const HttpRequest& request, const HttpReplier& reply) {
+             reply(users_platform::IsReadinessCheck(request)
+                       ? users_platform::ReadinessResponse(IsReady(board_))
+                       : users_platform::UnknownCallResponse());
+           },
+           {},
+           {}}),
       store_(loop, node.store_address),
       registration_(loop, store_, log, node.internal_address),
       config_watch_(loop, store_, log,
@@ -224,8 +225,8 @@
                true);
     return reply(users_platform::MalformedJobResponse(job.error()));
   }
-  Post(JobSubmitted{OpenCallFor(request, reply), call.host, call.path,
-                    std::move(job.value()),
+  Post(JobSubmitted{OpenCallFor(request, reply), call.request_id, call.host,
+                    call.path, std::move(job.value()),
                     call.patience.value_or(kDefaultPatience)});
 }
 
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -10,8 +10,8 @@
 #include "apps/pool_common/store_watches.h"
 #include "core/pool/entry/advance.h"
 #include "platform/job.h"
-#include "platform/settings.h"
 #include "platform/metadata_store.h"
+#include "platform/settings.h"
 #include "runtime/http/http_server.h"
 #include "runtime/link_hub.h"
 
--- a/src/core/pool/agent/apply.cpp
+++ b/src/core/pool/agent/apply.cpp
@@ -8,7 +8,9 @@
 
   void operator()(const Put<RunRow>& it) const { board->runs.Put(it.row); }
   void operator()(const Erase<RunRow>& it) const { board->runs.Erase(it.key); }
-  void operator()(const Put<EntryLinkRow>& it) const { board->links.Put(it.row); }
+  void operator()(const Put<EntryLinkRow>& it) const {
+    board->links.Put(it.row);
+  }
   void operator()(const Erase<EntryLinkRow>& it) const {
     board->links.Erase(it.key);
   }
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -121,6 +121,8 @@
   bool inventoried = false;
   // By this time the runs are dead unless a later call renews their lease.
   BootTime lease_ends_at{0};
+  // The same without the look that is in flight.
+  BootTime former_lease_ends_at{0};
   friend bool operator==(const LookState&, const LookState&) = default;
 };
 
--- a/src/core/pool/agent/capacity.cpp
+++ b/src/core/pool/agent/capacity.cpp
@@ -23,8 +23,8 @@
 }
 
 std::uint64_t MinionClock(const AgentBoard& board, const Now& now) {
-  const auto elapsed = std::chrono::duration_cast<milliseconds>(
-      now.boot - board.clock.at);
+  const auto elapsed =
+      std::chrono::duration_cast<milliseconds>(now.boot - board.clock.at);
   return board.clock.minion_ms + elapsed.count();
 }
 
--- a/src/core/pool/agent/changes.h
+++ b/src/core/pool/agent/changes.h
@@ -31,9 +31,10 @@
 };
 
 using AgentRowChange =
-    std::variant<Put<RunRow>, Erase<RunRow>, Put<EntryLinkRow>, Erase<EntryLinkRow>,
-                 Put<EntryRow>, Erase<EntryRow>, SetMinion, SetClock, SetLook,
-                 SetHealth, SetFencingToken, SetAgentStopping>;
+    std::variant<Put<RunRow>, Erase<RunRow>, Put<EntryLinkRow>,
+                 Erase<EntryLinkRow>, Put<EntryRow>, Erase<EntryRow>, SetMinion,
+                 SetClock, SetLook, SetHealth, SetFencingToken,
+                 SetAgentStopping>;
 
 struct SendToEntry {
   LinkId link;
--- a/src/core/pool/agent/events.h
+++ b/src/core/pool/agent/events.h
@@ -50,6 +50,8 @@
   kOtherInstance,
   // The minion has done nothing and may do so later.
   kUnavailable,
+  // Nothing was sent, since no connection could be made.
+  kNotConnected,
   kInvalid,
   // No answer; the call may be carried out, also later.
   kUnanswered,
@@ -93,7 +95,8 @@
 
 using AgentEvent =
     std::variant<EntryDialed, EntryLinkClosed, EntryMessage, EntriesRegistered,
-                 EntriesNamed, MinionReported, MinionLeft, StartAnswered, StopAnswered,
-                 LookAnswered, AgentTick, AgentStopRequested, AgentPaused>;
+                 EntriesNamed, MinionReported, MinionLeft, StartAnswered,
+                 StopAnswered, LookAnswered, AgentTick, AgentStopRequested,
+                 AgentPaused>;
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/agent/health.cpp
+++ b/src/core/pool/agent/health.cpp
@@ -54,15 +54,15 @@
   if (now.boot < health.suspended_until) return note;
   if (health.on_trial || health.failure_share > board.settings.suspend_above) {
     Suspend(board, now, &health);
-    note.decision = Decision{
-        Weight::kBelief,
-        "minion_suspended",
-        0,
-        {{"minion", board.minion ? board.minion->id : std::string()}},
-        {{"failed_percent", std::lround(100 * health.failure_share)},
-         {"for_ms", std::chrono::duration_cast<milliseconds>(
-                        health.suspended_until - now.boot)
-                        .count()}}};
+    note.decision =
+        Decision{Weight::kBelief,
+                 "minion_suspended",
+                 0,
+                 {{"minion", board.minion ? board.minion->id : std::string()}},
+                 {{"failed_percent", std::lround(100 * health.failure_share)},
+                  {"for_ms", std::chrono::duration_cast<milliseconds>(
+                                 health.suspended_until - now.boot)
+                                 .count()}}};
   }
   return note;
 }
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -122,14 +122,14 @@
     row.next_dial_at = now.boot + board.settings.dial_retry;
     changes.Add(Put<EntryRow>{row});
   }
-  changes.Add(Decision{Weight::kBelief,
-                       "entry_lost",
-                       0,
-                       {{"address", known->address.host}},
-                       {{"heard_ms_ago",
-                         std::chrono::duration_cast<milliseconds>(
-                             now.boot - known->heard_at)
-                             .count()}}});
+  changes.Add(Decision{
+      Weight::kBelief,
+      "entry_lost",
+      0,
+      {{"address", known->address.host}},
+      {{"heard_ms_ago",
+        std::chrono::duration_cast<milliseconds>(now.boot - known->heard_at)
+            .count()}}});
   return changes;
 }
 
@@ -210,9 +210,8 @@
   AgentChanges changes;
   for (const auto& [id, link] : board.links) {
     if (link.entry == 0) continue;
-    const bool is_due =
-        link.report_due ||
-        now.boot - link.reported_at >= board.settings.report_interval;
+    const bool is_due = link.report_due || now.boot - link.reported_at >=
+                                               board.settings.report_interval;
     if (!is_due) continue;
     const LoadReport report = ReportFor(board, link, now);
     if (report == link.reported && !link.report_due) continue;
--- a/src/core/pool/agent/looks.cpp
+++ b/src/core/pool/agent/looks.cpp
@@ -28,8 +28,8 @@
            {"started_ms", static_cast<std::int64_t>(minion.started_ms)}}};
 }
 
-// An instance that has restarted under its id accepts calls meant for the former
-// one, so it may hold some of the runs; the next look decides.
+// An instance that has restarted under its id accepts calls meant for the
+// former one, so it may hold some of the runs; the next look decides.
 AgentChanges AdoptRestarted(const AgentBoard& board, const MinionReport& report,
                             const Now& now) {
   AgentChanges changes;
@@ -92,8 +92,7 @@
 void NoteRunning(const RunRow& run, int percent, const Now& now,
                  AgentChanges* changes) {
   RunRow row = run;
-  if (run.phase == RunPhase::kStarting ||
-      run.phase == RunPhase::kUnconfirmed) {
+  if (run.phase == RunPhase::kStarting || run.phase == RunPhase::kUnconfirmed) {
     row.phase = RunPhase::kRunning;
     row.phase_since = now.boot;
     row.progress_at = now.boot;
@@ -171,9 +170,12 @@
   LookState look = board.look;
   look.in_flight = false;
   ++look.failures;
-  look.next_at = look.failures == 1
-                     ? now.boot
-                     : now.boot + board.settings.probe_interval;
+  look.next_at =
+      look.failures == 1 ? now.boot : now.boot + board.settings.probe_interval;
+  // The minion has not seen a look that was never sent.
+  if (e.answer == CallAnswer::kNotConnected) {
+    look.lease_ends_at = look.former_lease_ends_at;
+  }
   changes.Add(SetLook{look});
   if (e.answer == CallAnswer::kFenced) {
     const auto wall = static_cast<std::uint64_t>(now.wall.count());
@@ -244,9 +246,8 @@
                 board.fencing_token,
                 {}};
   call.timeout = call.wait + settings.look_slack;
-  // A minion that does not answer is not kept from killing its runs, so that
-  // they are certainly dead at a known time.
-  if (has_runs && !is_probe) {
+  look.former_lease_ends_at = look.lease_ends_at;
+  if (has_runs) {
     call.lease_ends_ms = MinionClock(board, now) + settings.lease.count();
     look.lease_ends_at = now.boot + settings.lease_bound;
   }
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -115,6 +115,7 @@
   changes.Add(Put<RunRow>{started});
   LookState look = board.look;
   look.lease_ends_at = now.boot + board.settings.lease_bound;
+  look.former_lease_ends_at = look.lease_ends_at;
   changes.Add(SetLook{look});
   changes.Add(CallStart{*board.minion, run, message.payload,
                         MinionClock(board, now) + board.settings.lease.count(),
@@ -163,6 +164,7 @@
     case CallAnswer::kLate:
     case CallAnswer::kOtherInstance:
     case CallAnswer::kUnavailable:
+    case CallAnswer::kNotConnected:
       return DropRefused(board, *run, StartRefusal::kNotAccepting,
                          e.answer == CallAnswer::kLate
                              ? "the start reached the minion too late"
@@ -227,9 +229,8 @@
   for (const auto& [key, run] : board.runs) {
     if (run.phase != RunPhase::kRunning) continue;
     const BootTime allowed = std::max<BootTime>(
-        settings.stall_min,
-        std::chrono::duration_cast<BootTime>(settings.stall_share *
-                                             run.estimate));
+        settings.stall_min, std::chrono::duration_cast<BootTime>(
+                                settings.stall_share * run.estimate));
     if (now.boot - run.progress_at < allowed) continue;
     changes.Add(Put<RunRow>{Stopping(run, RunEnd::kStalled, now)});
     Decision decision =
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -16,20 +16,20 @@
   // As in EntrySettings; both sides of a link use the same values.
   milliseconds ping_interval{100};
   milliseconds link_timeout{500};
-  milliseconds dial_retry{250};
+  milliseconds dial_retry{50};
   // Runs die this long after the agent's last renewal. With link_timeout it
-  // bounds the life of a run whose entry and agent are both gone to 1.1 s, less
+  // bounds the life of a run whose entry and agent are both gone to 0.9 s, less
   // than the 1.3 s after which a client submits a job again.
-  milliseconds lease{500};
+  milliseconds lease{300};
   // Clocks of minions may be 2% slow; a lease has then lapsed after this time.
-  milliseconds lease_bound{520};
+  milliseconds lease_bound{310};
   // A look at the minion waits this long for an end. Short, because the answer
   // may get lost and the next end is then seen one wait later.
   milliseconds look_wait{50};
   // A look without an answer this long after its wait has failed.
   milliseconds look_slack{40};
   // Interval of looks at a minion that does not answer.
-  milliseconds probe_interval{200};
+  milliseconds probe_interval{100};
   // Answers of starts and stops arrive within a millisecond; one that does not
   // come in this time is lost.
   milliseconds call_timeout{100};
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -37,14 +37,10 @@
   }
 
   void On(const JobSubmitted& e) { Run(HandleSubmission(*board_, e, now_)); }
-  void On(const CallerGone& e) {
-    Run(HandleCallerGone(*board_, e.call, now_));
-  }
+  void On(const CallerGone& e) { Run(HandleCallerGone(*board_, e.call, now_)); }
   void On(const JobCancelled& e) { Run(HandleCancel(*board_, e, now_)); }
   void On(const LinkOpened& e) { Run(NoteMessage(*board_, e.link, now_)); }
-  void On(const LinkClosed& e) {
-    Run(HandleLinkClosed(*board_, e.link, now_));
-  }
+  void On(const LinkClosed& e) { Run(HandleLinkClosed(*board_, e.link, now_)); }
   void On(const MessageReceived& e) {
     Run(NoteMessage(*board_, e.link, now_));
     std::visit([&](const auto& message) { OnMessage(e.link, message); },
@@ -81,12 +77,11 @@
     if (board_->stopping) return;
     EntryChanges changes;
     changes.Add(SetStopping{now_.boot});
-    changes.Add(
-        Decision{Weight::kBelief,
-                 "stop_requested",
-                 0,
-                 {},
-                 {{"jobs", static_cast<std::int64_t>(CountActive())}}});
+    changes.Add(Decision{Weight::kBelief,
+                         "stop_requested",
+                         0,
+                         {},
+                         {{"jobs", static_cast<std::int64_t>(CountActive())}}});
     Run(std::move(changes));
   }
   void On(const PauseNoticed& e) { Run(AbortAllLinks(*board_, e.length)); }
@@ -168,12 +163,12 @@
 }
 
 std::size_t CountPending(const EntryBoard& board, const std::string& queue) {
-  return std::count_if(
-      board.jobs.begin(), board.jobs.end(), [&](const auto& it) {
-        const JobRow& job = it.second;
-        return job.state == JobState::kActive && !job.offered &&
-               job.queue == queue;
-      });
+  return std::count_if(board.jobs.begin(), board.jobs.end(),
+                       [&](const auto& it) {
+                         const JobRow& job = it.second;
+                         return job.state == JobState::kActive &&
+                                !job.offered && job.queue == queue;
+                       });
 }
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -32,6 +32,8 @@
 
 struct JobRow {
   std::uint64_t id = 0;
+  // The client's name for its first call, for logs.
+  std::string request_id;
   Bytes payload;
   std::string queue;
   std::string service;
@@ -144,6 +146,7 @@
   Table<AgentRow> agents;
   Table<LinkRow> links;
   Table<PeerRow> peers;
+  BootTime started_at{0};
   bool stopping = false;
   BootTime stopping_since{0};
 };
--- a/src/core/pool/entry/events.h
+++ b/src/core/pool/entry/events.h
@@ -12,6 +12,8 @@
 // A client hands in a job. The host and the path select its queue.
 struct JobSubmitted {
   CallId call;
+  // The client's name for this call, for logs.
+  std::string request_id;
   std::string host;
   std::string path;
   JobSpec job;
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -47,12 +47,11 @@
 
 }  // namespace
 
-EntryChanges NoteMessage(const EntryBoard& board, LinkId link,
-                         const Now& now) {
+EntryChanges NoteMessage(const EntryBoard& board, LinkId link, const Now& now) {
   EntryChanges changes;
   const LinkRow* known = board.links.Find(link);
-  LinkRow row = known == nullptr ? LinkRow{link, {}, now.boot, now.boot, 0}
-                                 : *known;
+  LinkRow row =
+      known == nullptr ? LinkRow{link, {}, now.boot, now.boot, 0} : *known;
   row.heard_at = now.boot;
   changes.Add(Put<LinkRow>{row});
   return changes;
@@ -101,15 +100,15 @@
     Decision decision = AgentDecision(*agent, "agent_lost");
     const LinkRow* row = board.links.Find(link);
     if (row != nullptr) {
-      decision.figures.emplace_back(
-          "heard_ms_ago", ToMilliseconds(now.boot - row->heard_at));
+      decision.figures.emplace_back("heard_ms_ago",
+                                    ToMilliseconds(now.boot - row->heard_at));
     }
     changes.Add(std::move(decision));
     changes.Add(Erase<AgentRow>{link});
   }
   for (const auto& [key, task] : board.tasks) {
-    const bool has_run = task.state == TaskState::kPlaced ||
-                         task.state == TaskState::kStopping;
+    const bool has_run =
+        task.state == TaskState::kPlaced || task.state == TaskState::kStopping;
     if (!has_run || task.link != link) continue;
     TaskRow lost = task;
     lost.state = TaskState::kLost;
@@ -122,11 +121,8 @@
     row.link.reset();
     row.next_dial_at = now.boot + board.settings.dial_retry;
     changes.Add(Put<PeerRow>{row});
-    changes.Add(Decision{Weight::kBelief,
-                         "entry_lost",
-                         0,
-                         {{"address", address.host}},
-                         {}});
+    changes.Add(Decision{
+        Weight::kBelief, "entry_lost", 0, {{"address", address.host}}, {}});
   }
   return changes;
 }
@@ -147,11 +143,8 @@
     peer.seen_at = now.boot;
     changes.Add(Put<LinkRow>{{*e.link, e.address, now.boot, now.boot, 0}});
     changes.Add(SendMessage{*e.link, HelloOf(board)});
-    changes.Add(Decision{Weight::kBelief,
-                         "entry_known",
-                         0,
-                         {{"address", e.address.host}},
-                         {}});
+    changes.Add(Decision{
+        Weight::kBelief, "entry_known", 0, {{"address", e.address.host}}, {}});
   }
   changes.Add(Put<PeerRow>{peer});
   return changes;
@@ -234,8 +227,8 @@
     LinkRow row = link;
     row.config_sent = board.config.version;
     changes.Add(Put<LinkRow>{row});
-    changes.Add(SendMessage{
-        id, ConfigOffer{board.config.version, board.config_text}});
+    changes.Add(
+        SendMessage{id, ConfigOffer{board.config.version, board.config_text}});
   }
   return changes;
 }
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -25,6 +25,7 @@
   Decision decision{weight, std::move(what), job.id, {}, {}};
   if (!reason.empty()) decision.texts.emplace_back("reason", reason);
   decision.texts.emplace_back("queue", job.queue);
+  decision.texts.emplace_back("request", job.request_id);
   decision.figures = {{"age_ms", ToMilliseconds(now.boot - job.arrived_at)},
                       {"goal_ms", ToMilliseconds(job.goal_at - job.arrived_at)},
                       {"open_tasks", job.open_tasks}};
@@ -46,8 +47,7 @@
   for (auto it = begin; it != end; ++it) {
     const TaskRow& task = it->second;
     if (task.state != TaskState::kPlaced) continue;
-    changes->Add(
-        SendMessage{task.link, StopRun{{task.key, task.run_number}}});
+    changes->Add(SendMessage{task.link, StopRun{{task.key, task.run_number}}});
     TaskRow stopping = task;
     stopping.state = TaskState::kStopping;
     changes->Add(Put<TaskRow>{stopping});
@@ -69,25 +69,23 @@
 const TaskRow* FindRun(const EntryBoard& board, LinkId link,
                        const RunKey& run) {
   const TaskRow* task = board.tasks.Find(run.task);
-  if (task == nullptr || task->run_number != run.number ||
-      task->link != link) {
+  if (task == nullptr || task->run_number != run.number || task->link != link) {
     return nullptr;
   }
-  const bool is_open = task->state == TaskState::kPlaced ||
-                       task->state == TaskState::kStopping;
+  const bool is_open =
+      task->state == TaskState::kPlaced || task->state == TaskState::kStopping;
   return is_open ? task : nullptr;
 }
 
 Decision RunDecision(const TaskRow& task, std::string what,
                      const std::string& reason, const Now& now) {
-  return {Weight::kFailure,
-          std::move(what),
-          task.key.job,
-          {{"task", ToText(task.key)},
-           {"reason", reason},
-           {"minion", task.minion}},
-          {{"run", static_cast<std::int64_t>(task.run_number)},
-           {"after_ms", ToMilliseconds(now.boot - task.placed_at)}}};
+  return {
+      Weight::kFailure,
+      std::move(what),
+      task.key.job,
+      {{"task", ToText(task.key)}, {"reason", reason}, {"minion", task.minion}},
+      {{"run", static_cast<std::int64_t>(task.run_number)},
+       {"after_ms", ToMilliseconds(now.boot - task.placed_at)}}};
 }
 
 void CompleteTask(const EntryBoard& board, const TaskRow& task, const Now& now,
@@ -118,18 +116,16 @@
   failed.state = TaskState::kWaiting;
   if (by_itself) ++failed.failures;
   auto& minions = failed.failed_on;
-  if (std::find(minions.begin(), minions.end(), task.minion) ==
-      minions.end()) {
+  if (std::find(minions.begin(), minions.end(), task.minion) == minions.end()) {
     minions.push_back(task.minion);
   }
   changes->Add(Put<TaskRow>{failed});
   const JobRow* job = board.jobs.Find(task.key.job);
   if (job == nullptr || job->state != JobState::kActive) return;
   if (!by_itself || !HasFailed(failed, *job)) return;
-  changes->Add(JobDecision(*job, Weight::kFailure, "job_failed",
-                           "a task failed on " +
-                               std::to_string(minions.size()) + " minions",
-                           now));
+  changes->Add(JobDecision(
+      *job, Weight::kFailure, "job_failed",
+      "a task failed on " + std::to_string(minions.size()) + " minions", now));
   EndJob(board, *job, JobState::kFailed, ReplyKind::kFailed, now, changes);
 }
 
@@ -215,8 +211,7 @@
 EntryChanges GiveUp(const EntryBoard& board, const JobRow& job, ReplyKind reply,
                     const std::string& reason, const Now& now) {
   EntryChanges changes;
-  changes.Add(
-      JobDecision(job, Weight::kFailure, "job_given_up", reason, now));
+  changes.Add(JobDecision(job, Weight::kFailure, "job_given_up", reason, now));
   EndJob(board, job, JobState::kAbandoned, reply, now, &changes);
   return changes;
 }
@@ -268,7 +263,8 @@
     }
     const auto goal = job.goal_at - job.arrived_at;
     const auto patience = board.settings.refusal_share * goal;
-    if (!job.offered && now.boot - job.arrived_at >= patience &&
+    const bool is_warm = now.boot >= board.started_at + board.settings.warm_up;
+    if (is_warm && !job.offered && now.boot - job.arrived_at >= patience &&
         !HasAcceptingAgent(board, job.service)) {
       Add(&changes, GiveUp(board, job, ReplyKind::kNoMinions,
                            "no minion takes runs", now));
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -35,8 +35,7 @@
       const TaskRow& task = it->second;
       if (task.state != TaskState::kWaiting) continue;
       const BootTime latest_start = job.goal_at - task.estimate;
-      waiting.push_back(
-          {&task, &job, latest_start < now.boot, latest_start});
+      waiting.push_back({&task, &job, latest_start < now.boot, latest_start});
     }
   }
   std::sort(waiting.begin(), waiting.end(), &GoesBefore);
@@ -67,8 +66,7 @@
     const double cost = CostOf(agent, *waiting.task);
     const bool is_better =
         best == nullptr || cost < best_cost ||
-        (cost == best_cost &&
-         agent.free.cpu_millis > best->free.cpu_millis);
+        (cost == best_cost && agent.free.cpu_millis > best->free.cpu_millis);
     if (!is_better) continue;
     best = &agent;
     best_cost = cost;
@@ -82,20 +80,19 @@
   task.state = TaskState::kPlaced;
   // The wall clock makes numbers of other entries for the same task lower, if
   // they were given earlier.
-  task.run_number = std::max<std::uint64_t>(task.run_number + 1,
-                                            now.wall.count());
+  task.run_number =
+      std::max<std::uint64_t>(task.run_number + 1, now.wall.count());
   task.link = agent->link;
   task.minion = agent->hello.minion;
   task.placed_at = now.boot;
   ++agent->starts_sent;
   agent->free -= task.needs;
   agent->unreported.push_back({agent->starts_sent, task.needs});
-  changes->Add(SendMessage{agent->link,
-                           StartRun{agent->starts_sent,
-                                    {task.key, task.run_number},
-                                    waiting.job->payload,
-                                    task.needs,
-                                    task.estimate}});
+  changes->Add(SendMessage{agent->link, StartRun{agent->starts_sent,
+                                                 {task.key, task.run_number},
+                                                 waiting.job->payload,
+                                                 task.needs,
+                                                 task.estimate}});
   changes->Add(Put<TaskRow>{task});
 }
 
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -22,8 +22,8 @@
   milliseconds link_timeout{500};
   // A run whose link is gone is certainly dead after this time: the agent stops
   // it within link_timeout and 100 ms, and if the agent dies meanwhile, the
-  // minion's lease of 500 ms (2% longer on a slow clock) ends it.
-  milliseconds lost_run_bound{1'130};
+  // minion's lease of 300 ms (2% longer on a slow clock) ends it.
+  milliseconds lost_run_bound{910};
   // A job that no minion can take is refused after this share of its goal.
   double refusal_share = 0.2;
   // Jobs are accepted for this long after a stop request; later callers are
@@ -38,7 +38,10 @@
   // Outcomes of ended jobs are kept this long for repeated submissions.
   milliseconds outcome_retention{10'000};
   // Wait between two attempts to connect to an entry.
-  milliseconds dial_retry{250};
+  milliseconds dial_retry{50};
+  // For this long after its start an entry does not refuse jobs for want of
+  // minions, whose agents need up to a report interval of 1.5 s to return.
+  milliseconds warm_up{2'000};
   friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
 };
 
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -20,6 +20,7 @@
   reason.weight = Weight::kFailure;
   reason.what = "job_refused";
   reason.job = e.job.id;
+  reason.texts.emplace_back("request", e.request_id);
   changes.Add(std::move(reason));
   return changes;
 }
@@ -43,6 +44,7 @@
 JobRow NewJob(const JobSubmitted& e, const QueueConfig& queue, const Now& now) {
   JobRow job;
   job.id = e.job.id;
+  job.request_id = e.request_id;
   job.payload = e.job.payload;
   job.queue = queue.name;
   job.service = queue.service;
@@ -51,8 +53,8 @@
   job.waiters = {e.call};
   job.arrived_at = now.boot;
   const double chain_ms = queue.stretch * LongestEstimate(e.job).count();
-  job.goal_at = now.boot + queue.target_latency +
-                milliseconds{std::llround(chain_ms)};
+  job.goal_at =
+      now.boot + queue.target_latency + milliseconds{std::llround(chain_ms)};
   job.deadline_at = now.boot + e.patience;
   return job;
 }
@@ -97,7 +99,7 @@
   changes.Add(Decision{Weight::kFailure,
                        "job_repeated",
                        e.job.id,
-                       {},
+                       {{"request", e.request_id}},
                        {{"state", static_cast<int>(known.state)}}});
   return changes;
 }
@@ -154,7 +156,8 @@
                   {.texts = {{"reason", "this process is stopping"}}});
   }
   const milliseconds backlog = BacklogDelay(board, queue->service);
-  if (backlog + LongestEstimate(e.job) > e.patience) {
+  const bool is_warm = now.boot >= board.started_at + board.settings.warm_up;
+  if (is_warm && backlog + LongestEstimate(e.job) > e.patience) {
     return Refuse(e, ReplyKind::kOverloaded, kOverloadRetryAfter,
                   {.texts = {{"reason", "the backlog exceeds the deadline"}},
                    .figures = {{"backlog_ms", backlog.count()},
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -34,8 +34,7 @@
   return text == nullptr ? std::string() : text->str();
 }
 
-using EndpointVector =
-    flatbuffers::Vector<flatbuffers::Offset<wire::Endpoint>>;
+using EndpointVector = flatbuffers::Vector<flatbuffers::Offset<wire::Endpoint>>;
 
 flatbuffers::Offset<EndpointVector> WriteEndpoints(
     Builder* to, const std::vector<Endpoint>& endpoints) {
@@ -194,8 +193,9 @@
 }
 
 FrameError UnknownFrame() {
-  return {"the frame is of a kind that this release does not know; run one "
-          "release on all machines"};
+  return {
+      "the frame is of a kind that this release does not know; run one "
+      "release on all machines"};
 }
 
 }  // namespace
@@ -213,8 +213,9 @@
       reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size(),
       kMaxDepth, kMaxTables);
   if (!wire::VerifyFrameBuffer(verifier)) {
-    return FrameError{"the frame is malformed; check what connects to the "
-                      "internal port"};
+    return FrameError{
+        "the frame is malformed; check what connects to the "
+        "internal port"};
   }
   const wire::Frame& frame = *wire::GetFrame(bytes.data());
   if (!HasKnownEnums(frame)) return UnknownFrame();
--- /dev/null
+++ b/tests/pool/agent_fixture.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/pool/agent/advance.h"
+
+namespace dottereltrack::pool {
+
+// An agent on a virtual clock, with entries and a minion that the test plays.
+// The minion has been looked at once and is idle.
+class AgentFixture {
+ public:
+  AgentFixture();
+
+  std::vector<AgentEffect> Step(std::vector<AgentEvent> events);
+  // Lets time pass with a tick; entries' links stay alive.
+  std::vector<AgentEffect> Wait(milliseconds time);
+  // Connects an entry under a link.
+  void AddEntry(std::uint64_t link, std::uint64_t entry);
+  std::vector<AgentEffect> Start(std::uint64_t link, const RunKey& run);
+  // Answers the look that is under way.
+  std::vector<AgentEffect> AnswerLook(std::vector<ListedRun> running,
+                                      std::vector<ListedEnd> ended);
+  std::vector<AgentEffect> FailLook(CallAnswer answer);
+
+  AgentBoard board;
+  Now now;
+};
+
+template <typename T>
+std::vector<T> Select(const std::vector<AgentEffect>& effects) {
+  std::vector<T> found;
+  for (const AgentEffect& effect : effects) {
+    if (const auto* it = std::get_if<T>(&effect)) found.push_back(*it);
+  }
+  return found;
+}
+
+// Messages of one kind with the link that they are for.
+template <typename T>
+std::vector<std::pair<std::uint64_t, T>> SelectMessages(
+    const std::vector<AgentEffect>& effects) {
+  std::vector<std::pair<std::uint64_t, T>> found;
+  for (const SendToEntry& it : Select<SendToEntry>(effects)) {
+    if (const auto* message = std::get_if<T>(&it.message)) {
+      found.emplace_back(it.link.value, *message);
+    }
+  }
+  return found;
+}
+
+// The minion has room for four tasks.
+inline constexpr Resources kTaskNeeds{6'000, 64, 0};
+inline constexpr Resources kMinionRoom{24'000, 256, 0};
+
+// First run of a task of job 1.
+RunKey RunOf(std::uint32_t task, std::uint64_t number = 1);
+
+// A report of the fixture's minion.
+MinionReport ReportOf(const std::string& id, std::uint64_t started_ms,
+                      std::uint64_t sequence);
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/tests/pool/agent_minion_test.cpp
@@ -0,0 +1,182 @@
+#include <catch2/catch.hpp>
+
+#include "core/pool/agent/capacity.h"
+#include "pool/agent_fixture.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+void StartAndConfirm(AgentFixture* agent, const RunKey& run) {
+  agent->Start(1, run);
+  agent->Step({StartAnswered{run, CallAnswer::kAccepted}});
+}
+
+TEST_CASE("What a report says of the minion decides whether it takes runs",
+          "[pool][agent][minion]") {
+  // Guards against starts on a minion that leaves, and against a delayed report
+  // that brings back an instance which has been replaced.
+  struct Row {
+    const char* name;
+    std::string id;
+    std::uint64_t started_ms;
+    std::uint64_t sequence;
+    bool draining;
+    std::string adopted;
+    bool accepting;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"newer report", "m1", 1'000, 2, false, "m1", true},
+      {"draining", "m1", 1'000, 2, true, "m1", false},
+      {"delayed report", "m1", 1'000, 1, true, "m1", true},
+      {"replacement", "m2", 2'000, 1, false, "m2", false},
+      {"report of a former instance", "m0", 500, 9, false, "m1", true},
+  }));
+  CAPTURE(row.name);
+  AgentFixture agent;
+  MinionReport report = ReportOf(row.id, row.started_ms, row.sequence);
+  report.draining = row.draining;
+  agent.Step({MinionReported{report}});
+  CHECK(agent.board.minion->id == row.adopted);
+  CHECK(IsAccepting(agent.board, agent.now) == row.accepting);
+}
+
+TEST_CASE("A new instance takes runs after the first look",
+          "[pool][agent][minion]") {
+  // Guards against starts beside runs that an earlier agent process has left.
+  AgentFixture agent;
+  const auto effects = agent.Step({MinionReported{ReportOf("m2", 2'000, 1)}});
+  REQUIRE(Select<CallLook>(effects).size() == 1);
+  CHECK_FALSE(IsAccepting(agent.board, agent.now));
+  agent.AnswerLook({}, {});
+  CHECK(IsAccepting(agent.board, agent.now));
+}
+
+TEST_CASE("Runs that an earlier agent process has left are stopped first",
+          "[pool][agent][limit]") {
+  // Guards against exceeding the capacity by runs of unknown needs.
+  AgentFixture agent;
+  agent.Step({MinionReported{ReportOf("m2", 2'000, 1)}});
+  const auto effects = agent.AnswerLook({{RunOf(7), 50}}, {});
+  CHECK(Select<CallStop>(effects).size() == 1);
+  CHECK_FALSE(IsAccepting(agent.board, agent.now));
+  agent.AnswerLook({}, {{1, RunOf(7), RunEnd::kStopped}});
+  CHECK(IsAccepting(agent.board, agent.now));
+}
+
+TEST_CASE("A look renews the lease of the runs", "[pool][agent][lease]") {
+  // Guards against runs that lapse under a live agent.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.Start(1, RunOf(0));
+  agent.Step({StartAnswered{RunOf(0), CallAnswer::kAccepted}});
+  agent.now.boot += milliseconds{50};
+  const auto looks = Select<CallLook>(agent.AnswerLook({{RunOf(0), 30}}, {}));
+  REQUIRE(looks.size() == 1);
+  REQUIRE(looks[0].lease_ends_ms.has_value());
+  const auto lease =
+      static_cast<std::uint64_t>(agent.board.settings.lease.count());
+  CHECK(*looks[0].lease_ends_ms == 50'000 + lease);
+}
+
+TEST_CASE(
+    "The runs of a minion that does not answer are lost when their lease "
+    "has lapsed, and not before",
+    "[pool][agent][twice]") {
+  // Guards against a second run elsewhere while the first one may live.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  REQUIRE(agent.board.look.in_flight);
+  const BootTime sent_at = agent.board.look.sent_at;
+  agent.now.boot += milliseconds{90};
+  agent.FailLook(CallAnswer::kUnanswered);
+  CHECK_FALSE(IsAccepting(agent.board, agent.now));
+  // The second look finds no listener, so it renews nothing.
+  agent.now.boot += milliseconds{40};
+  agent.FailLook(CallAnswer::kNotConnected);
+  const BootTime lapses_at = sent_at + agent.board.settings.lease_bound;
+  agent.now.boot = lapses_at - milliseconds{1};
+  CHECK(SelectMessages<RunEnded>(agent.Step({})).empty());
+  if (agent.board.look.in_flight) agent.FailLook(CallAnswer::kNotConnected);
+  agent.now.boot = lapses_at;
+  const auto ended = SelectMessages<RunEnded>(agent.Step({}));
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].second.end == RunEnd::kLost);
+}
+
+TEST_CASE(
+    "A restart under the same id keeps only the runs that the minion lists",
+    "[pool][agent][twice]") {
+  // Guards against a task that is started elsewhere although the restarted
+  // minion has accepted its start, and against one that is waited for in vain.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  StartAndConfirm(&agent, RunOf(1));
+  agent.Step({MinionReported{ReportOf("m1", 2'000, 1)}});
+  CHECK(agent.board.look.last_end == 0);
+  agent.now.boot += milliseconds{5};
+  agent.AnswerLook({{RunOf(1), 5}}, {});
+  CHECK(agent.board.runs.Find(RunOf(0))->phase == RunPhase::kStopping);
+  CHECK(agent.board.runs.Find(RunOf(1))->phase == RunPhase::kRunning);
+}
+
+TEST_CASE("A replaced minion's runs are lost", "[pool][agent][minion]") {
+  // Guards against callers that wait for runs of an instance that is gone.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  const bool left = GENERATE(false, true);
+  CAPTURE(left);
+  const auto effects =
+      left ? agent.Step({MinionLeft{"m1"}})
+           : agent.Step({MinionReported{ReportOf("m2", 2'000, 1)}});
+  const auto ended = SelectMessages<RunEnded>(effects);
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].second.end == RunEnd::kLost);
+}
+
+TEST_CASE("A minion that fails most runs is suspended, then tried again",
+          "[pool][agent][health]") {
+  // Guards against a failing minion that, being idle, attracts most tasks.
+  struct Row {
+    RunEnd end;
+    bool accepting;
+  };
+  const auto row = GENERATE(values<Row>({{RunEnd::kDone, true},
+                                         {RunEnd::kStopped, true},
+                                         {RunEnd::kFailed, false}}));
+  CAPTURE(ToString(row.end));
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  std::uint64_t number = 0;
+  for (std::uint32_t n = 0; n < 3; ++n) {
+    StartAndConfirm(&agent, RunOf(n));
+    agent.now.boot += milliseconds{10};
+    agent.AnswerLook({}, {{++number, RunOf(n), row.end}});
+  }
+  CHECK(IsAccepting(agent.board, agent.now) == row.accepting);
+  if (row.accepting) return;
+  agent.Wait(agent.board.settings.suspend_first);
+  CHECK(IsAccepting(agent.board, agent.now));
+  StartAndConfirm(&agent, RunOf(9));
+  // One run at a time until one has succeeded.
+  CHECK_FALSE(IsAccepting(agent.board, agent.now));
+  agent.now.boot += milliseconds{10};
+  agent.AnswerLook({}, {{++number, RunOf(9), RunEnd::kDone}});
+  CHECK(IsAccepting(agent.board, agent.now));
+  CHECK_FALSE(agent.board.health.on_trial);
+}
+
+TEST_CASE("A fenced agent raises its token", "[pool][agent][fencing]") {
+  // Guards against an agent whose clock went back and whose calls are refused
+  // for good.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.Start(1, RunOf(0));
+  agent.Step({StartAnswered{RunOf(0), CallAnswer::kFenced}});
+  CHECK(agent.board.fencing_token > 10);
+}
+
+}  // namespace
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/tests/pool/agent_runs_test.cpp
@@ -0,0 +1,215 @@
+#include <catch2/catch.hpp>
+
+#include "core/pool/agent/capacity.h"
+#include "pool/agent_fixture.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+// Ends that the agent has reported.
+std::vector<RunEnd> EndsOf(const std::vector<AgentEffect>& effects) {
+  std::vector<RunEnd> ends;
+  for (const auto& [link, message] : SelectMessages<RunEnded>(effects)) {
+    ends.push_back(message.end);
+  }
+  return ends;
+}
+
+// Starts a run, and has the minion accept it and list it.
+void StartAndConfirm(AgentFixture* agent, const RunKey& run) {
+  agent->Start(1, run);
+  agent->Step({StartAnswered{run, CallAnswer::kAccepted}});
+}
+
+TEST_CASE("A run is started only within the minion's capacity",
+          "[pool][agent][limit]") {
+  // Guards against overloading a minion, which starts whatever it is told to.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  for (std::uint32_t n = 0; n < 4; ++n) {
+    CHECK(Select<CallStart>(agent.Start(1, RunOf(n))).size() == 1);
+  }
+  const auto effects = agent.Start(1, RunOf(4));
+  CHECK(Select<CallStart>(effects).empty());
+  const auto refusals = SelectMessages<StartRefused>(effects);
+  REQUIRE(refusals.size() == 1);
+  CHECK(refusals[0].second.refusal == StartRefusal::kNoRoom);
+}
+
+TEST_CASE("The answer to a start decides whether its room stays taken",
+          "[pool][agent][limit]") {
+  // Guards against room that is given away while the run may exist, and against
+  // room that is lost for good.
+  struct Row {
+    CallAnswer answer;
+    bool stays;
+    std::optional<StartRefusal> refusal;
+  };
+  const auto row = GENERATE(values<Row>(
+      {{CallAnswer::kAccepted, true, {}},
+       {CallAnswer::kUnanswered, true, {}},
+       {CallAnswer::kNoRoom, false, StartRefusal::kNoRoom},
+       {CallAnswer::kOldNumber, false, StartRefusal::kOldNumber},
+       {CallAnswer::kInvalid, false, StartRefusal::kRejected},
+       {CallAnswer::kLate, false, StartRefusal::kNotAccepting},
+       {CallAnswer::kFenced, false, StartRefusal::kNotAccepting},
+       {CallAnswer::kOtherInstance, false, StartRefusal::kNotAccepting},
+       {CallAnswer::kUnavailable, false, StartRefusal::kNotAccepting}}));
+  CAPTURE(static_cast<int>(row.answer));
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.Start(1, RunOf(0));
+  const auto effects = agent.Step({StartAnswered{RunOf(0), row.answer}});
+  const Resources taken = row.stays ? kTaskNeeds : Resources{};
+  CHECK(FreeRoom(agent.board) == kMinionRoom - taken);
+  const auto refusals = SelectMessages<StartRefused>(effects);
+  REQUIRE(refusals.size() == (row.refusal ? 1U : 0U));
+  if (row.refusal) CHECK(refusals[0].second.refusal == *row.refusal);
+}
+
+TEST_CASE("A start without an answer is settled by the next look",
+          "[pool][agent][twice]") {
+  // Guards against a run that is started elsewhere although the minion runs it,
+  // and against a late arrival of the start: the stop forbids it.
+  const bool listed = GENERATE(false, true);
+  CAPTURE(listed);
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.Start(1, RunOf(0));
+  agent.AnswerLook({}, {});
+  agent.now.boot += milliseconds{100};
+  agent.Step({StartAnswered{RunOf(0), CallAnswer::kUnanswered}});
+  // The look under way may be older than the start; it decides nothing.
+  CHECK(EndsOf(agent.AnswerLook({}, {})).empty());
+  agent.now.boot += milliseconds{1};
+  std::vector<ListedRun> running;
+  if (listed) running.push_back({RunOf(0), 10});
+  const auto effects = agent.AnswerLook(running, {});
+  CHECK(EndsOf(effects).empty());
+  const RunRow* run = agent.board.runs.Find(RunOf(0));
+  REQUIRE(run != nullptr);
+  CHECK(run->phase == (listed ? RunPhase::kRunning : RunPhase::kStopping));
+  CHECK(Select<CallStop>(effects).size() == (listed ? 0U : 1U));
+}
+
+TEST_CASE("A stopped run keeps its room until its end is known",
+          "[pool][agent][limit]") {
+  // Guards against starts into room that a run still holds while it stops.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  const auto stop = agent.Step({EntryMessage{{1}, StopRun{RunOf(0)}}});
+  REQUIRE(Select<CallStop>(stop).size() == 1);
+  agent.Step({StopAnswered{RunOf(0), CallAnswer::kAccepted}});
+  CHECK(FreeRoom(agent.board) == kMinionRoom - kTaskNeeds);
+  const auto effects = agent.AnswerLook({}, {{1, RunOf(0), RunEnd::kStopped}});
+  CHECK(EndsOf(effects) == std::vector{RunEnd::kStopped});
+  CHECK(FreeRoom(agent.board) == kMinionRoom);
+}
+
+TEST_CASE("A stop without an answer is repeated", "[pool][agent][twice]") {
+  // Guards against runs that live on because one call got lost.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  agent.Step({EntryMessage{{1}, StopRun{RunOf(0)}}});
+  agent.Step({StopAnswered{RunOf(0), CallAnswer::kUnanswered}});
+  CHECK(Select<CallStop>(agent.Wait(milliseconds{60})).size() == 1);
+}
+
+TEST_CASE("The runs of a lost entry are stopped", "[pool][agent][twice]") {
+  // Guards against a second run when the client submits the job to another
+  // entry, 1.3 s after the first entry's end.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.AddEntry(2, 200);
+  StartAndConfirm(&agent, RunOf(0));
+  agent.Start(2, RunOf(1));
+  const auto effects = agent.Step({EntryLinkClosed{{1}}});
+  const auto stops = Select<CallStop>(effects);
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].run == RunOf(0));
+}
+
+TEST_CASE("A silent entry's link is aborted", "[pool][agent][links]") {
+  // Guards against runs of an entry that lost power, which closes no
+  // connection.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.now.boot += agent.board.settings.link_timeout;
+  const auto aborted = Select<AbortEntryLink>(agent.Step({AgentTick{}}));
+  REQUIRE(aborted.size() == 1);
+  CHECK(aborted[0].link == LinkId{1});
+}
+
+TEST_CASE("After a pause an agent aborts all its links",
+          "[pool][agent][twice]") {
+  // Guards against a thawed agent that starts what has been placed elsewhere.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.AddEntry(2, 200);
+  CHECK(Select<AbortEntryLink>(agent.Step({AgentPaused{milliseconds{3'500}}}))
+            .size() == 2);
+}
+
+TEST_CASE("An entry learns when none of its earlier runs is left",
+          "[pool][agent][twice]") {
+  // Guards against an entry that starts a task again while its earlier run is
+  // still being stopped.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  agent.Step({EntryLinkClosed{{1}}});
+  agent.AddEntry(2, 100);
+  auto settled = [&] { return agent.board.links.Find({2})->reported->settled; };
+  CHECK_FALSE(settled());
+  agent.AnswerLook({}, {{1, RunOf(0), RunEnd::kStopped}});
+  agent.Wait(milliseconds{50});
+  CHECK(settled());
+}
+
+TEST_CASE("Two runs of one task are never on a minion",
+          "[pool][agent][twice]") {
+  // Guards against a resubmitted job whose former run has not ended here.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.AddEntry(2, 200);
+  StartAndConfirm(&agent, RunOf(0, 1));
+  const auto effects = agent.Start(2, RunOf(0, 2));
+  CHECK(Select<CallStart>(effects).empty());
+  CHECK(SelectMessages<StartRefused>(effects).size() == 1);
+}
+
+TEST_CASE("A run without progress is stopped and reported as stalled",
+          "[pool][agent][health]") {
+  // Guards against tasks that stand still on a minion whose reports are good.
+  const bool advances = GENERATE(false, true);
+  CAPTURE(advances);
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  for (int percent = 1; percent <= 20; ++percent) {
+    agent.Wait(milliseconds{50});
+    agent.AnswerLook({{RunOf(0), advances ? percent : 1}}, {});
+  }
+  const RunRow* run = agent.board.runs.Find(RunOf(0));
+  REQUIRE(run != nullptr);
+  CHECK((run->phase == RunPhase::kStopping) == !advances);
+}
+
+TEST_CASE("A stopping agent takes no runs and exits when its last has ended",
+          "[pool][agent][stop]") {
+  // Guards against cut work during a planned stop, and against an agent that
+  // waits until the platform kills it.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  agent.Step({AgentStopRequested{}});
+  CHECK(SelectMessages<StartRefused>(agent.Start(1, RunOf(1))).size() == 1);
+  CHECK(Select<ExitAgent>(agent.Wait(milliseconds{50})).empty());
+  agent.AnswerLook({}, {{1, RunOf(0), RunEnd::kDone}});
+  CHECK(Select<ExitAgent>(agent.Wait(milliseconds{50})).size() == 1);
+}
+
+}  // namespace
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/tests/pool/entry_links_test.cpp
@@ -0,0 +1,93 @@
+#include <catch2/catch.hpp>
+
+#include "pool/entry_fixture.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+TEST_CASE("A silent link is aborted", "[pool][entry][links]") {
+  // Guards against peers that vanished without closing their connections.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(1));
+  entry.AddAgent(2, "m2", RoomFor(1));
+  entry.now.boot += entry.board.settings.link_timeout;
+  const auto aborted = Select<AbortLink>(
+      entry.Step({MessageReceived{{2}, Ping{}}, EntryTick{}}));
+  REQUIRE(aborted.size() == 1);
+  CHECK(aborted[0].link == LinkId{1});
+}
+
+TEST_CASE("After a pause an entry aborts all its links",
+          "[pool][entry][links]") {
+  // Guards against a thawed entry that acts on what agents said before.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(1));
+  entry.AddAgent(2, "m2", RoomFor(1));
+  const auto aborted =
+      Select<AbortLink>(entry.Step({PauseNoticed{milliseconds{3'500}}}));
+  CHECK(aborted.size() == 2);
+}
+
+TEST_CASE("Idle links carry pings", "[pool][entry][links]") {
+  // Guards against healthy links that time out because nothing is said.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(1));
+  const auto pings =
+      SelectMessages<Ping>(entry.Wait(entry.board.settings.ping_interval));
+  CHECK(pings.size() == 1);
+}
+
+TEST_CASE("Room that was given away is not given again before a report",
+          "[pool][entry][placement]") {
+  // Guards against starts that the agent must refuse for want of room.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(2));
+  CHECK(SelectMessages<StartRun>(entry.Submit(1, 2)).size() == 2);
+  CHECK(SelectMessages<StartRun>(entry.Submit(2, 1)).empty());
+  // The report covers the first of the two starts only.
+  const LoadReport one_handled{1, RoomFor(1), true, true, 0};
+  CHECK(
+      SelectMessages<StartRun>(entry.Step({MessageReceived{{1}, one_handled}}))
+          .empty());
+  const LoadReport room{2, RoomFor(1), true, true, 0};
+  CHECK(SelectMessages<StartRun>(entry.Step({MessageReceived{{1}, room}}))
+            .size() == 1);
+}
+
+TEST_CASE("A peer entry is offered each configuration once",
+          "[pool][entry][config]") {
+  // Guards against entries that the store turns away and that never learn of a
+  // change, and against floods of large configurations.
+  EntryFixture entry;
+  entry.Step({EntriesListed{{{"10.0.0.2", 7000}}}});
+  const auto offers = SelectMessages<ConfigOffer>(
+      entry.Step({PeerDialed{{"10.0.0.2", 7000}, LinkId{8}}}));
+  REQUIRE(offers.size() == 1);
+  CHECK(offers[0].second.version == 1);
+  CHECK(SelectMessages<ConfigOffer>(entry.Wait(milliseconds{10})).empty());
+  const auto next = SelectMessages<ConfigOffer>(
+      entry.Step({ConfigRead{{2, {}}, std::string("two")}}));
+  REQUIRE(next.size() == 1);
+  CHECK(*next[0].second.text == "two");
+}
+
+TEST_CASE("Entries are dialed as long as somebody lists them",
+          "[pool][entry][links]") {
+  // Guards against losing all peers when registrations lapse in a store outage.
+  struct Row {
+    seconds after;
+    bool dials;
+  };
+  const auto row =
+      GENERATE(values<Row>({{seconds{30}, true}, {seconds{90}, false}}));
+  CAPTURE(row.after.count());
+  EntryFixture entry;
+  entry.Step({EntriesListed{{{"10.0.0.2", 7000}}}});
+  entry.Step({PeerDialed{{"10.0.0.2", 7000}, std::nullopt}});
+  entry.Step({EntriesListed{{}}});
+  entry.now.boot += row.after;
+  CHECK(Select<DialPeer>(entry.Step({})).size() == (row.dials ? 1U : 0U));
+}
+
+}  // namespace
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/tests/pool/entry_outcomes_test.cpp
@@ -0,0 +1,215 @@
+#include <catch2/catch.hpp>
+
+#include "pool/entry_fixture.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+constexpr std::uint64_t kJob = 0x5c0e7a21d94b36f8;
+
+// The only reply among the effects.
+Reply OnlyReply(const std::vector<EntryEffect>& effects) {
+  const auto replies = Select<Reply>(effects);
+  REQUIRE(replies.size() == 1);
+  return replies[0];
+}
+
+TEST_CASE("A job is answered when its last task is done", "[pool][entry]") {
+  // Guards against partial answers and against answers that wait for a tick.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(4));
+  const auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 2));
+  REQUIRE(starts.size() == 2);
+  const auto first = entry.Step({MessageReceived{
+      {1}, RunEnded{starts[0].second.run, RunEnd::kDone, milliseconds{90}}}});
+  CHECK(Select<Reply>(first).empty());
+  const auto second = entry.Step({MessageReceived{
+      {1}, RunEnded{starts[1].second.run, RunEnd::kDone, milliseconds{95}}}});
+  CHECK(OnlyReply(second).kind == ReplyKind::kCompleted);
+}
+
+TEST_CASE("The end of a run decides what its task does next", "[pool][entry]") {
+  // Guards against tasks that are dropped, or started again without need.
+  struct Row {
+    RunEnd end;
+    std::size_t starts;
+    int failures;
+  };
+  const auto row = GENERATE(values<Row>({{RunEnd::kDone, 0, 0},
+                                         {RunEnd::kFailed, 1, 1},
+                                         {RunEnd::kStalled, 1, 0},
+                                         {RunEnd::kStopped, 1, 0},
+                                         {RunEnd::kLost, 1, 0}}));
+  CAPTURE(ToString(row.end));
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(4));
+  entry.AddAgent(2, "m2", RoomFor(4), 0.5);
+  const auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 1));
+  REQUIRE(starts.size() == 1);
+  REQUIRE(starts[0].first == 1);
+  const RunKey run = starts[0].second.run;
+  const auto again = SelectMessages<StartRun>(entry.Step(
+      {MessageReceived{{1}, RunEnded{run, row.end, milliseconds{90}}}}));
+  REQUIRE(again.size() == row.starts);
+  if (!again.empty()) CHECK(again[0].second.run.number > run.number);
+  CHECK(entry.board.tasks.Find(run.task)->failures == row.failures);
+}
+
+TEST_CASE("A failed run is tried on another minion", "[pool][entry]") {
+  // Guards against a minion that fails everything and, being idle, attracts
+  // each retry.
+  EntryFixture entry;
+  entry.AddAgent(1, "fast", RoomFor(4));
+  entry.AddAgent(2, "slow", RoomFor(4), 1.0);
+  const auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 1));
+  REQUIRE(starts.size() == 1);
+  REQUIRE(starts[0].first == 1);
+  const auto again = SelectMessages<StartRun>(entry.Step({MessageReceived{
+      {1}, RunEnded{starts[0].second.run, RunEnd::kFailed, milliseconds{5}}}}));
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].first == 2);
+}
+
+TEST_CASE("A job fails when a task has failed on three minions",
+          "[pool][entry]") {
+  // Guards against endless retries of hopeless jobs, and against failing a job
+  // because of two faulty minions.
+  EntryFixture entry;
+  for (std::uint64_t link = 1; link <= 4; ++link) {
+    entry.AddAgent(link, "m" + std::to_string(link), RoomFor(4));
+  }
+  auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 1));
+  std::vector<EntryEffect> effects;
+  for (int failures = 1; failures <= 3; ++failures) {
+    CAPTURE(failures);
+    REQUIRE(starts.size() == 1);
+    effects = entry.Step({MessageReceived{
+        {starts[0].first},
+        RunEnded{starts[0].second.run, RunEnd::kFailed, milliseconds{5}}}});
+    starts = SelectMessages<StartRun>(effects);
+  }
+  CHECK(starts.empty());
+  CHECK(OnlyReply(effects).kind == ReplyKind::kFailed);
+}
+
+TEST_CASE("A lost run is not started again before it is certainly dead",
+          "[pool][entry][twice]") {
+  // Guards against two runs of a task at once after a cut between entry and
+  // agent: the agent may still hold the run until its own time-outs have
+  // passed.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(4));
+  entry.AddAgent(2, "m2", RoomFor(4), 1.0);
+  REQUIRE(SelectMessages<StartRun>(entry.Submit(kJob, 1)).size() == 1);
+  const milliseconds bound = entry.board.settings.lost_run_bound;
+  CHECK(SelectMessages<StartRun>(entry.Step({LinkClosed{{1}}})).empty());
+  CHECK(SelectMessages<StartRun>(entry.Wait(bound - milliseconds{1})).empty());
+  const auto starts = SelectMessages<StartRun>(entry.Wait(milliseconds{1}));
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].first == 2);
+}
+
+TEST_CASE("A lost run's task goes on once its minion's agent is settled",
+          "[pool][entry][twice]") {
+  // Guards against both errors: waiting for the bound although the agent has
+  // confirmed that nothing is left, and going on although it has not.
+  const bool settled = GENERATE(false, true);
+  CAPTURE(settled);
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(4));
+  REQUIRE(SelectMessages<StartRun>(entry.Submit(kJob, 1)).size() == 1);
+  entry.Step({LinkClosed{{1}}});
+  const AgentHello hello{9, "m1", "menus", "north", "r1", RoomFor(4)};
+  const LoadReport load{0, RoomFor(4), true, settled, 0};
+  const auto effects =
+      entry.Step({MessageReceived{{5}, hello}, MessageReceived{{5}, load}});
+  CHECK(SelectMessages<StartRun>(effects).size() == (settled ? 1U : 0U));
+}
+
+TEST_CASE("An end of an earlier run is ignored", "[pool][entry]") {
+  // Guards against a late message that completes a task which runs elsewhere.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(4));
+  const auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 1));
+  const RunKey first = starts[0].second.run;
+  entry.Step({MessageReceived{{1}, RunEnded{first, RunEnd::kLost, {}}}});
+  const auto effects =
+      entry.Step({MessageReceived{{1}, RunEnded{first, RunEnd::kDone, {}}}});
+  CHECK(Select<Reply>(effects).empty());
+}
+
+TEST_CASE("A caller that leaves has its runs stopped", "[pool][entry]") {
+  // Guards against work for nobody, and against two runs when the client
+  // submits the job again elsewhere.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(4));
+  const auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 2));
+  const auto stops = SelectMessages<StopRun>(entry.Step({CallerGone{{1}}}));
+  REQUIRE(stops.size() == 2);
+  CHECK(stops[0].second.run == starts[0].second.run);
+}
+
+TEST_CASE("A job submitted again after its caller left waits for its old runs",
+          "[pool][entry][twice]") {
+  // Guards against a second run while the stop of the first is on its way.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(4));
+  const auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 1));
+  entry.Step({CallerGone{{1}}});
+  CHECK(SelectMessages<StartRun>(entry.Submit(kJob, 1)).empty());
+  const auto again = SelectMessages<StartRun>(entry.Step({MessageReceived{
+      {1},
+      RunEnded{starts[0].second.run, RunEnd::kStopped, milliseconds{5}}}}));
+  CHECK(again.size() == 1);
+}
+
+TEST_CASE("A repeated submission does not run a job again", "[pool][entry]") {
+  // Guards against double charges when a client repeats a request.
+  const bool has_ended = GENERATE(false, true);
+  CAPTURE(has_ended);
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(4));
+  const auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 1));
+  const EntryEvent end = MessageReceived{
+      {1}, RunEnded{starts[0].second.run, RunEnd::kDone, milliseconds{9}}};
+  if (has_ended) entry.Step({end});
+  const auto repeated = entry.Submit(kJob, 1);
+  CHECK(SelectMessages<StartRun>(repeated).empty());
+  CHECK(Select<Reply>(repeated).size() == (has_ended ? 1U : 0U));
+  if (has_ended) return;
+  CHECK(Select<Reply>(entry.Step({end})).size() == 2);
+}
+
+TEST_CASE("What a job past its deadline is told depends on whether it began",
+          "[pool][entry]") {
+  // Guards against a refusal that claims "not run" for a job that has begun.
+  const bool has_begun = GENERATE(false, true);
+  CAPTURE(has_begun);
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", RoomFor(has_begun ? 1 : 0));
+  entry.Submit(kJob, 1, milliseconds{500});
+  const auto effects = entry.Wait(milliseconds{500});
+  CHECK(OnlyReply(effects).kind ==
+        (has_begun ? ReplyKind::kGivenUp : ReplyKind::kOverloaded));
+  CHECK(SelectMessages<StopRun>(effects).size() == (has_begun ? 1U : 0U));
+}
+
+TEST_CASE("Without minions a job is refused early, but not by a new entry",
+          "[pool][entry]") {
+  // Guards against holding callers that nobody can serve, and against refusing
+  // all callers in the second in which all agents come back.
+  const bool is_new = GENERATE(false, true);
+  CAPTURE(is_new);
+  EntryFixture entry;
+  if (is_new) entry.board.started_at = entry.now.boot;
+  entry.Submit(kJob, 1);
+  const auto effects = entry.Wait(milliseconds{100});
+  if (is_new) {
+    CHECK(Select<Reply>(effects).empty());
+  } else {
+    CHECK(OnlyReply(effects).kind == ReplyKind::kNoMinions);
+  }
+}
+
+}  // namespace
+}  // namespace dottereltrack::pool
