--- a/apps/pool_common/store_watches.cpp
+++ b/apps/pool_common/store_watches.cpp
@@ -154,8 +154,8 @@
     const std::map<std::string, std::string>& values) {
   std::vector<Endpoint> entries;
   for (const auto& [key, value] : values) {
-    if (const auto endpoint = ParseEndpoint(value))
-      entries.push_back(*endpoint);
+    const auto endpoint = ParseEndpoint(value);
+    if (endpoint) entries.push_back(*endpoint);
   }
   return entries;
 }
--- a/src/core/pool/agent/health.cpp
+++ b/src/core/pool/agent/health.cpp
@@ -21,8 +21,9 @@
 }
 
 void NoteDuration(const RunRow& run, const Now& now, MinionHealth* health) {
-  const double duration_us = (now.boot - run.started_at).count();
-  const double estimate_us = microseconds{run.estimate}.count();
+  using Microseconds = std::chrono::duration<double, std::micro>;
+  const double duration_us = Microseconds{now.boot - run.started_at}.count();
+  const double estimate_us = Microseconds{run.estimate}.count();
   if (duration_us <= 0 || estimate_us <= 0) return;
   ++health->done_runs;
   const double weight = std::max(kSpeedWeight, 1.0 / health->done_runs);
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -52,7 +52,8 @@
   job.max_attempts = queue.max_attempts;
   job.waiters = {e.call};
   job.arrived_at = now.boot;
-  const double chain_ms = queue.stretch * LongestEstimate(e.job).count();
+  const double chain_ms =
+      queue.stretch * static_cast<double>(LongestEstimate(e.job).count());
   job.goal_at =
       now.boot + queue.target_latency + milliseconds{std::llround(chain_ms)};
   job.deadline_at = now.boot + e.patience;
