--- /dev/null
+++ b/tests/process/pool/web.py
@@ -0,0 +1,103 @@
+"""A small HTTP/1.1 server and client on asyncio, for stand-ins and callers."""
+
+import asyncio
+import json
+
+
+class Dropped(Exception):
+    """Raised by a handler that closes the connection without an answer."""
+
+
+async def read_message(reader):
+    """First line, headers in lower case, and body; None at the end."""
+    line = await reader.readline()
+    if not line:
+        return None
+    headers = {}
+    while True:
+        field = (await reader.readline()).decode().strip()
+        if not field:
+            break
+        name, _, value = field.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return line.decode().split(None, 2), headers, body
+
+
+class Server:
+    """Calls `handle(method, path, query, headers, body)` for each request. It
+    returns a status and a value to be sent as JSON."""
+
+    def __init__(self, handle):
+        self.handle = handle
+        self.server = None
+        self.connections = set()
+
+    async def start(self, host, port):
+        self.server = await asyncio.start_server(self.serve, host, port)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while True:
+                message = await read_message(reader)
+                if message is None:
+                    break
+                (method, target, _), headers, body = message
+                path, _, text = target.partition("?")
+                query = dict(p.partition("=")[::2] for p in text.split("&") if p)
+                value = json.loads(body) if body else {}
+                status, answer = await self.handle(method, path, query, headers, value)
+                data = json.dumps(answer).encode()
+                writer.write(
+                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
+                )
+                await writer.drain()
+        except (
+            Dropped,
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+    def drop_connections(self):
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def stop(self):
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.drop_connections()
+
+
+async def call(address, method, path, value, headers=None, timeout=10.0, source=None):
+    """Status and JSON of the answer; status 0 if there was none."""
+    host, port = address
+    writer = None
+    try:
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(
+                host, port, local_addr=(source, 0) if source else None
+            )
+            data = json.dumps(value).encode()
+            fields = {"Host": host, "Content-Length": str(len(data)), **(headers or {})}
+            text = "".join(f"{name}: {field}\r\n" for name, field in fields.items())
+            writer.write(f"{method} {path} HTTP/1.1\r\n{text}\r\n".encode() + data)
+            message = await read_message(reader)
+            if message is None:
+                return 0, None
+            body = message[2]
+            return int(message[0][1]), json.loads(body) if body else None
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return 0, None
+    finally:
+        if writer is not None:
+            writer.close()
