Index open jobs, waiting and lost tasks; report load less often

Each load report walked all tasks of the last 10 s, and 58 agents sent up to 50 reports a second to each entry. Ruled out: placement (with --no-cpu all jobs were within their objective).

--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/agent/links.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "core/pool/agent/capacity.h"
 #include "core/pool/agent/runs.h"
@@ -41,6 +42,27 @@
           IsSettled(board, link), board.health.log_slowness};
 }
 
+// Whether an entry should know of the load now. Each report costs the entry a
+// wake-up, and small changes alter no decision.
+bool IsReportDue(const AgentBoard& board, const EntryLinkRow& link,
+                 const LoadReport& report, const Now& now) {
+  if (link.report_due || !link.reported) return true;
+  const LoadReport& last = *link.reported;
+  if (report == last) return false;
+  if (report.accepting != last.accepting || report.settled != last.settled) {
+    return true;
+  }
+  const AgentSettings& settings = board.settings;
+  const BootTime age = now.boot - link.reported_at;
+  if (age >= settings.report_max) return true;
+  const auto links = static_cast<std::int64_t>(board.links.size());
+  if (age < settings.report_interval * links) return false;
+  const double capacity =
+      board.minion ? static_cast<double>(board.minion->capacity.cpu_millis) : 0;
+  const auto change = std::abs(report.free.cpu_millis - last.free.cpu_millis);
+  return static_cast<double>(change) >= settings.report_share * capacity;
+}
+
 }  // namespace
 
 AgentChanges AddEntries(const AgentBoard& board,
@@ -210,11 +232,8 @@
   AgentChanges changes;
   for (const auto& [id, link] : board.links) {
     if (link.entry == 0) continue;
-    const bool is_due = link.report_due || now.boot - link.reported_at >=
-                                               board.settings.report_interval;
-    if (!is_due) continue;
     const LoadReport report = ReportFor(board, link, now);
-    if (report == link.reported && !link.report_due) continue;
+    if (!IsReportDue(board, link, report, now)) continue;
     EntryLinkRow row = link;
     row.reported = report;
     row.report_due = false;
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -35,8 +35,13 @@
   milliseconds call_timeout{100};
   // The minion needs at most 50 ms to stop a run.
   milliseconds stop_bound{60};
-  // Load reports without news that an entry waits for are sent this often.
-  milliseconds report_interval{20};
+  // Least time between two load reports to an entry, for each entry that is
+  // linked, so that an agent sends at most 200 a second in all.
+  milliseconds report_interval{5};
+  // Changes of the free cores below this share of the capacity are reported
+  // only every report_max.
+  double report_share = 0.1;
+  milliseconds report_max{100};
   // A run without progress for this long, or for `stall_share` of its estimate
   // if that is longer, has stalled.
   milliseconds stall_min{300};
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -111,11 +111,7 @@
   void OnMessage(LinkId, const StartRun&) {}
   void OnMessage(LinkId, const StopRun&) {}
 
-  std::size_t CountActive() const {
-    return std::count_if(
-        board_->jobs.begin(), board_->jobs.end(),
-        [](const auto& it) { return it.second.state == JobState::kActive; });
-  }
+  std::size_t CountActive() const { return board_->active_jobs.size(); }
 
   void ExitWhenIdle() {
     if (!board_->stopping) return;
@@ -126,8 +122,8 @@
       return;
     }
     EntryChanges changes;
-    for (const auto& [id, job] : board_->jobs) {
-      if (job.state != JobState::kActive) continue;
+    for (const std::uint64_t id : board_->active_jobs) {
+      const JobRow& job = *board_->jobs.Find(id);
       EntryChanges given_up =
           GiveUp(*board_, job,
                  job.offered ? ReplyKind::kGivenUp : ReplyKind::kStopping,
@@ -163,11 +159,10 @@
 }
 
 std::size_t CountPending(const EntryBoard& board, const std::string& queue) {
-  return std::count_if(board.jobs.begin(), board.jobs.end(),
-                       [&](const auto& it) {
-                         const JobRow& job = it.second;
-                         return job.state == JobState::kActive &&
-                                !job.offered && job.queue == queue;
+  return std::count_if(board.active_jobs.begin(), board.active_jobs.end(),
+                       [&](std::uint64_t id) {
+                         const JobRow& job = *board.jobs.Find(id);
+                         return !job.offered && job.queue == queue;
                        });
 }
 
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -3,13 +3,50 @@
 namespace dottereltrack::pool {
 namespace {
 
+void Unindex(EntryBoard* board, std::uint64_t id) {
+  const JobRow* job = board->jobs.Find(id);
+  if (job == nullptr) return;
+  board->active_jobs.erase(id);
+  board->ended_jobs_by_age.erase({job->ended_at, id});
+}
+
+void Index(EntryBoard* board, const JobRow& job) {
+  if (job.state == JobState::kActive) {
+    board->active_jobs.insert(job.id);
+  } else {
+    board->ended_jobs_by_age.emplace(job.ended_at, job.id);
+  }
+}
+
+void SetMember(std::set<TaskKey>* set, const TaskKey& key, bool is_member) {
+  if (is_member) {
+    set->insert(key);
+  } else {
+    set->erase(key);
+  }
+}
+
 struct Applier {
   EntryBoard* board;
 
-  void operator()(const Put<JobRow>& it) const { board->jobs.Put(it.row); }
-  void operator()(const Erase<JobRow>& it) const { board->jobs.Erase(it.key); }
-  void operator()(const Put<TaskRow>& it) const { board->tasks.Put(it.row); }
+  void operator()(const Put<JobRow>& it) const {
+    Unindex(board, it.row.id);
+    Index(board, it.row);
+    board->jobs.Put(it.row);
+  }
+  void operator()(const Erase<JobRow>& it) const {
+    Unindex(board, it.key);
+    board->jobs.Erase(it.key);
+  }
+  void operator()(const Put<TaskRow>& it) const {
+    const TaskState state = it.row.state;
+    SetMember(&board->waiting_tasks, it.row.key, state == TaskState::kWaiting);
+    SetMember(&board->lost_tasks, it.row.key, state == TaskState::kLost);
+    board->tasks.Put(it.row);
+  }
   void operator()(const Erase<TaskRow>& it) const {
+    board->waiting_tasks.erase(it.key);
+    board->lost_tasks.erase(it.key);
     board->tasks.Erase(it.key);
   }
   void operator()(const Put<AgentRow>& it) const { board->agents.Put(it.row); }
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -97,7 +98,7 @@
 // An agent as its link shows it.
 struct AgentRow {
   LinkId link;
-  AgentHello hello;
+  Shared<AgentHello> hello;
   LoadReport load;
   // Room by the last report less the starts that it does not cover.
   Resources free;
@@ -146,6 +147,11 @@
   Table<AgentRow> agents;
   Table<LinkRow> links;
   Table<PeerRow> peers;
+  // Indexes that `Apply` derives from the tables.
+  std::set<std::uint64_t> active_jobs;
+  std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
+  std::set<TaskKey> waiting_tasks;
+  std::set<TaskKey> lost_tasks;
   BootTime started_at{0};
   bool stopping = false;
   BootTime stopping_since{0};
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -26,8 +26,9 @@
 // Runs that were lost with an earlier link of the same minion have ended.
 void ReleaseLostRuns(const EntryBoard& board, const std::string& minion,
                      EntryChanges* changes) {
-  for (const auto& [key, task] : board.tasks) {
-    if (task.state != TaskState::kLost || task.minion != minion) continue;
+  for (const TaskKey& key : board.lost_tasks) {
+    const TaskRow& task = *board.tasks.Find(key);
+    if (task.minion != minion) continue;
     TaskRow waiting = task;
     waiting.state = TaskState::kWaiting;
     changes->Add(Put<TaskRow>{waiting});
@@ -38,10 +39,10 @@
   return {Weight::kBelief,
           std::move(what),
           0,
-          {{"minion", agent.hello.minion},
-           {"service", agent.hello.service},
-           {"data_centre", agent.hello.data_centre}},
-          {{"cpu_millis", agent.hello.capacity.cpu_millis},
+          {{"minion", agent.hello->minion},
+           {"service", agent.hello->service},
+           {"data_centre", agent.hello->data_centre}},
+          {{"cpu_millis", agent.hello->capacity.cpu_millis},
            {"accepting", agent.load.accepting ? 1 : 0}}};
 }
 
@@ -63,7 +64,7 @@
   const AgentRow* known = board.agents.Find(link);
   AgentRow agent = known == nullptr ? AgentRow{} : *known;
   agent.link = link;
-  if (agent.hello.minion != message.minion) agent.load = LoadReport{};
+  if (agent.hello->minion != message.minion) agent.load = LoadReport{};
   agent.hello = message;
   changes.Add(Put<AgentRow>{agent});
   if (known == nullptr) changes.Add(SendMessage{link, HelloOf(board)});
@@ -84,7 +85,7 @@
   agent.free = message.free;
   for (const UnreportedStart& it : agent.unreported) agent.free -= it.needs;
   changes.Add(Put<AgentRow>{agent});
-  if (message.settled) ReleaseLostRuns(board, agent.hello.minion, &changes);
+  if (message.settled) ReleaseLostRuns(board, agent.hello->minion, &changes);
   if (message.accepting != known->load.accepting) {
     changes.Add(AgentDecision(agent, "agent_accepting_changed"));
   }
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -88,6 +88,14 @@
        {"after_ms", ToMilliseconds(now.boot - task.placed_at)}}};
 }
 
+void EraseTasks(const EntryBoard& board, std::uint64_t job,
+                EntryChanges* changes) {
+  const auto [begin, end] = TasksOf(board, job);
+  for (auto it = begin; it != end; ++it) {
+    changes->Add(Erase<TaskRow>{it->first});
+  }
+}
+
 void CompleteTask(const EntryBoard& board, const TaskRow& task, const Now& now,
                   EntryChanges* changes) {
   TaskRow done = task;
@@ -103,6 +111,7 @@
   }
   changes->Add(JobDecision(job, Weight::kRoutine, "job_completed", "", now));
   EndJob(board, job, JobState::kCompleted, ReplyKind::kCompleted, now, changes);
+  EraseTasks(board, job.id, changes);
 }
 
 bool HasFailed(const TaskRow& task, const JobRow& job) {
@@ -144,15 +153,10 @@
   });
 }
 
-void ForgetIfOld(const EntryBoard& board, const JobRow& job, const Now& now,
-                 EntryChanges* changes) {
-  if (now.boot < job.ended_at + board.settings.outcome_retention) return;
-  if (HasLiveRuns(board, job.id)) return;
-  const auto [begin, end] = TasksOf(board, job.id);
-  for (auto it = begin; it != end; ++it) {
-    changes->Add(Erase<TaskRow>{it->first});
-  }
-  changes->Add(Erase<JobRow>{job.id});
+void Forget(const EntryBoard& board, std::uint64_t job, EntryChanges* changes) {
+  if (HasLiveRuns(board, job)) return;
+  EraseTasks(board, job, changes);
+  changes->Add(Erase<JobRow>{job});
 }
 
 void Add(EntryChanges* to, EntryChanges from) {
@@ -165,7 +169,7 @@
 bool HasAcceptingAgent(const EntryBoard& board, const std::string& service) {
   return std::any_of(
       board.agents.begin(), board.agents.end(), [&](const auto& it) {
-        return it.second.load.accepting && it.second.hello.service == service;
+        return it.second.load.accepting && it.second.hello->service == service;
       });
 }
 
@@ -218,7 +222,8 @@
 
 EntryChanges HandleCallerGone(const EntryBoard& board, CallId call,
                               const Now& now) {
-  for (const auto& [id, job] : board.jobs) {
+  for (const std::uint64_t id : board.active_jobs) {
+    const JobRow& job = *board.jobs.Find(id);
     const auto& waiters = job.waiters;
     const auto it = std::find(waiters.begin(), waiters.end(), call);
     if (it == waiters.end()) continue;
@@ -250,11 +255,8 @@
 
 EntryChanges CheckJobTimes(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
-  for (const auto& [id, job] : board.jobs) {
-    if (job.state != JobState::kActive) {
-      ForgetIfOld(board, job, now, &changes);
-      continue;
-    }
+  for (const std::uint64_t id : board.active_jobs) {
+    const JobRow& job = *board.jobs.Find(id);
     if (now.boot >= job.deadline_at) {
       const ReplyKind reply =
           job.offered ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;
@@ -270,10 +272,13 @@
                            "no minion takes runs", now));
     }
   }
-  for (const auto& [key, task] : board.tasks) {
-    if (task.state == TaskState::kLost && now.boot >= task.dead_at) {
-      Wait(task, &changes);
-    }
+  for (const TaskKey& key : board.lost_tasks) {
+    const TaskRow& task = *board.tasks.Find(key);
+    if (now.boot >= task.dead_at) Wait(task, &changes);
+  }
+  for (const auto& [ended_at, id] : board.ended_jobs_by_age) {
+    if (now.boot < ended_at + board.settings.outcome_retention) break;
+    Forget(board, id, &changes);
   }
   return changes;
 }
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -28,86 +28,110 @@
 std::vector<WaitingTask> CollectWaiting(const EntryBoard& board,
                                         const Now& now) {
   std::vector<WaitingTask> waiting;
-  for (const auto& [id, job] : board.jobs) {
-    if (job.state != JobState::kActive) continue;
-    const auto [begin, end] = TasksOf(board, id);
-    for (auto it = begin; it != end; ++it) {
-      const TaskRow& task = it->second;
-      if (task.state != TaskState::kWaiting) continue;
-      const BootTime latest_start = job.goal_at - task.estimate;
-      waiting.push_back({&task, &job, latest_start < now.boot, latest_start});
-    }
+  for (const TaskKey& key : board.waiting_tasks) {
+    const JobRow* job = board.jobs.Find(key.job);
+    if (job == nullptr || job->state != JobState::kActive) continue;
+    const TaskRow* task = board.tasks.Find(key);
+    const BootTime latest_start = job->goal_at - task->estimate;
+    waiting.push_back({task, job, latest_start < now.boot, latest_start});
   }
   std::sort(waiting.begin(), waiting.end(), &GoesBefore);
   return waiting;
 }
 
-// Agents as this round changes them.
-using Candidates = std::map<LinkId, AgentRow>;
+// An agent with the starts of this round.
+struct Candidate {
+  const AgentRow* agent = nullptr;
+  Resources free;
+  double cost = 0;
+  std::vector<Resources> starts;
+};
 
-double CostOf(const AgentRow& agent, const TaskRow& task) {
-  double cost = std::exp(agent.load.log_slowness);
-  const auto& failed = task.failed_on;
-  if (std::find(failed.begin(), failed.end(), agent.hello.minion) !=
-      failed.end()) {
-    cost *= kFailedBeforePenalty;
+std::vector<Candidate> CollectCandidates(const EntryBoard& board) {
+  std::vector<Candidate> candidates;
+  for (const auto& [link, agent] : board.agents) {
+    if (!agent.load.accepting || agent.free.cpu_millis <= 0) continue;
+    candidates.push_back(
+        {&agent, agent.free, std::exp(agent.load.log_slowness), {}});
   }
-  return cost;
+  return candidates;
+}
+
+bool HasFailedOn(const TaskRow& task, const std::string& minion) {
+  const auto& failed = task.failed_on;
+  return std::find(failed.begin(), failed.end(), minion) != failed.end();
 }
 
-AgentRow* ChooseAgent(Candidates* candidates, const WaitingTask& waiting) {
-  AgentRow* best = nullptr;
+Candidate* ChooseCandidate(std::vector<Candidate>* candidates,
+                           const WaitingTask& waiting) {
+  Candidate* best = nullptr;
   double best_cost = 0;
-  for (auto& [link, agent] : *candidates) {
-    if (!agent.load.accepting || agent.hello.service != waiting.job->service ||
-        !Fits(waiting.task->needs, agent.free)) {
+  for (Candidate& it : *candidates) {
+    if (!Fits(waiting.task->needs, it.free) ||
+        it.agent->hello->service != waiting.job->service) {
       continue;
     }
-    const double cost = CostOf(agent, *waiting.task);
+    double cost = it.cost;
+    if (HasFailedOn(*waiting.task, it.agent->hello->minion)) {
+      cost *= kFailedBeforePenalty;
+    }
     const bool is_better =
         best == nullptr || cost < best_cost ||
-        (cost == best_cost && agent.free.cpu_millis > best->free.cpu_millis);
+        (cost == best_cost && it.free.cpu_millis > best->free.cpu_millis);
     if (!is_better) continue;
-    best = &agent;
+    best = &it;
     best_cost = cost;
   }
   return best;
 }
 
-void Place(const WaitingTask& waiting, AgentRow* agent, const Now& now,
+void Place(const WaitingTask& waiting, Candidate* candidate, const Now& now,
            EntryChanges* changes) {
+  const AgentRow& agent = *candidate->agent;
   TaskRow task = *waiting.task;
   task.state = TaskState::kPlaced;
   // The wall clock makes numbers of other entries for the same task lower, if
   // they were given earlier.
   task.run_number =
       std::max<std::uint64_t>(task.run_number + 1, now.wall.count());
-  task.link = agent->link;
-  task.minion = agent->hello.minion;
+  task.link = agent.link;
+  task.minion = agent.hello->minion;
   task.placed_at = now.boot;
-  ++agent->starts_sent;
-  agent->free -= task.needs;
-  agent->unreported.push_back({agent->starts_sent, task.needs});
-  changes->Add(SendMessage{agent->link, StartRun{agent->starts_sent,
-                                                 {task.key, task.run_number},
-                                                 waiting.job->payload,
-                                                 task.needs,
-                                                 task.estimate}});
+  candidate->free -= task.needs;
+  candidate->starts.push_back(task.needs);
+  const std::uint64_t sequence = agent.starts_sent + candidate->starts.size();
+  changes->Add(SendMessage{agent.link, StartRun{sequence,
+                                                {task.key, task.run_number},
+                                                waiting.job->payload,
+                                                task.needs,
+                                                task.estimate}});
   changes->Add(Put<TaskRow>{task});
 }
 
+// The agent's row after the starts of this round.
+AgentRow RowAfter(const Candidate& candidate) {
+  AgentRow row = *candidate.agent;
+  row.free = candidate.free;
+  for (const Resources& needs : candidate.starts) {
+    ++row.starts_sent;
+    row.unreported.push_back({row.starts_sent, needs});
+  }
+  return row;
+}
+
 }  // namespace
 
 EntryChanges PlaceTasks(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
+  if (board.waiting_tasks.empty()) return changes;
   const auto waiting = CollectWaiting(board, now);
   if (waiting.empty()) return changes;
-  Candidates candidates(board.agents.begin(), board.agents.end());
+  std::vector<Candidate> candidates = CollectCandidates(board);
   std::map<std::uint64_t, const JobRow*> offered;
   for (const WaitingTask& it : waiting) {
-    AgentRow* agent = ChooseAgent(&candidates, it);
-    if (agent == nullptr) continue;
-    Place(it, agent, now, &changes);
+    Candidate* candidate = ChooseCandidate(&candidates, it);
+    if (candidate == nullptr) continue;
+    Place(it, candidate, now, &changes);
     if (!it.job->offered) offered.emplace(it.job->id, it.job);
   }
   for (const auto& [id, job] : offered) {
@@ -115,9 +139,8 @@
     row.offered = true;
     changes.Add(Put<JobRow>{row});
   }
-  for (const auto& [link, agent] : candidates) {
-    if (agent == *board.agents.Find(link)) continue;
-    changes.Add(Put<AgentRow>{agent});
+  for (const Candidate& it : candidates) {
+    if (!it.starts.empty()) changes.Add(Put<AgentRow>{RowAfter(it)});
   }
   return changes;
 }
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -109,8 +109,8 @@
 
 milliseconds BacklogDelay(const EntryBoard& board, const std::string& service) {
   double waiting = 0;
-  for (const auto& [key, task] : board.tasks) {
-    if (task.state != TaskState::kWaiting) continue;
+  for (const TaskKey& key : board.waiting_tasks) {
+    const TaskRow& task = *board.tasks.Find(key);
     const JobRow* job = board.jobs.Find(key.job);
     if (job == nullptr || job->state != JobState::kActive) continue;
     if (job->service != service) continue;
@@ -119,8 +119,8 @@
   }
   double cores = 0;
   for (const auto& [link, agent] : board.agents) {
-    if (agent.hello.service != service || !agent.load.accepting) continue;
-    cores += static_cast<double>(agent.hello.capacity.cpu_millis);
+    if (agent.hello->service != service || !agent.load.accepting) continue;
+    cores += static_cast<double>(agent.hello->capacity.cpu_millis);
   }
   if (waiting == 0 || cores == 0) return milliseconds{0};
   double entries = 1;
