--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -70,15 +70,12 @@
                {{"problem",
                  "the address for reports cannot be used; check it and "
                  "whether its port is in use"},
-                {"address", ToText(node_.report_address)}},
-               false);
+                {"address", ToText(node_.report_address)}});
     return false;
   }
-  log_.Write("started",
-             {{"reports", ToText(node_.report_address)},
-              {"data_centre", node_.data_centre},
-              {"seeds", node_.seeds.size()}},
-             false);
+  log_.Write("started", {{"reports", ToText(node_.report_address)},
+                         {"data_centre", node_.data_centre},
+                         {"seeds", node_.seeds.size()}});
   AwaitSignal();
   Post(EntriesNamed{node_.seeds});
   entry_watch_.Start();
@@ -127,7 +124,7 @@
     if (signal == SIGHUP) {
       // Addresses are fixed for the life of the process, and nothing else in
       // the file concerns a running agent.
-      log_.Write("reload", {{"changed", 0}}, false);
+      log_.Write("reload", {{"changed", 0}});
     } else {
       Post(AgentStopRequested{});
     }
@@ -140,7 +137,8 @@
 void PoolAgent::OnFrame(LinkId link, const std::string& frame) {
   auto message = DecodeFrame(frame);
   if (!message) {
-    log_.Write("frame_refused", {{"problem", message.error().message}}, true);
+    log_.Write("frame_refused", {{"problem", message.error().message}},
+               LineBudget::kFailure);
     return links_.Abort(link);
   }
   Post(EntryMessage{link, std::move(message.value())});
@@ -162,7 +160,7 @@
     log_.Write(
         "report_refused",
         {{"minion", call->instance}, {"problem", report.error().message}},
-        true);
+        LineBudget::kFailure);
     return users_platform::MalformedReportResponse(report.error());
   }
   if (!node_.service.empty() && report.value().service != node_.service) {
@@ -170,7 +168,7 @@
                {{"minion", call->instance},
                 {"service", report.value().service},
                 {"reason", "another service than this machine's"}},
-               true);
+               LineBudget::kFailure);
     return users_platform::AcceptedReportResponse();
   }
   Post(MinionReported{std::move(report.value())});
@@ -215,7 +213,7 @@
 
 void PoolAgent::Do(const ExitAgent&) {
   exiting_ = true;
-  log_.Write("stopped", {{"runs", board_.runs.size()}}, false);
+  log_.Write("stopped", {{"runs", board_.runs.size()}});
   exit_timer_.expires_after(kExitDelay);
   exit_timer_.async_wait([this](const asio::error_code&) { loop_.stop(); });
 }
--- a/apps/pool_common/daemon.cpp
+++ b/apps/pool_common/daemon.cpp
@@ -20,6 +20,18 @@
 // milliseconds.
 constexpr milliseconds kDialTimeout{150};
 
+LineBudget BudgetOf(Weight weight) {
+  switch (weight) {
+    case Weight::kRoutine:
+      return LineBudget::kRoutine;
+    case Weight::kFailure:
+      return LineBudget::kFailure;
+    case Weight::kBelief:
+      return LineBudget::kUnlimited;
+  }
+  return LineBudget::kUnlimited;
+}
+
 std::string Usage(const std::string& name, const std::string& summary) {
   return name + ": " + summary + R"(
 
@@ -59,8 +71,7 @@
   if (decision.job != 0) fields["job"] = JobText(decision.job);
   for (const auto& [name, value] : decision.texts) fields[name] = value;
   for (const auto& [name, value] : decision.figures) fields[name] = value;
-  log->Write(decision.what, std::move(fields),
-             decision.weight != Weight::kBelief);
+  log->Write(decision.what, std::move(fields), BudgetOf(decision.weight));
 }
 
 LinkLimits InternalLinkLimits() {
--- a/apps/pool_common/store_watches.cpp
+++ b/apps/pool_common/store_watches.cpp
@@ -26,10 +26,10 @@
   if (works == works_) return;
   works_ = works;
   if (works) {
-    log_.Write("dependency_regained", {{"dependency", name_}}, false);
+    log_.Write("dependency_regained", {{"dependency", name_}});
   } else {
-    log_.Write("dependency_lost", {{"dependency", name_}, {"problem", problem}},
-               false);
+    log_.Write("dependency_lost",
+               {{"dependency", name_}, {"problem", problem}});
   }
 }
 
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -95,12 +95,10 @@
 
 bool PoolEntry::Start() {
   if (!Listen()) return false;
-  log_.Write("started",
-             {{"clients", ToText(node_.client_address)},
-              {"internal", ToText(node_.internal_address)},
-              {"data_centre", node_.data_centre},
-              {"seeds", node_.seeds.size()}},
-             false);
+  log_.Write("started", {{"clients", ToText(node_.client_address)},
+                         {"internal", ToText(node_.internal_address)},
+                         {"data_centre", node_.data_centre},
+                         {"seeds", node_.seeds.size()}});
   AwaitSignal();
   Post(EntriesSuggested{node_.seeds});
   registration_.Start();
@@ -118,8 +116,7 @@
     log_.Write("start_failed",
                {{"problem",
                  "an address cannot be used; check the listen addresses and "
-                 "whether their ports are in use"}},
-               false);
+                 "whether their ports are in use"}});
   }
   return listens;
 }
@@ -159,7 +156,7 @@
     if (signal == SIGHUP) {
       // Addresses are fixed for the life of the process, and nothing else in
       // the file concerns a running entry.
-      log_.Write("reload", {{"changed", 0}}, false);
+      log_.Write("reload", {{"changed", 0}});
     } else {
       registration_.Withdraw();
       Post(StopRequested{});
@@ -173,7 +170,8 @@
 void PoolEntry::OnFrame(LinkId link, const std::string& frame) {
   auto message = DecodeFrame(frame);
   if (!message) {
-    log_.Write("frame_refused", {{"problem", message.error().message}}, true);
+    log_.Write("frame_refused", {{"problem", message.error().message}},
+               LineBudget::kFailure);
     return links_.Abort(link);
   }
   if (const auto* offer = std::get_if<ConfigOffer>(&message.value())) {
@@ -185,7 +183,7 @@
 void PoolEntry::OnConfigText(const std::string& text) {
   auto config = users_platform::ReadConfig(text);
   if (!config) {
-    log_.Write("config_refused", {{"problem", config.error().message}}, false);
+    log_.Write("config_refused", {{"problem", config.error().message}});
     return;
   }
   Post(ConfigRead{std::move(config.value()), text});
@@ -222,7 +220,7 @@
                {{"request", call.request_id},
                 {"job", JobText(call.job)},
                 {"problem", job.error().message}},
-               true);
+               LineBudget::kFailure);
     return reply(users_platform::MalformedJobResponse(job.error()));
   }
   Post(JobSubmitted{OpenCallFor(request, reply), call.request_id, call.host,
@@ -283,7 +281,7 @@
 void PoolEntry::Do(const Exit&) {
   exiting_ = true;
   clients_.StopListening();
-  log_.Write("stopped", {{"open_calls", calls_.size()}}, false);
+  log_.Write("stopped", {{"open_calls", calls_.size()}});
   exit_timer_.expires_after(kExitDelay);
   exit_timer_.async_wait([this](const asio::error_code&) { loop_.stop(); });
 }
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -109,7 +109,9 @@
     changes->Add(Put<JobRow>{job});
     return;
   }
-  changes->Add(JobDecision(job, Weight::kRoutine, "job_completed", "", now));
+  const bool is_late = now.boot > job.goal_at;
+  changes->Add(JobDecision(job, is_late ? Weight::kFailure : Weight::kRoutine,
+                           is_late ? "job_late" : "job_completed", "", now));
   EndJob(board, job, JobState::kCompleted, ReplyKind::kCompleted, now, changes);
   EraseTasks(board, job.id, changes);
 }
@@ -197,8 +199,13 @@
   EntryChanges changes;
   const TaskRow* task = FindRun(board, link, message.run);
   if (task == nullptr) return changes;
-  changes.Add(
-      RunDecision(*task, "start_refused", ToString(message.refusal), now));
+  Decision decision =
+      RunDecision(*task, "start_refused", ToString(message.refusal), now);
+  // Usual where several entries see the same room.
+  if (message.refusal == StartRefusal::kNoRoom) {
+    decision.weight = Weight::kRoutine;
+  }
+  changes.Add(std::move(decision));
   if (message.refusal == StartRefusal::kRejected) {
     FailRun(board, *task, true, now, &changes);
     return changes;
--- a/src/runtime/log/event_log.cpp
+++ b/src/runtime/log/event_log.cpp
@@ -16,8 +16,8 @@
 }
 
 void EventLog::Write(const std::string& kind, nlohmann::json fields,
-                     bool limited) {
-  if (limited && !TakeBudget(kind, &fields)) return;
+                     LineBudget budget) {
+  if (!Spend(kind, budget, &fields)) return;
   fields["time_ms"] = WallNow().count();
   fields["node"] = node_;
   fields["event"] = kind;
@@ -26,21 +26,26 @@
        "\n");
 }
 
-bool EventLog::TakeBudget(const std::string& kind, nlohmann::json* fields) {
-  Budget& budget = budgets_[kind];
+bool EventLog::Spend(const std::string& kind, LineBudget budget,
+                     nlohmann::json* fields) {
+  if (budget == LineBudget::kUnlimited) return true;
+  const std::uint32_t limit = budget == LineBudget::kRoutine
+                                  ? limits_.routine_lines_per_second
+                                  : limits_.failure_lines_per_second;
+  Spent& spent = spent_[{kind, budget}];
   const std::int64_t second =
       std::chrono::duration_cast<seconds>(BootNow()).count();
-  if (second != budget.second) {
-    budget.second = second;
-    budget.written = 0;
+  if (second != spent.second) {
+    spent.second = second;
+    spent.written = 0;
   }
-  if (budget.written >= limits_.lines_per_second) {
-    ++budget.omitted;
+  if (spent.written >= limit) {
+    ++spent.omitted;
     return false;
   }
-  ++budget.written;
-  if (budget.omitted > 0) (*fields)["omitted"] = budget.omitted;
-  budget.omitted = 0;
+  ++spent.written;
+  if (spent.omitted > 0) (*fields)["omitted"] = spent.omitted;
+  spent.omitted = 0;
   return true;
 }
 
