Accept jobs until shortly before a planned exit

Ruled out: the start of the new process, which had a configuration 10 ms after its start. The table of the stop test follows: a job of 100 ms is accepted at 3.1 and 5.2 s and refused at 5.4 s; its row for 3.1 s was the fault.

--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -33,6 +33,15 @@
   return longest;
 }
 
+// Whether a job that is accepted while the process stops is likely to end
+// before the process does.
+bool CanEndBeforeExit(const EntryBoard& board, const JobSpec& job,
+                      const Now& now) {
+  const EntrySettings& settings = board.settings;
+  const auto needed = settings.stop_slack * LongestEstimate(job);
+  return now.boot + needed <= board.stopping_since + settings.stop_max;
+}
+
 TaskRow NewTask(const TaskKey& key, const StepSpec& step) {
   TaskRow task;
   task.key = key;
@@ -151,8 +160,7 @@
   if (known != nullptr && known->state != JobState::kAbandoned) {
     return Repeat(*known, e, now);
   }
-  if (board.stopping &&
-      now.boot >= board.stopping_since + board.settings.stop_accepts) {
+  if (board.stopping && !CanEndBeforeExit(board, e.job, now)) {
     return Refuse(e, ReplyKind::kStopping, kRetryAfter,
                   {.texts = {{"reason", "this process is stopping"}}});
   }
