--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -65,6 +65,13 @@
       signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
 
 bool PoolAgent::Start() {
+  if (node_.report_address.port == 0) {
+    log_.Write("start_failed",
+               {{"problem",
+                 "the settings lack the address for reports; run this role on "
+                 "a minion's machine"}});
+    return false;
+  }
   if (!reports_.Listen(node_.report_address)) {
     log_.Write("start_failed",
                {{"problem",
--- a/apps/pool_common/daemon.cpp
+++ b/apps/pool_common/daemon.cpp
@@ -43,7 +43,8 @@
 
 Options:
   --settings FILE   The platform's settings file; by default the file that the
-                    environment variable DOTTERELTRACK_CONFIG names.
+                    environment variable )" +
+         users_platform::kSettingsVariable + R"( names.
   --check-settings  Read the settings file, report what is wrong, and exit.
   --help            Show this text.
   --version         Show the version.
@@ -110,8 +111,9 @@
   const auto text = ReadFile(path);
   if (!text) {
     return ReportFault(path,
-                       "cannot be read; name it with --settings or in "
-                       "DOTTERELTRACK_CONFIG");
+                       std::string("cannot be read; name it with --settings "
+                                   "or in ") +
+                           users_platform::kSettingsVariable);
   }
   const auto settings = users_platform::ReadNodeSettings(*text);
   if (!settings) return ReportFault(path, settings.error().message);
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -109,6 +109,16 @@
 }
 
 bool PoolEntry::Listen() {
+  const bool is_complete = node_.client_address.port != 0 &&
+                           node_.readiness_address.port != 0 &&
+                           node_.internal_address.port != 0;
+  if (!is_complete) {
+    log_.Write("start_failed",
+               {{"problem",
+                 "the settings lack an address to listen on; run this role "
+                 "where clients are served"}});
+    return false;
+  }
   const bool listens = links_.Listen(node_.internal_address) &&
                        readiness_.Listen(node_.readiness_address) &&
                        clients_.Listen(node_.client_address);
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -170,7 +170,7 @@
     return Refuse(e, ReplyKind::kOverloaded, kOverloadRetryAfter,
                   {.texts = {{"reason", "the backlog exceeds the deadline"}},
                    .figures = {{"backlog_ms", backlog.count()},
-                               {"deadline_ms", e.patience.count()}}});
+                               {"patience_ms", e.patience.count()}}});
   }
   return Accept(board, e, *queue, now);
 }
--- a/src/runtime/log/event_log.cpp
+++ b/src/runtime/log/event_log.cpp
@@ -51,11 +51,17 @@
 
 // A line is written whole or not at all; the rest of a partial write waits.
 void EventLog::Send(const std::string& line) {
+  Flush();
   if (waiting_.size() + line.size() > limits_.max_waiting_bytes) {
     ++dropped_;
     return;
   }
   waiting_ += line;
+  Flush();
+}
+
+void EventLog::Flush() {
+  if (waiting_.empty()) return;
   const ssize_t n = ::write(fd_, waiting_.data(), waiting_.size());
   if (n > 0) waiting_.erase(0, static_cast<std::size_t>(n));
 }
--- a/src/runtime/log/event_log.h
+++ b/src/runtime/log/event_log.h
@@ -48,6 +48,7 @@
   bool Spend(const std::string& kind, LineBudget budget,
              nlohmann::json* fields);
   void Send(const std::string& line);
+  void Flush();
 
   int fd_;
   std::string node_;
