--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <utility>
 
+#include "core/pool/agent/capacity.h"
 #include "platform/minion.h"
 #include "pool_wire/codec.h"
 #include "runtime/clock.h"
@@ -27,6 +28,20 @@
 // jobs at once. The minion accepts 64 connections.
 HttpClientLimits MinionLimits() { return {256, 16}; }
 
+std::vector<Gauge> GaugesOf(const AgentBoard& board) {
+  return {{"dottereltrack_agent_runs", "Runs whose end is not known",
+           [&board] { return static_cast<double>(board.runs.size()); }},
+          {"dottereltrack_agent_free_cores", "Free cores of the minion",
+           [&board] {
+             return static_cast<double>(FreeRoom(board).cpu_millis) / 1'000;
+           }},
+          {"dottereltrack_agent_entries", "Entries with a link",
+           [&board] { return static_cast<double>(board.links.size()); }},
+          {"dottereltrack_agent_failure_share",
+           "Share of failed runs, exponential average",
+           [&board] { return board.health.failure_share; }}};
+}
+
 AgentBoard MakeBoard() {
   AgentBoard board;
   board.settings.id = RandomId();
@@ -60,6 +75,7 @@
                    [this](const auto& values) {
                      Post(EntriesRegistered{ReadEntries(values)});
                    }),
+      metrics_(loop, GaugesOf(board_)),
       tick_(loop),
       exit_timer_(loop),
       signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
@@ -83,6 +99,7 @@
   log_.Write("started", {{"reports", ToText(node_.report_address)},
                          {"data_centre", node_.data_centre},
                          {"seeds", node_.seeds.size()}});
+  metrics_.Listen(node_.report_address.host, log_);
   AwaitSignal();
   Post(EntriesNamed{node_.seeds});
   entry_watch_.Start();
@@ -225,6 +242,9 @@
   exit_timer_.async_wait([this](const asio::error_code&) { loop_.stop(); });
 }
 
-void PoolAgent::Do(const Decision& effect) { LogDecision(&log_, effect); }
+void PoolAgent::Do(const Decision& effect) {
+  metrics_.Count(effect);
+  LogDecision(&log_, effect);
+}
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_agent/pool_agent.h
+++ b/apps/pool_agent/pool_agent.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "apps/pool_common/daemon.h"
+#include "apps/pool_common/metrics.h"
 #include "apps/pool_common/store_watches.h"
 #include "core/pool/agent/advance.h"
 #include "http_client/http_client.h"
@@ -56,6 +57,7 @@
   HttpClient minion_;
   users_platform::StoreClient store_;
   PrefixWatch entry_watch_;
+  PoolMetrics metrics_;
   asio::steady_timer tick_;
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
--- a/apps/pool_common/daemon.cpp
+++ b/apps/pool_common/daemon.cpp
@@ -3,6 +3,7 @@
 #include <docopt/docopt.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -94,6 +95,8 @@
               const std::string& version, const std::vector<std::string>& args,
               const std::function<int(const users_platform::NodeSettings&,
                                       EventLog&)>& run) {
+  // Otherwise a reader of the log that goes away would end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   std::map<std::string, docopt::value> options;
   try {
     options = docopt::docopt_parse(Usage(name, summary), args, true, true);
--- /dev/null
+++ b/apps/pool_common/metrics.cpp
@@ -0,0 +1,107 @@
+#include "apps/pool_common/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace dottereltrack::pool {
+namespace {
+
+// As `metrics` in deploy/system.toml.
+constexpr std::uint16_t kPort = 9464;
+constexpr const char* kPath = "/metrics";
+
+// Seconds; the jobs of the users last 0.05 to 5 s.
+const prometheus::Histogram::BucketBoundaries kBuckets = {
+    0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
+
+std::string TextOf(const Decision& decision, const std::string& name) {
+  for (const auto& [key, value] : decision.texts) {
+    if (key == name) return value;
+  }
+  return {};
+}
+
+const std::int64_t* FigureOf(const Decision& decision,
+                             const std::string& name) {
+  for (const auto& [key, value] : decision.figures) {
+    if (key == name) return &value;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+struct PoolMetrics::Families {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& decisions =
+      prometheus::BuildCounter()
+          .Name("dottereltrack_decisions_total")
+          .Help("Decisions by event, reason and end")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& durations =
+      prometheus::BuildHistogram()
+          .Name("dottereltrack_duration_seconds")
+          .Help("Time from acceptance to answer of jobs, and of runs")
+          .Register(registry);
+};
+
+PoolMetrics::PoolMetrics(asio::io_context& loop, std::vector<Gauge> gauges)
+    : gauges_(std::move(gauges)),
+      families_(std::make_unique<Families>()),
+      http_(loop, HttpLimits{},
+            {[this](const HttpRequest& request, const HttpReplier& reply) {
+               HttpResponse response;
+               response.content_type = "text/plain; version=0.0.4";
+               if (request.path == kPath) {
+                 response.body = Render();
+               } else {
+                 response.status = 404;
+               }
+               reply(std::move(response));
+             },
+             {},
+             {}}) {}
+
+PoolMetrics::~PoolMetrics() = default;
+
+void PoolMetrics::Count(const Decision& decision) {
+  prometheus::Labels labels = {{"event", decision.what}};
+  const std::string reason = TextOf(decision, "reason");
+  const std::string end = TextOf(decision, "end");
+  if (!reason.empty()) labels["reason"] = reason;
+  if (!end.empty()) labels["end"] = end;
+  families_->decisions.Add(labels).Increment();
+  const bool is_answer =
+      decision.what == "job_completed" || decision.what == "job_late";
+  const std::int64_t* duration_ms =
+      FigureOf(decision, is_answer ? "age_ms" : "duration_ms");
+  if (duration_ms == nullptr) return;
+  families_->durations.Add({{"event", decision.what}}, kBuckets)
+      .Observe(static_cast<double>(*duration_ms) / 1'000);
+}
+
+std::string PoolMetrics::Render() {
+  for (const Gauge& gauge : gauges_) {
+    prometheus::BuildGauge()
+        .Name(gauge.name)
+        .Help(gauge.help)
+        .Register(families_->registry)
+        .Add({})
+        .Set(gauge.read());
+  }
+  return prometheus::TextSerializer{}.Serialize(families_->registry.Collect());
+}
+
+void PoolMetrics::Listen(const std::string& host, EventLog& log) {
+  if (http_.Listen({host, kPort})) return;
+  log.Write("metrics_unavailable",
+            {{"problem", "the port is in use"}, {"port", kPort}});
+}
+
+}  // namespace dottereltrack::pool
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -40,6 +40,21 @@
   return limits;
 }
 
+std::vector<Gauge> GaugesOf(const EntryBoard& board) {
+  return {
+      {"dottereltrack_entry_open_jobs", "Accepted jobs without an answer",
+       [&board] { return static_cast<double>(board.active_jobs.size()); }},
+      {"dottereltrack_entry_waiting_tasks", "Tasks that wait for room",
+       [&board] { return static_cast<double>(board.waiting_tasks.size()); }},
+      {"dottereltrack_entry_lost_tasks", "Tasks whose lost run may still live",
+       [&board] { return static_cast<double>(board.lost_tasks.size()); }},
+      {"dottereltrack_entry_agents", "Agents with a link",
+       [&board] { return static_cast<double>(board.agents.size()); }},
+      {"dottereltrack_entry_config_version",
+       "Version of the configuration in force",
+       [&board] { return static_cast<double>(board.config.version); }}};
+}
+
 EntryBoard MakeBoard(const users_platform::NodeSettings& node) {
   EntryBoard board;
   board.settings.id = RandomId();
@@ -89,6 +104,7 @@
                    [this](const auto& values) {
                      Post(EntriesListed{ReadEntries(values)});
                    }),
+      metrics_(loop, GaugesOf(board_)),
       tick_(loop),
       exit_timer_(loop),
       signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
@@ -99,6 +115,7 @@
                          {"internal", ToText(node_.internal_address)},
                          {"data_centre", node_.data_centre},
                          {"seeds", node_.seeds.size()}});
+  metrics_.Listen(node_.internal_address.host, log_);
   AwaitSignal();
   Post(EntriesSuggested{node_.seeds});
   registration_.Start();
@@ -296,6 +313,9 @@
   exit_timer_.async_wait([this](const asio::error_code&) { loop_.stop(); });
 }
 
-void PoolEntry::Do(const Decision& effect) { LogDecision(&log_, effect); }
+void PoolEntry::Do(const Decision& effect) {
+  metrics_.Count(effect);
+  LogDecision(&log_, effect);
+}
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "apps/pool_common/daemon.h"
+#include "apps/pool_common/metrics.h"
 #include "apps/pool_common/store_watches.h"
 #include "core/pool/entry/advance.h"
 #include "platform/job.h"
@@ -71,6 +72,7 @@
   EntryRegistration registration_;
   PrefixWatch config_watch_;
   PrefixWatch entry_watch_;
+  PoolMetrics metrics_;
   asio::steady_timer tick_;
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
--- a/tests/process/pool/cell.py
+++ b/tests/process/pool/cell.py
@@ -11,10 +11,11 @@
 import tempfile
 import time
 
-from web import call
+from web import call, fetch_text
 from standins import Ledger, Minion, Store
 
 FRONT, READY, CONTROL, INTERNAL, APP, STORE = 8161, 8167, 8166, 7720, 8165, 8169
+METRICS = 9464
 MINION_CPU = 24_000
 TASK_CPU = 6_000
 RESEND_S = 1.3
@@ -186,6 +187,18 @@
             await asyncio.sleep(0.05)
         return False
 
+    async def check_metrics(self):
+        """What is missing in the metrics of a process of each kind."""
+        wanted = {
+            (1, 0): ["dottereltrack_entry_open_jobs", "job_completed"],
+            (2, 0): ["dottereltrack_agent_runs", "dottereltrack_duration_seconds"],
+        }
+        problems = []
+        for (kind, n), names in wanted.items():
+            text = await fetch_text((self.host(kind, n), METRICS), "/metrics")
+            problems += [f"no {name} in the metrics" for name in names if name not in text]
+        return problems
+
     def logs(self):
         return "".join(
             f"== {node.name}\n{node.log.read_text()[-4000:]}"
--- a/tests/process/pool/run_scenario.py
+++ b/tests/process/pool/run_scenario.py
@@ -53,7 +53,8 @@
         end, _ = await asyncio.gather(
             strike(cell, fault, begin, callers), callers.run(LONGEST_FAULT_S)
         )
-        return judge(callers, cell.ledger, end, bound)
+        problems = await cell.check_metrics()
+        return problems + judge(callers, cell.ledger, end, bound)
     finally:
         await cell.stop()
 
--- a/tests/process/pool/web.py
+++ b/tests/process/pool/web.py
@@ -78,6 +78,23 @@
         self.drop_connections()
 
 
+async def fetch_text(address, path, timeout=2.0):
+    """Body of a GET as text; empty if there was no answer."""
+    writer = None
+    try:
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(*address)
+            host = address[0]
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+            message = await read_message(reader)
+            return "" if message is None else message[2].decode()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return ""
+    finally:
+        if writer is not None:
+            writer.close()
+
+
 async def call(address, method, path, value, headers=None, timeout=10.0, source=None):
     """Status and JSON of the answer; status 0 if there was none."""
     host, port = address
