--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -49,10 +49,10 @@
                e.message);
   }
   void On(const EntriesRegistered& e) {
-    Run(AddEntries(*board_, e.entries, true, now_));
+    Run(AddEntries(*board_, e.entries, EntrySource::kStore, now_));
   }
   void On(const EntriesNamed& e) {
-    Run(AddEntries(*board_, e.entries, false, now_));
+    Run(AddEntries(*board_, e.entries, EntrySource::kHearsay, now_));
   }
   void On(const MinionReported& e) {
     Run(HandleMinionReport(*board_, e.report, now_));
@@ -93,7 +93,7 @@
     Run(HandleStop(*board_, message, now_));
   }
   void OnMessage(LinkId, const KnownEntries& message) {
-    Run(AddEntries(*board_, message.entries, false, now_));
+    Run(AddEntries(*board_, message.entries, EntrySource::kHearsay, now_));
   }
   void OnMessage(LinkId, const Ping&) {}
   // Sent to entries only.
--- a/src/core/pool/agent/apply.cpp
+++ b/src/core/pool/agent/apply.cpp
@@ -14,8 +14,10 @@
   void operator()(const Erase<EntryLinkRow>& it) const {
     board->links.Erase(it.key);
   }
-  void operator()(const Put<EntryRow>& it) const { board->entries.Put(it.row); }
-  void operator()(const Erase<EntryRow>& it) const {
+  void operator()(const Put<KnownEntry>& it) const {
+    board->entries.Put(it.row);
+  }
+  void operator()(const Erase<KnownEntry>& it) const {
     board->entries.Erase(it.key);
   }
   void operator()(const SetMinion& it) const { board->minion = it.minion; }
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -8,6 +8,7 @@
 #include "core/cell.h"
 #include "core/ids.h"
 #include "core/pool/agent/settings.h"
+#include "core/pool/known_entries.h"
 #include "core/pool/messages.h"
 #include "core/pool/task.h"
 #include "core/table.h"
@@ -95,19 +96,6 @@
   friend bool operator==(const EntryLinkRow&, const EntryLinkRow&) = default;
 };
 
-// An entry's address.
-struct EntryRow {
-  Endpoint address;
-  bool registered = false;
-  bool dialing = false;
-  std::optional<LinkId> link;
-  BootTime next_dial_at{0};
-  BootTime seen_at{0};
-
-  const Endpoint& Key() const { return address; }
-  friend bool operator==(const EntryRow&, const EntryRow&) = default;
-};
-
 // Looks at the minion: each renews the lease of its runs and reads their state.
 struct LookState {
   std::uint64_t sequence = 0;
@@ -149,7 +137,7 @@
   std::uint64_t fencing_token = 0;
   Table<RunRow> runs;
   Table<EntryLinkRow> links;
-  Table<EntryRow> entries;
+  Table<KnownEntry> entries;
   bool stopping = false;
   BootTime stopping_since{0};
 };
--- a/src/core/pool/agent/changes.h
+++ b/src/core/pool/agent/changes.h
@@ -32,8 +32,8 @@
 
 using AgentRowChange =
     std::variant<Put<RunRow>, Erase<RunRow>, Put<EntryLinkRow>,
-                 Erase<EntryLinkRow>, Put<EntryRow>, Erase<EntryRow>, SetMinion,
-                 SetClock, SetLook, SetHealth, SetFencingToken,
+                 Erase<EntryLinkRow>, Put<KnownEntry>, Erase<KnownEntry>,
+                 SetMinion, SetClock, SetLook, SetHealth, SetFencingToken,
                  SetAgentStopping>;
 
 struct SendToEntry {
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -9,10 +9,6 @@
 namespace dottereltrack::pool {
 namespace {
 
-// As for entries: an address that the store does not list is dialed for this
-// long after it was last heard of.
-constexpr milliseconds kForgetEntryAfter{60'000};
-
 AgentHello HelloOf(const AgentBoard& board) {
   AgentHello hello;
   hello.agent = board.settings.id;
@@ -66,42 +62,24 @@
 }  // namespace
 
 AgentChanges AddEntries(const AgentBoard& board,
-                        const std::vector<Endpoint>& entries, bool from_store,
-                        const Now& now) {
+                        const std::vector<Endpoint>& entries,
+                        EntrySource source, const Now& now) {
   AgentChanges changes;
-  for (const Endpoint& address : entries) {
-    const EntryRow* known = board.entries.Find(address);
-    if (known != nullptr && !from_store) continue;
-    EntryRow row = known == nullptr ? EntryRow{} : *known;
-    row.address = address;
-    row.registered = from_store;
-    row.seen_at = now.boot;
-    changes.Add(Put<EntryRow>{row});
-  }
-  if (!from_store) return changes;
-  for (const auto& [address, entry] : board.entries) {
-    const bool is_listed =
-        std::find(entries.begin(), entries.end(), address) != entries.end();
-    if (is_listed || !entry.registered) continue;
-    EntryRow row = entry;
-    row.registered = false;
-    changes.Add(Put<EntryRow>{row});
+  for (KnownEntry& entry : MergeEntries(board.entries, entries, source, now)) {
+    changes.Add(Put<KnownEntry>{std::move(entry)});
   }
   return changes;
 }
 
 AgentChanges DialEntries(const AgentBoard& board, const Now& now) {
   AgentChanges changes;
-  for (const auto& [address, entry] : board.entries) {
-    if (entry.link || entry.dialing || now.boot < entry.next_dial_at) continue;
-    if (!entry.registered && now.boot - entry.seen_at > kForgetEntryAfter) {
-      changes.Add(Erase<EntryRow>{address});
-      continue;
-    }
-    EntryRow row = entry;
-    row.dialing = true;
-    changes.Add(Put<EntryRow>{row});
-    changes.Add(DialEntry{address});
+  const DialPlan plan = PlanDials(board.entries, now);
+  for (const Endpoint& address : plan.forget) {
+    changes.Add(Erase<KnownEntry>{address});
+  }
+  for (const KnownEntry& entry : plan.dial) {
+    changes.Add(Put<KnownEntry>{entry});
+    changes.Add(DialEntry{entry.address});
   }
   return changes;
 }
@@ -109,26 +87,21 @@
 AgentChanges HandleEntryDialed(const AgentBoard& board, const EntryDialed& e,
                                const Now& now) {
   AgentChanges changes;
-  const EntryRow* known = board.entries.Find(e.address);
+  const KnownEntry* known = board.entries.Find(e.address);
   if (known == nullptr) {
     if (e.link) changes.Add(AbortEntryLink{*e.link});
     return changes;
   }
-  EntryRow entry = *known;
-  entry.dialing = false;
-  entry.link = e.link;
-  entry.next_dial_at = now.boot + board.settings.dial_retry;
-  if (e.link) {
-    entry.seen_at = now.boot;
-    EntryLinkRow link;
-    link.id = *e.link;
-    link.address = e.address;
-    link.heard_at = now.boot;
-    link.sent_at = now.boot;
-    changes.Add(Put<EntryLinkRow>{link});
-    changes.Add(SendToEntry{*e.link, HelloOf(board)});
-  }
-  changes.Add(Put<EntryRow>{entry});
+  changes.Add(Put<KnownEntry>{
+      AfterDial(*known, e.link, board.settings.dial_retry, now)});
+  if (!e.link) return changes;
+  EntryLinkRow link;
+  link.id = *e.link;
+  link.address = e.address;
+  link.heard_at = now.boot;
+  link.sent_at = now.boot;
+  changes.Add(Put<EntryLinkRow>{link});
+  changes.Add(SendToEntry{*e.link, HelloOf(board)});
   return changes;
 }
 
@@ -138,11 +111,9 @@
   const EntryLinkRow* known = board.links.Find(link);
   if (known == nullptr) return changes;
   changes.Add(Erase<EntryLinkRow>{link});
-  if (const EntryRow* entry = board.entries.Find(known->address)) {
-    EntryRow row = *entry;
-    row.link.reset();
-    row.next_dial_at = now.boot + board.settings.dial_retry;
-    changes.Add(Put<EntryRow>{row});
+  if (const KnownEntry* entry = board.entries.Find(known->address)) {
+    changes.Add(
+        Put<KnownEntry>{AfterClose(*entry, board.settings.dial_retry, now)});
   }
   changes.Add(Decision{
       Weight::kBelief,
@@ -157,7 +128,8 @@
 
 AgentChanges HandleEntryHello(const AgentBoard& board, LinkId link,
                               const EntryHello& message, const Now& now) {
-  AgentChanges changes = AddEntries(board, message.known_entries, false, now);
+  AgentChanges changes =
+      AddEntries(board, message.known_entries, EntrySource::kHearsay, now);
   const EntryLinkRow* known = board.links.Find(link);
   if (known == nullptr) return changes;
   EntryLinkRow row = *known;
--- a/src/core/pool/agent/links.h
+++ b/src/core/pool/agent/links.h
@@ -6,8 +6,8 @@
 namespace dottereltrack::pool {
 
 AgentChanges AddEntries(const AgentBoard& board,
-                        const std::vector<Endpoint>& entries, bool from_store,
-                        const Now& now);
+                        const std::vector<Endpoint>& entries,
+                        EntrySource source, const Now& now);
 AgentChanges DialEntries(const AgentBoard& board, const Now& now);
 AgentChanges HandleEntryDialed(const AgentBoard& board, const EntryDialed& e,
                                const Now& now);
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -42,8 +42,8 @@
             StartRefusal refusal, const std::string& reason,
             AgentChanges* changes) {
   changes->Add(SendToEntry{link, StartRefused{run, refusal}});
-  const Weight weight = refusal == StartRefusal::kNoRoom ? Weight::kRoutine
-                                                         : Weight::kFailure;
+  const Weight weight =
+      refusal == StartRefusal::kNoRoom ? Weight::kRoutine : Weight::kFailure;
   Decision decision = RunDecision(run, weight, "start_refused", reason);
   const Resources free = FreeRoom(board);
   decision.figures.emplace_back("free_cpu_millis", free.cpu_millis);
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -62,10 +62,10 @@
     Run(std::move(changes));
   }
   void On(const EntriesListed& e) {
-    Run(AddPeers(*board_, e.entries, true, now_));
+    Run(AddPeers(*board_, e.entries, EntrySource::kStore, now_));
   }
   void On(const EntriesSuggested& e) {
-    Run(AddPeers(*board_, e.entries, false, now_));
+    Run(AddPeers(*board_, e.entries, EntrySource::kHearsay, now_));
   }
   void On(const EntryTick&) {
     Run(AbortSilentLinks(*board_, now_));
@@ -99,10 +99,10 @@
     Run(HandleStartRefused(*board_, link, message, now_));
   }
   void OnMessage(LinkId, const EntryHello& message) {
-    Run(AddPeers(*board_, message.known_entries, false, now_));
+    Run(AddPeers(*board_, message.known_entries, EntrySource::kHearsay, now_));
   }
   void OnMessage(LinkId, const KnownEntries& message) {
-    Run(AddPeers(*board_, message.entries, false, now_));
+    Run(AddPeers(*board_, message.entries, EntrySource::kHearsay, now_));
   }
   // The front end decodes the text and posts ConfigRead.
   void OnMessage(LinkId, const ConfigOffer&) {}
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -57,8 +57,8 @@
   void operator()(const Erase<LinkRow>& it) const {
     board->links.Erase(it.key);
   }
-  void operator()(const Put<PeerRow>& it) const { board->peers.Put(it.row); }
-  void operator()(const Erase<PeerRow>& it) const {
+  void operator()(const Put<KnownEntry>& it) const { board->peers.Put(it.row); }
+  void operator()(const Erase<KnownEntry>& it) const {
     board->peers.Erase(it.key);
   }
   void operator()(const SetConfig& it) const {
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/pool/config.h"
 #include "core/pool/entry/settings.h"
+#include "core/pool/known_entries.h"
 #include "core/pool/messages.h"
 #include "core/pool/task.h"
 #include "core/table.h"
@@ -122,21 +123,6 @@
   friend bool operator==(const LinkRow&, const LinkRow&) = default;
 };
 
-// Another entry, by its address.
-struct PeerRow {
-  Endpoint address;
-  // Registered in the store at the last complete reading.
-  bool registered = false;
-  bool dialing = false;
-  std::optional<LinkId> link;
-  BootTime next_dial_at{0};
-  // Dropped when it is neither registered nor reachable for a while.
-  BootTime seen_at{0};
-
-  const Endpoint& Key() const { return address; }
-  friend bool operator==(const PeerRow&, const PeerRow&) = default;
-};
-
 // The whole state of an entry. Only `Apply` alters it.
 struct EntryBoard {
   EntrySettings settings;
@@ -146,7 +132,8 @@
   Table<TaskRow> tasks;
   Table<AgentRow> agents;
   Table<LinkRow> links;
-  Table<PeerRow> peers;
+  // The other entries.
+  Table<KnownEntry> peers;
   // Indexes that `Apply` derives from the tables.
   std::set<std::uint64_t> active_jobs;
   std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -21,7 +21,7 @@
 using EntryRowChange =
     std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
                  Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
-                 Put<PeerRow>, Erase<PeerRow>, SetConfig, SetStopping>;
+                 Put<KnownEntry>, Erase<KnownEntry>, SetConfig, SetStopping>;
 
 // What a client is told.
 enum class ReplyKind {
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -5,10 +5,6 @@
 namespace dottereltrack::pool {
 namespace {
 
-// An entry that the store does not list is dialed for this long after it was
-// last heard of; the store may have been away, or its entry expired.
-constexpr milliseconds kForgetPeerAfter{60'000};
-
 std::vector<Endpoint> KnownEntriesOf(const EntryBoard& board) {
   std::vector<Endpoint> entries{board.settings.address};
   for (const auto& [address, peer] : board.peers) entries.push_back(address);
@@ -118,10 +114,8 @@
   }
   for (const auto& [address, peer] : board.peers) {
     if (peer.link != link) continue;
-    PeerRow row = peer;
-    row.link.reset();
-    row.next_dial_at = now.boot + board.settings.dial_retry;
-    changes.Add(Put<PeerRow>{row});
+    changes.Add(
+        Put<KnownEntry>{AfterClose(peer, board.settings.dial_retry, now)});
     changes.Add(Decision{
         Weight::kBelief, "entry_lost", 0, {{"address", address.host}}, {}});
   }
@@ -131,51 +125,30 @@
 EntryChanges HandlePeerDialed(const EntryBoard& board, const PeerDialed& e,
                               const Now& now) {
   EntryChanges changes;
-  const PeerRow* known = board.peers.Find(e.address);
+  const KnownEntry* known = board.peers.Find(e.address);
   if (known == nullptr) {
     if (e.link) changes.Add(AbortLink{*e.link});
     return changes;
   }
-  PeerRow peer = *known;
-  peer.dialing = false;
-  peer.link = e.link;
-  peer.next_dial_at = now.boot + board.settings.dial_retry;
-  if (e.link) {
-    peer.seen_at = now.boot;
-    changes.Add(Put<LinkRow>{{*e.link, e.address, now.boot, now.boot, 0}});
-    changes.Add(SendMessage{*e.link, HelloOf(board)});
-    changes.Add(Decision{
-        Weight::kBelief, "entry_known", 0, {{"address", e.address.host}}, {}});
-  }
-  changes.Add(Put<PeerRow>{peer});
+  changes.Add(Put<KnownEntry>{
+      AfterDial(*known, e.link, board.settings.dial_retry, now)});
+  if (!e.link) return changes;
+  changes.Add(Put<LinkRow>{{*e.link, e.address, now.boot, now.boot, 0}});
+  changes.Add(SendMessage{*e.link, HelloOf(board)});
+  changes.Add(Decision{
+      Weight::kBelief, "entry_known", 0, {{"address", e.address.host}}, {}});
   return changes;
 }
 
 EntryChanges AddPeers(const EntryBoard& board,
-                      const std::vector<Endpoint>& entries, bool from_store,
+                      const std::vector<Endpoint>& entries, EntrySource source,
                       const Now& now) {
   EntryChanges changes;
   bool is_new = false;
-  for (const Endpoint& address : entries) {
-    if (address == board.settings.address) continue;
-    const PeerRow* known = board.peers.Find(address);
-    if (known != nullptr && !from_store) continue;
-    PeerRow peer = known == nullptr ? PeerRow{} : *known;
-    is_new = is_new || known == nullptr;
-    peer.address = address;
-    peer.seen_at = now.boot;
-    peer.registered = from_store;
-    changes.Add(Put<PeerRow>{peer});
-  }
-  if (from_store) {
-    for (const auto& [address, peer] : board.peers) {
-      const bool is_listed =
-          std::find(entries.begin(), entries.end(), address) != entries.end();
-      if (is_listed || !peer.registered) continue;
-      PeerRow row = peer;
-      row.registered = false;
-      changes.Add(Put<PeerRow>{row});
-    }
+  for (KnownEntry& peer : MergeEntries(board.peers, entries, source, now)) {
+    if (peer.address == board.settings.address) continue;
+    is_new = is_new || !board.peers.Contains(peer.address);
+    changes.Add(Put<KnownEntry>{std::move(peer)});
   }
   if (!is_new) return changes;
   std::vector<Endpoint> all = KnownEntriesOf(board);
@@ -207,16 +180,13 @@
 
 EntryChanges DialPeers(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
-  for (const auto& [address, peer] : board.peers) {
-    if (peer.link || peer.dialing || now.boot < peer.next_dial_at) continue;
-    if (!peer.registered && now.boot - peer.seen_at > kForgetPeerAfter) {
-      changes.Add(Erase<PeerRow>{address});
-      continue;
-    }
-    PeerRow row = peer;
-    row.dialing = true;
-    changes.Add(Put<PeerRow>{row});
-    changes.Add(DialPeer{address});
+  const DialPlan plan = PlanDials(board.peers, now);
+  for (const Endpoint& address : plan.forget) {
+    changes.Add(Erase<KnownEntry>{address});
+  }
+  for (const KnownEntry& peer : plan.dial) {
+    changes.Add(Put<KnownEntry>{peer});
+    changes.Add(DialPeer{peer.address});
   }
   return changes;
 }
--- a/src/core/pool/entry/links.h
+++ b/src/core/pool/entry/links.h
@@ -20,7 +20,7 @@
 EntryChanges HandlePeerDialed(const EntryBoard& board, const PeerDialed& e,
                               const Now& now);
 EntryChanges AddPeers(const EntryBoard& board,
-                      const std::vector<Endpoint>& entries, bool from_store,
+                      const std::vector<Endpoint>& entries, EntrySource source,
                       const Now& now);
 
 // Aborts links that were silent for too long, and all links after a pause.
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -26,9 +26,9 @@
   milliseconds lost_run_bound{910};
   // A job that no minion can take is refused after this share of its goal.
   double refusal_share = 0.2;
-  // After a stop request a job is accepted if its longest task can take this many
-  // times its estimate before `stop_max`. Estimates are off by 40%, and slow
-  // minions take 1.7 times as long as others.
+  // After a stop request a job is accepted if its longest task can take this
+  // many times its estimate before `stop_max`. Estimates are off by 40%, and
+  // slow minions take 1.7 times as long as others.
   double stop_slack = 3.0;
   // The process stays at least this long after a stop request, so that the load
   // balancer has seen it unready (two checks of 1 s).
