--- a/src/core/pool/config.h
+++ b/src/core/pool/config.h
@@ -16,7 +16,7 @@
   std::string path_prefix;
   // Minions of this service run the tasks.
   std::string service;
-  // 0 goes first.
+  // 0 goes first. Not used yet: tasks go by their latest start.
   int priority = 0;
   // Failed runs of one task after which the job has failed.
   int max_attempts = 1;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -39,7 +39,6 @@
   Bytes payload;
   std::string queue;
   std::string service;
-  int priority = 0;
   int max_attempts = 1;
   JobState state = JobState::kActive;
   // Calls to be answered when the job ends.
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -57,7 +57,6 @@
   job.payload = e.job.payload;
   job.queue = queue.name;
   job.service = queue.service;
-  job.priority = queue.priority;
   job.max_attempts = queue.max_attempts;
   job.waiters = {e.call};
   job.arrived_at = now.boot;
--- a/tests/users_platform/store_test.cpp
+++ b/tests/users_platform/store_test.cpp
@@ -96,7 +96,6 @@
   expected.readiness_address = {"10.1.0.13", 8167};
   expected.internal_address = {"10.1.0.13", 7720};
   expected.seeds = {{"10.2.0.30", 7720}};
-  expected.minion_address = {"10.1.0.14", 8165};
   expected.service = "s";
   expected.store_address = {"10.200.1.7", 8169};
   CHECK(settings.value() == expected);
