--- a/src/core/pool/agent/changes.h
+++ b/src/core/pool/agent/changes.h
@@ -93,6 +93,10 @@
       effects.emplace_back(std::move(change));
     }
   }
+  void Append(AgentChanges other) {
+    for (auto& row : other.rows) rows.push_back(std::move(row));
+    for (auto& effect : other.effects) effects.push_back(std::move(effect));
+  }
 };
 
 // Applies the row changes in order.
--- a/src/core/pool/agent/looks.cpp
+++ b/src/core/pool/agent/looks.cpp
@@ -9,11 +9,6 @@
 namespace dottereltrack::pool {
 namespace {
 
-void Add(AgentChanges* to, AgentChanges from) {
-  for (auto& row : from.rows) to->rows.push_back(std::move(row));
-  for (auto& effect : from.effects) to->effects.push_back(std::move(effect));
-}
-
 bool IsSameInstance(const MinionReport& a, const MinionReport& b) {
   return a.id == b.id && a.started_ms == b.started_ms;
 }
@@ -124,16 +119,16 @@
     case RunPhase::kRunning:
       // Its start may have been answered after the minion made this list.
       if (run.phase_since >= sent_at) return;
-      Add(changes, EndRun(board, run, RunEnd::kLost,
-                          "the minion does not list it", now, health));
+      changes->Append(EndRun(board, run, RunEnd::kLost,
+                             "the minion does not list it", now, health));
       return;
     case RunPhase::kStopping:
       if (!run.stop_answered_at ||
           sent_at < *run.stop_answered_at + board.settings.stop_bound) {
         return;
       }
-      Add(changes, EndRun(board, run, run.stop_reason,
-                          "the minion has accepted the stop", now, health));
+      changes->Append(EndRun(board, run, run.stop_reason,
+                             "the minion has accepted the stop", now, health));
       return;
   }
 }
@@ -153,8 +148,8 @@
   MinionHealth health = board.health;
   for (const auto& [key, run] : board.runs) {
     if (const auto end = ended.find(key); end != ended.end()) {
-      Add(changes, EndRun(board, run, EndOf(run, end->second),
-                          "the minion lists its end", now, &health));
+      changes->Append(EndRun(board, run, EndOf(run, end->second),
+                             "the minion lists its end", now, &health));
     } else if (const auto it = running.find(key); it != running.end()) {
       NoteRunning(run, it->second, now, changes);
     } else {
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -11,15 +11,6 @@
 // Wait before a stop call without an answer is repeated.
 constexpr milliseconds kStopRetry{50};
 
-std::int64_t ToMilliseconds(BootTime time) {
-  return std::chrono::duration_cast<milliseconds>(time).count();
-}
-
-void Add(AgentChanges* to, AgentChanges from) {
-  for (auto& row : from.rows) to->rows.push_back(std::move(row));
-  for (auto& effect : from.effects) to->effects.push_back(std::move(effect));
-}
-
 void MarkReportDue(const AgentBoard& board, LinkId link,
                    AgentChanges* changes) {
   const EntryLinkRow* known = board.links.Find(link);
@@ -273,7 +264,7 @@
   AgentChanges changes;
   MinionHealth health = board.health;
   for (const auto& [key, run] : board.runs) {
-    Add(&changes, EndRun(board, run, RunEnd::kLost, evidence, now, &health));
+    changes.Append(EndRun(board, run, RunEnd::kLost, evidence, now, &health));
   }
   return changes;
 }
--- a/src/core/pool/decision.h
+++ b/src/core/pool/decision.h
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "core/time.h"
+
 namespace dottereltrack::pool {
 
 // How much a decision matters to somebody who reads the log.
@@ -17,6 +19,11 @@
   kBelief,
 };
 
+// A time as a figure.
+inline std::int64_t ToMilliseconds(BootTime time) {
+  return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
 // One decision for the log: its outcome, and the inputs that decided it.
 struct Decision {
   Weight weight = Weight::kRoutine;
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -15,10 +15,6 @@
   return {board.settings.id, KnownEntriesOf(board)};
 }
 
-std::int64_t ToMilliseconds(BootTime time) {
-  return std::chrono::duration_cast<milliseconds>(time).count();
-}
-
 // Runs that were lost with an earlier link of the same minion have ended.
 void ReleaseLostRuns(const EntryBoard& board, const std::string& minion,
                      EntryChanges* changes) {
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -16,10 +16,6 @@
 // Wait before a refused caller should try again.
 constexpr milliseconds kRetryAfter{1'000};
 
-std::int64_t ToMilliseconds(BootTime time) {
-  return std::chrono::duration_cast<milliseconds>(time).count();
-}
-
 Decision JobDecision(const JobRow& job, Weight weight, std::string what,
                      const std::string& reason, const Now& now) {
   Decision decision{weight, std::move(what), job.id, {}, {}};
@@ -161,11 +157,6 @@
   changes->Add(Erase<JobRow>{job});
 }
 
-void Add(EntryChanges* to, EntryChanges from) {
-  for (auto& row : from.rows) to->rows.push_back(std::move(row));
-  for (auto& effect : from.effects) to->effects.push_back(std::move(effect));
-}
-
 }  // namespace
 
 bool HasAcceptingAgent(const EntryBoard& board, const std::string& service) {
@@ -267,7 +258,7 @@
     if (now.boot >= job.deadline_at) {
       const ReplyKind reply =
           job.offered ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;
-      Add(&changes, GiveUp(board, job, reply, "deadline reached", now));
+      changes.Append(GiveUp(board, job, reply, "deadline reached", now));
       continue;
     }
     const auto goal = job.goal_at - job.arrived_at;
@@ -275,8 +266,8 @@
     const bool is_warm = now.boot >= board.started_at + board.settings.warm_up;
     if (is_warm && !job.offered && now.boot - job.arrived_at >= patience &&
         !HasAcceptingAgent(board, job.service)) {
-      Add(&changes, GiveUp(board, job, ReplyKind::kNoMinions,
-                           "no minion takes runs", now));
+      changes.Append(GiveUp(board, job, ReplyKind::kNoMinions,
+                            "no minion takes runs", now));
     }
   }
   for (const TaskKey& key : board.lost_tasks) {
