Prove the pool by generated schedules of faults on a virtual clock

An agent now raises its fencing token for each life of the minion.

The rule that tells a pause moves from the daemons to the decisions, and the agent's decisions, not its daemon, ignore messages that arrive with a pause. The pool uses the CallId of core/ids.h instead of a copy.

--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/pool/agent/capacity.h"
+#include "core/pool/pause.h"
 #include "platform/minion.h"
 #include "pool_wire/codec.h"
 #include "runtime/clock.h"
@@ -120,14 +121,9 @@
   if (exiting_) return;
   const Now now = TakeNow();
   std::vector<AgentEvent> events = std::exchange(events_, {});
-  const milliseconds pause = pause_clock_.Note(now.boot, kTickInterval);
-  if (pause.count() > 0) {
-    // Starts that have waited during the pause may run elsewhere by now.
-    std::erase_if(events, [](const AgentEvent& event) {
-      return std::holds_alternative<EntryMessage>(event);
-    });
-    events.insert(events.begin(), AgentPaused{pause});
-  }
+  const milliseconds pause =
+      PauseLength(std::exchange(last_turn_, now.boot), now.boot, kTickInterval);
+  if (pause.count() > 0) events.insert(events.begin(), AgentPaused{pause});
   const auto effects = Advance(&board_, events, now);
   for (const AgentEffect& effect : effects) {
     std::visit([this](const auto& it) { Do(it); }, effect);
--- a/apps/pool_agent/pool_agent.h
+++ b/apps/pool_agent/pool_agent.h
@@ -61,7 +61,7 @@
   asio::steady_timer tick_;
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
-  PauseClock pause_clock_;
+  BootTime last_turn_{0};
   std::vector<AgentEvent> events_;
   bool turn_posted_ = false;
   bool exiting_ = false;
--- a/apps/pool_common/daemon.cpp
+++ b/apps/pool_common/daemon.cpp
@@ -13,10 +13,6 @@
 namespace dottereltrack::pool {
 namespace {
 
-// A loop turn that is later than this has followed a pause: other processes
-// have then given up their links to this one or soon will.
-constexpr milliseconds kPauseBound{350};
-
 // A machine without power does not answer; connecting to a live one takes a few
 // milliseconds.
 constexpr milliseconds kDialTimeout{150};
@@ -82,15 +78,6 @@
   return limits;
 }
 
-milliseconds PauseClock::Note(BootTime now, milliseconds interval) {
-  const BootTime last = last_;
-  last_ = now;
-  if (last == BootTime{0} || now - last < interval + kPauseBound) {
-    return milliseconds{0};
-  }
-  return std::chrono::duration_cast<milliseconds>(now - last);
-}
-
 int RunDaemon(const std::string& name, const std::string& summary,
               const std::string& version, const std::vector<std::string>& args,
               const std::function<int(const users_platform::NodeSettings&,
--- a/apps/pool_common/daemon.h
+++ b/apps/pool_common/daemon.h
@@ -18,18 +18,6 @@
 // Limits of the links between the processes of a pool.
 LinkLimits InternalLinkLimits();
 
-// Notices that the process did not run for a while.
-class PauseClock {
- public:
-  // Takes note of a turn of the loop, which timers start at least every
-  // `interval`. Returns by how much it came too late, or zero if that is within
-  // the bounds of a busy machine.
-  milliseconds Note(BootTime now, milliseconds interval);
-
- private:
-  BootTime last_{0};
-};
-
 // Parses the command line, loads the settings and runs the daemon. Returns the
 // exit code.
 int RunDaemon(const std::string& name, const std::string& summary,
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <utility>
 
+#include "core/pool/pause.h"
 #include "platform/config.h"
 #include "pool_wire/codec.h"
 #include "runtime/clock.h"
@@ -161,7 +162,8 @@
   if (exiting_) return;
   const Now now = TakeNow();
   std::vector<EntryEvent> events = std::exchange(events_, {});
-  const milliseconds pause = pause_clock_.Note(now.boot, kTickInterval);
+  const milliseconds pause =
+      PauseLength(std::exchange(last_turn_, now.boot), now.boot, kTickInterval);
   if (pause.count() > 0) events.insert(events.begin(), PauseNoticed{pause});
   const auto effects = Advance(&board_, events, now);
   for (const EntryEffect& effect : effects) {
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -76,7 +76,7 @@
   asio::steady_timer tick_;
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
-  PauseClock pause_clock_;
+  BootTime last_turn_{0};
   std::vector<EntryEvent> events_;
   bool turn_posted_ = false;
   bool exiting_ = false;
--- /dev/null
+++ b/bench/pool_run.cpp
@@ -0,0 +1,165 @@
+#include "pool_run.h"
+
+#include <algorithm>
+#include <functional>
+#include <string>
+
+#include "distances.h"
+#include "support/test_pool.h"
+
+namespace dottereltrack::bench {
+namespace {
+
+using testing::PoolOptions;
+using testing::TestPool;
+
+// Time in which links form before the trace starts.
+constexpr BootTime kFormation{seconds{3}};
+// Time after the last arrival in which answers are awaited.
+constexpr BootTime kDrain{seconds{70}};
+// A task takes one slot.
+constexpr std::int64_t kSlotMillis = 1'000;
+
+PoolOptions OptionsOf(const Scenario& scenario, std::uint64_t seed) {
+  const Deployment& where = scenario.deployment;
+  PoolOptions options;
+  options.entries = where.entries;
+  options.agents = where.minions;
+  options.capacity = {kSlotMillis * where.slots, 1'000'000, 0};
+  options.time_ratios = where.time_ratios;
+  options.seed = seed;
+  options.delay = [&where](int end, int other) {
+    const int low = std::min(end, other);
+    const int high = std::max(end, other);
+    const bool is_peer = high < where.entries;
+    return is_peer ? where.delay
+                   : DelayBetween(where, low, high - where.entries);
+  };
+  return options;
+}
+
+pool::JobSpec JobOf(const TraceJob& job, std::uint64_t id) {
+  pool::JobSpec spec;
+  spec.id = id;
+  std::string payload;
+  for (const TraceTask& task : job.tasks) {
+    const auto work = std::chrono::duration_cast<milliseconds>(task.work);
+    payload +=
+        std::to_string(work.count()) + " " + std::to_string(kSlotMillis) + " ";
+    spec.steps.push_back({1, {kSlotMillis, 1, 0}, task.declared});
+  }
+  spec.payload = payload;
+  return spec;
+}
+
+// Does what happens at one time of the trace.
+struct TimedAction {
+  BootTime at{0};
+  std::function<void()> action;
+};
+
+class PoolDriver {
+ public:
+  PoolDriver(const Scenario& scenario, const Trace& trace, std::uint64_t seed)
+      : scenario_(scenario),
+        trace_(trace),
+        pool_(OptionsOf(scenario, seed)),
+        calls_(trace.size()) {
+    pool_.RunFor(kFormation);
+    start_ = pool_.now();
+    ScheduleAll();
+  }
+
+  CellRun Run() {
+    for (const TimedAction& it : actions_) {
+      pool_.RunUntil(start_ + it.at);
+      it.action();
+    }
+    pool_.RunFor(kDrain);
+    for (std::size_t n = 0; n < trace_.size(); ++n) {
+      run_.jobs.push_back(ResultOf(n));
+    }
+    run_.double_starts = pool_.ledger().violations.size();
+    return run_;
+  }
+
+ private:
+  void ScheduleAll() {
+    const BootTime delay = scenario_.deployment.client_delay;
+    for (std::size_t n = 0; n < trace_.size(); ++n) {
+      actions_.push_back({trace_[n].at + delay, [this, n] {
+                            const TraceJob& job = trace_[n];
+                            calls_[n] = pool_.Submit(
+                                job.entry, JobOf(job, n + 1), job.deadline);
+                          }});
+      if (trace_[n].cancel_at == BootTime{0}) continue;
+      actions_.push_back({trace_[n].cancel_at + delay,
+                          [this, n] { pool_.Cancel(trace_[n].entry, n + 1); }});
+    }
+    for (const Disturbance& it : scenario_.disturbances) {
+      actions_.push_back({it.at, [this, &it] { Disturb(it); }});
+    }
+    actions_.push_back(
+        {scenario_.warm_up, [this] { tally_before_ = pool_.tally(); }});
+    actions_.push_back({scenario_.duration, [this] { CloseWindow(); }});
+    std::stable_sort(
+        actions_.begin(), actions_.end(),
+        [](const TimedAction& a, const TimedAction& b) { return a.at < b.at; });
+  }
+
+  void Disturb(const Disturbance& it) {
+    switch (it.kind) {
+      case DisturbanceKind::kMinionFails:
+        return pool_.minion(it.minion).SetFailing(true);
+      case DisturbanceKind::kMinionSlows:
+        return pool_.minion(it.minion).SetTimeRatio(
+            scenario_.deployment.time_ratios[it.minion] * it.factor);
+      case DisturbanceKind::kMinionLost:
+        pool_.minion(it.minion).Crash();
+        return pool_.PowerOff(pool_.AgentEnd(it.minion));
+      case DisturbanceKind::kStoreDown:
+        return pool_.SetStoreDown(true);
+      case DisturbanceKind::kStoreUp:
+        return pool_.SetStoreDown(false);
+    }
+  }
+
+  void CloseWindow() {
+    const testing::PoolTally& after = pool_.tally();
+    run_.messages.useful = after.useful - tally_before_.useful;
+    run_.messages.wasted = after.wasted - tally_before_.wasted;
+    run_.completed_tasks = after.results - tally_before_.results;
+  }
+
+  JobResult ResultOf(std::size_t n) const {
+    const auto* reply = pool_.ReplyOf(calls_[n]);
+    if (reply != nullptr && reply->kind == pool::ReplyKind::kCompleted) {
+      return CompleteResult(
+          scenario_, trace_[n],
+          reply->at - start_ + scenario_.deployment.client_delay);
+    }
+    JobResult result = IncompleteResult(scenario_, trace_[n]);
+    result.refused =
+        reply != nullptr && (reply->kind == pool::ReplyKind::kOverloaded ||
+                             reply->kind == pool::ReplyKind::kNoMinions);
+    return result;
+  }
+
+  const Scenario& scenario_;
+  const Trace& trace_;
+  TestPool pool_;
+  BootTime start_{0};
+  std::vector<CallId> calls_;
+  std::vector<TimedAction> actions_;
+  testing::PoolTally tally_before_;
+  CellRun run_;
+};
+
+}  // namespace
+
+CellRun RunPool(const Scenario& scenario, const Trace& trace,
+                std::uint64_t seed) {
+  return PoolDriver(scenario, trace, seed).Run();
+}
+
+}  // namespace dottereltrack::bench
--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -44,6 +44,8 @@
     Run(HandleEntryLinkClosed(*board_, e.link, now_));
   }
   void On(const EntryMessage& e) {
+    // A start that has waited during a pause may run elsewhere by now.
+    if (paused_) return;
     Run(NoteEntryMessage(*board_, e.link, now_));
     std::visit([&](const auto& message) { OnMessage(e.link, message); },
                e.message);
@@ -81,7 +83,10 @@
                  {{"runs", static_cast<std::int64_t>(board_->runs.size())}}});
     Run(std::move(changes));
   }
-  void On(const AgentPaused& e) { Run(AbortAllEntries(*board_, e.length)); }
+  void On(const AgentPaused& e) {
+    paused_ = true;
+    Run(AbortAllEntries(*board_, e.length));
+  }
 
   void OnMessage(LinkId link, const EntryHello& message) {
     Run(HandleEntryHello(*board_, link, message, now_));
@@ -115,6 +120,8 @@
   AgentBoard* board_;
   Now now_;
   std::optional<MinionReport> minion_before_;
+  // A pause was noticed in this turn; what others have sent is out of date.
+  bool paused_ = false;
   std::vector<AgentEffect> effects_;
 };
 
--- a/src/core/pool/agent/events.h
+++ b/src/core/pool/agent/events.h
@@ -89,6 +89,8 @@
 };
 struct AgentTick {};
 struct AgentStopRequested {};
+// The process did not run for a while. Messages of entries that follow in the
+// same turn are ignored.
 struct AgentPaused {
   milliseconds length{0};
 };
--- a/src/core/pool/agent/looks.cpp
+++ b/src/core/pool/agent/looks.cpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "core/pool/agent/capacity.h"
+#include "core/pool/agent/fencing.h"
 #include "core/pool/agent/runs.h"
 
 namespace dottereltrack::pool {
@@ -24,7 +25,9 @@
 }
 
 // An instance that has restarted under its id accepts calls meant for the
-// former one, so it may hold some of the runs; the next look decides.
+// former one, so it may hold some of the runs; the next look decides. It also
+// brings the higher token that fences off starts which arrive later still:
+// their leases were set by the former clock and may seem valid on the new one.
 AgentChanges AdoptRestarted(const AgentBoard& board, const MinionReport& report,
                             const Now& now) {
   AgentChanges changes;
@@ -45,6 +48,7 @@
   changes.Add(SetMinion{report});
   changes.Add(SetClock{{report.clock_ms, now.boot}});
   changes.Add(SetHealth{});
+  changes.Add(SetFencingToken{HigherToken(board, now)});
   changes.Add(MinionDecision(report, "minion_restarted"));
   return changes;
 }
@@ -173,8 +177,7 @@
   }
   changes.Add(SetLook{look});
   if (e.answer == CallAnswer::kFenced) {
-    const auto wall = static_cast<std::uint64_t>(now.wall.count());
-    changes.Add(SetFencingToken{std::max(board.fencing_token + 1, wall)});
+    changes.Add(SetFencingToken{HigherToken(board, now)});
   }
   if (look.failures == 2) {
     changes.Add(Decision{Weight::kBelief,
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/pool/agent/capacity.h"
+#include "core/pool/agent/fencing.h"
 #include "core/pool/agent/health.h"
 
 namespace dottereltrack::pool {
@@ -149,8 +150,7 @@
     case CallAnswer::kFenced: {
       changes = DropRefused(board, *run, StartRefusal::kNotAccepting,
                             "the minion has seen a higher fencing token");
-      const auto wall = static_cast<std::uint64_t>(now.wall.count());
-      changes.Add(SetFencingToken{std::max(board.fencing_token + 1, wall)});
+      changes.Add(SetFencingToken{HigherToken(board, now)});
       return changes;
     }
     case CallAnswer::kLate:
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -18,12 +18,6 @@
 
 namespace dottereltrack::pool {
 
-// Identifies a call of a client that waits for its reply.
-struct CallId {
-  std::uint64_t value = 0;
-  friend auto operator<=>(const CallId&, const CallId&) = default;
-};
-
 enum class JobState {
   kActive,
   kCompleted,
--- a/tests/pool/agent_minion_test.cpp
+++ b/tests/pool/agent_minion_test.cpp
@@ -121,6 +121,20 @@
   CHECK(agent.board.runs.Find(RunOf(1))->phase == RunPhase::kRunning);
 }
 
+TEST_CASE("A restart under the same id raises the fencing token",
+          "[pool][agent][twice]") {
+  // Guards against a start meant for the life before, whose lease seems valid
+  // on the new clock, and which arrives after the runs of that life were lost.
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  const std::uint64_t before = agent.board.fencing_token;
+  const auto effects = agent.Step({MinionReported{ReportOf("m1", 2'000, 1)}});
+  const auto looks = Select<CallLook>(effects);
+  REQUIRE(looks.size() == 1);
+  CHECK(looks[0].fencing_token > before);
+}
+
 TEST_CASE("A replaced minion's runs are lost", "[pool][agent][minion]") {
   // Guards against callers that wait for runs of an instance that is gone.
   AgentFixture agent;
--- a/tests/pool/agent_runs_test.cpp
+++ b/tests/pool/agent_runs_test.cpp
@@ -107,6 +107,27 @@
   CHECK(FreeRoom(agent.board) == kMinionRoom);
 }
 
+TEST_CASE("A list that was made before a stop took effect does not end the run",
+          "[pool][agent][limit]") {
+  // Guards against room that is given away by an answer which overtook the
+  // start or the stop.
+  const milliseconds after_stop = GENERATE(values<milliseconds>(
+      {milliseconds{0}, milliseconds{59}, milliseconds{60}}));
+  CAPTURE(after_stop.count());
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, RunOf(0));
+  agent.Step({EntryMessage{{1}, StopRun{RunOf(0)}}});
+  agent.Step({StopAnswered{RunOf(0), CallAnswer::kAccepted}});
+  agent.now.boot += after_stop;
+  // The answer to this look makes the agent look again at once.
+  agent.AnswerLook({{RunOf(0), 1}}, {});
+  REQUIRE(agent.board.look.sent_at == agent.now.boot);
+  const auto effects = agent.AnswerLook({}, {});
+  const bool is_certain = after_stop >= agent.board.settings.stop_bound;
+  CHECK(EndsOf(effects).size() == (is_certain ? 1U : 0U));
+}
+
 TEST_CASE("A stop without an answer is repeated", "[pool][agent][twice]") {
   // Guards against runs that live on because one call got lost.
   AgentFixture agent;
@@ -152,6 +173,28 @@
             .size() == 2);
 }
 
+TEST_CASE("A start that arrives with a pause is ignored",
+          "[pool][agent][twice]") {
+  // Guards against a start that has waited in the socket of a frozen process
+  // and was placed elsewhere meanwhile.
+  struct Row {
+    const char* name;
+    bool paused;
+    std::size_t starts;
+  };
+  const auto row = GENERATE(
+      values<Row>({{"no pause", false, 1}, {"after a pause", true, 0}}));
+  CAPTURE(row.name);
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  std::vector<AgentEvent> events;
+  if (row.paused) events.emplace_back(AgentPaused{milliseconds{3'500}});
+  events.emplace_back(EntryMessage{{1},
+                                   StartRun{1, RunOf(0), std::string("payload"),
+                                            kTaskNeeds, milliseconds{100}}});
+  CHECK(Select<CallStart>(agent.Step(events)).size() == row.starts);
+}
+
 TEST_CASE("An entry learns when none of its earlier runs is left",
           "[pool][agent][twice]") {
   // Guards against an entry that starts a task again while its earlier run is
--- /dev/null
+++ b/tests/support/fake_minion.cpp
@@ -0,0 +1,291 @@
+#include "support/fake_minion.h"
+
+#include <algorithm>
+#include <memory>
+#include <sstream>
+#include <utility>
+
+namespace dottereltrack::testing {
+namespace {
+
+using pool::CallAnswer;
+using pool::RunEnd;
+using pool::RunKey;
+
+// A minion shortens longer leases.
+constexpr std::uint64_t kLongestLeaseMs = 1'000;
+// Longest time that a stop takes.
+constexpr std::int64_t kLongestStopMs = 50;
+constexpr std::int64_t kFirstClockMs = 1'000;
+constexpr milliseconds kFailedAfter{1};
+
+struct Work {
+  milliseconds length{0};
+  std::int64_t cpu_millis = 0;
+};
+
+Work WorkOf(const std::string& payload, std::uint32_t step) {
+  std::istringstream text(payload);
+  std::int64_t length_ms = 0;
+  std::int64_t cpu_millis = 0;
+  for (std::uint32_t n = 0; n <= step; ++n) text >> length_ms >> cpu_millis;
+  return {milliseconds{length_ms}, cpu_millis};
+}
+
+}  // namespace
+
+void RunLedger::Begin(const RunKey& run, const std::string& minion) {
+  ++starts;
+  ++begun_jobs_[run.task.job];
+  const auto it = live.find(run.task);
+  if (it != live.end()) {
+    violations.push_back("task " + ToText(run.task) + ": run " +
+                         std::to_string(run.number) + " on " + minion +
+                         " beside run " + std::to_string(it->second.number) +
+                         " on " + it->second.minion);
+  }
+  live[run.task] = {minion, run.number};
+}
+
+void RunLedger::End(const RunKey& run) {
+  const auto it = live.find(run.task);
+  if (it != live.end() && it->second.number == run.number) live.erase(it);
+}
+
+bool RunLedger::HasBegun(std::uint64_t job) const {
+  return begun_jobs_.count(job) != 0;
+}
+
+FakeMinion::FakeMinion(VirtualClock* clock, RunLedger* ledger,
+                       FakeMinionOptions options)
+    : clock_(clock),
+      ledger_(ledger),
+      options_(std::move(options)),
+      random_(options_.seed) {
+  Recover(false);
+}
+
+std::uint64_t FakeMinion::ClockMs() const {
+  const double elapsed_us =
+      options_.clock_rate *
+      static_cast<double>((clock_->now() - born_at_).count());
+  return kFirstClockMs + static_cast<std::uint64_t>(elapsed_us / 1'000);
+}
+
+bool FakeMinion::Chance(double share) {
+  return static_cast<double>(random_() >> 11) * 0x1.0p-53 < share;
+}
+
+pool::MinionReport FakeMinion::Report() {
+  pool::MinionReport report;
+  report.id = id_;
+  report.started_ms = born_wall_ms_;
+  report.address = options_.address;
+  report.service = options_.service;
+  report.capacity = options_.capacity;
+  report.draining = draining_;
+  report.sequence = ++sequence_;
+  report.clock_ms = ClockMs();
+  return report;
+}
+
+bool FakeMinion::IsOther(const pool::MinionReport& addressed) const {
+  return addressed.id != id_;
+}
+
+bool FakeMinion::IsFenced(std::uint64_t token) {
+  if (token < highest_token_) return true;
+  highest_token_ = token;
+  return false;
+}
+
+void FakeMinion::Order(const std::function<CallAnswer()>& order,
+                       const std::function<void(CallAnswer)>& done) {
+  if (mode_ == MinionMode::kDown) return done(CallAnswer::kNotConnected);
+  if (mode_ == MinionMode::kSilent) return;
+  if (Chance(late_share_)) {
+    const auto delay = static_cast<std::int64_t>(2'000 + random_() % 10'000);
+    clock_->After(milliseconds{delay}, [this, order] {
+      if (mode_ == MinionMode::kUp) order();
+    });
+    return;
+  }
+  const CallAnswer answer = order();
+  if (!Chance(lost_share_)) done(answer);
+}
+
+void FakeMinion::Start(const pool::CallStart& call,
+                       const std::function<void(CallAnswer)>& done) {
+  Order([this, call] { return DoStart(call); }, done);
+}
+
+void FakeMinion::Stop(const pool::CallStop& call,
+                      const std::function<void(CallAnswer)>& done) {
+  Order([this, call] { return DoStop(call); }, done);
+}
+
+CallAnswer FakeMinion::DoStart(const pool::CallStart& call) {
+  if (IsOther(call.minion)) return CallAnswer::kOtherInstance;
+  if (IsFenced(call.fencing_token)) return CallAnswer::kFenced;
+  const pool::TaskKey& task = call.run.task;
+  const auto known = runs_.find(task);
+  if (known != runs_.end() && known->second.key == call.run) {
+    return CallAnswer::kAccepted;
+  }
+  if (call.run.number <= highest_number_[task]) return CallAnswer::kOldNumber;
+  if (call.lease_ends_ms <= ClockMs()) return CallAnswer::kLate;
+  ExtendLease(call.lease_ends_ms);
+  if (known != runs_.end()) {
+    ledger_->violations.push_back("task " + ToText(task) +
+                                  ": a second run on one minion");
+  }
+  Run run;
+  run.key = call.run;
+  run.started_at = clock_->now();
+  const Work work = WorkOf(*call.payload, task.step);
+  run.cpu_millis = work.cpu_millis;
+  run.length = BootTime{static_cast<std::int64_t>(
+      1'000 * static_cast<double>(work.length.count()) * options_.time_ratio)};
+  highest_number_[task] = call.run.number;
+  runs_[task] = run;
+  ledger_->Begin(call.run, options_.name);
+  CheckCapacity();
+  const BootTime ends_after = failing_ ? BootTime{kFailedAfter} : run.length;
+  const RunEnd end = failing_ ? RunEnd::kFailed : RunEnd::kDone;
+  clock_->After(ends_after, [this, key = run.key, end, life = life_] {
+    Finish(key, end, life);
+  });
+  return CallAnswer::kAccepted;
+}
+
+void FakeMinion::CheckCapacity() {
+  std::int64_t used = 0;
+  for (const auto& [task, run] : runs_) used += run.cpu_millis;
+  if (used <= options_.capacity.cpu_millis) return;
+  ledger_->violations.push_back(
+      options_.name + " runs " + std::to_string(used) + " of " +
+      std::to_string(options_.capacity.cpu_millis) + " thousandths of a core");
+}
+
+CallAnswer FakeMinion::DoStop(const pool::CallStop& call) {
+  if (IsOther(call.minion)) return CallAnswer::kOtherInstance;
+  if (IsFenced(call.fencing_token)) return CallAnswer::kFenced;
+  std::uint64_t& highest = highest_number_[call.run.task];
+  highest = std::max(highest, call.run.number);
+  const auto it = runs_.find(call.run.task);
+  if (it == runs_.end() || it->second.key != call.run || it->second.stopping) {
+    return CallAnswer::kAccepted;
+  }
+  it->second.stopping = true;
+  const auto delay = static_cast<std::int64_t>(random_() % kLongestStopMs);
+  clock_->After(milliseconds{delay}, [this, run = call.run, life = life_] {
+    Finish(run, RunEnd::kStopped, life);
+  });
+  return CallAnswer::kAccepted;
+}
+
+void FakeMinion::Finish(const RunKey& run, RunEnd end, std::uint64_t life) {
+  const auto it = runs_.find(run.task);
+  if (life != life_ || it == runs_.end() || it->second.key != run) return;
+  runs_.erase(it);
+  ledger_->End(run);
+  if (end == RunEnd::kDone) ++ledger_->ends_as_done[run.task];
+  ends_.push_back({++last_end_, run, end});
+  for (const auto& wake : std::exchange(end_waiters_, {})) wake();
+}
+
+void FakeMinion::ExtendLease(std::uint64_t ends_ms) {
+  const std::uint64_t now_ms = ClockMs();
+  lease_ends_ms_ =
+      std::max(lease_ends_ms_, std::min(ends_ms, now_ms + kLongestLeaseMs));
+  const double left_ms = static_cast<double>(lease_ends_ms_ - now_ms + 1);
+  const auto wait_us =
+      static_cast<std::int64_t>(1'000 * left_ms / options_.clock_rate);
+  clock_->After(BootTime{wait_us}, [this, life = life_] { CheckLease(life); });
+}
+
+void FakeMinion::CheckLease(std::uint64_t life) {
+  if (life != life_ || ClockMs() < lease_ends_ms_) return;
+  std::vector<RunKey> lapsed;
+  for (const auto& [task, run] : runs_) lapsed.push_back(run.key);
+  for (const RunKey& run : lapsed) Finish(run, RunEnd::kLost, life);
+}
+
+pool::LookAnswered FakeMinion::Lists(const pool::CallLook& call) const {
+  pool::LookAnswered answer;
+  answer.sequence = call.sequence;
+  answer.answer = CallAnswer::kAccepted;
+  answer.clock_ms = ClockMs();
+  answer.started_ms = born_wall_ms_;
+  for (const auto& [task, run] : runs_) {
+    const auto elapsed = clock_->now() - run.started_at;
+    const auto length = std::max(run.length, BootTime{1});
+    answer.running.push_back(
+        {run.key, static_cast<int>(100 * elapsed / length)});
+  }
+  answer.ended = ends_;
+  return answer;
+}
+
+void FakeMinion::Look(const pool::CallLook& call,
+                      const std::function<void(pool::LookAnswered)>& done) {
+  const auto fail = [&](CallAnswer answer) {
+    pool::LookAnswered failed;
+    failed.sequence = call.sequence;
+    failed.answer = answer;
+    done(failed);
+  };
+  if (mode_ == MinionMode::kDown) return fail(CallAnswer::kNotConnected);
+  if (mode_ == MinionMode::kSilent) return;
+  if (IsOther(call.minion)) return fail(CallAnswer::kOtherInstance);
+  if (IsFenced(call.fencing_token)) return fail(CallAnswer::kFenced);
+  if (call.lease_ends_ms && *call.lease_ends_ms > ClockMs()) {
+    ExtendLease(*call.lease_ends_ms);
+  }
+  std::erase_if(ends_, [&](const pool::ListedEnd& it) {
+    return it.number <= call.last_end;
+  });
+  if (Chance(lost_share_)) return;
+  if (!ends_.empty() || call.wait.count() == 0) return done(Lists(call));
+  const auto answered = std::make_shared<bool>(false);
+  const auto answer = [this, call, done, answered, life = life_] {
+    const bool is_gone = life != life_ || mode_ != MinionMode::kUp;
+    if (*answered || is_gone) return;
+    *answered = true;
+    done(Lists(call));
+  };
+  end_waiters_.push_back(answer);
+  clock_->After(call.wait, answer);
+}
+
+void FakeMinion::Crash() {
+  ++life_;
+  mode_ = MinionMode::kDown;
+  for (const auto& [task, run] : runs_) ledger_->End(run.key);
+  runs_.clear();
+  end_waiters_.clear();
+}
+
+void FakeMinion::Recover(bool same_id) {
+  ++life_;
+  mode_ = MinionMode::kUp;
+  if (!same_id || id_.empty()) {
+    id_ = options_.name + "-" + std::to_string(life_);
+  }
+  born_at_ = clock_->now();
+  born_wall_ms_ = clock_->wall().count();
+  sequence_ = 0;
+  highest_token_ = 0;
+  lease_ends_ms_ = 0;
+  draining_ = false;
+  highest_number_.clear();
+  ends_.clear();
+  last_end_ = 0;
+}
+
+void FakeMinion::SetSilent(bool silent) {
+  if (mode_ == MinionMode::kDown) return;
+  mode_ = silent ? MinionMode::kSilent : MinionMode::kUp;
+}
+
+}  // namespace dottereltrack::testing
--- /dev/null
+++ b/tests/support/pool_schedule.cpp
@@ -0,0 +1,344 @@
+#include "support/pool_schedule.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace dottereltrack::testing {
+namespace {
+
+using pool::ReplyKind;
+
+// A client whose connection broke submits the same job again after this time.
+constexpr milliseconds kResendAfter{1'300};
+constexpr milliseconds kPatience{3'000};
+// A client notices a broken connection within a round trip.
+constexpr milliseconds kClientInterval{10};
+// Links, lost runs and suspended minions recover within this time.
+constexpr seconds kRecovery{8};
+constexpr milliseconds kTaskLength{120};
+// Four tasks fill a minion.
+constexpr std::int64_t kTaskMillis = 6'000;
+constexpr int kProofJobs = 6;
+
+const char* const kNames[] = {
+    "submit",       "leave_call",  "kill",         "power_off",
+    "restart",      "freeze",      "thaw",         "stop",
+    "cut",          "cut_one_way", "heal_cuts",    "reset_links",
+    "crash_minion", "recover",     "recover_same", "silence_minion",
+    "wake_minion",  "failing",     "slow",         "drain",
+    "lose_answers", "orders_late", "store_down",   "store_up",
+    "change_config"};
+static_assert(std::size(kNames) == kPoolStepKinds);
+
+bool IsRefusal(ReplyKind kind) {
+  switch (kind) {
+    case ReplyKind::kNoQueue:
+    case ReplyKind::kNoConfig:
+    case ReplyKind::kOverloaded:
+    case ReplyKind::kNoMinions:
+    case ReplyKind::kStopping:
+    case ReplyKind::kUnsupported:
+      return true;
+    default:
+      return false;
+  }
+}
+
+// A job as its client sees it.
+struct ClientJob {
+  pool::JobSpec spec;
+  CallId call;
+  BootTime gives_up_at{0};
+  std::optional<BootTime> resend_at;
+  int entry = 0;
+  int calls = 1;
+  bool ended = false;
+};
+
+class Runner {
+ public:
+  explicit Runner(const PoolSchedule& schedule)
+      : schedule_(schedule), pool_(OptionsOf(schedule)) {}
+
+  std::vector<std::string> Run() {
+    RunFor(seconds{2});
+    for (const PoolStep& step : schedule_.steps) {
+      RunFor(step.gap);
+      Do(step);
+    }
+    EndFaults();
+    RunFor(kRecovery);
+    ServeAgain();
+    Check();
+    return std::move(violations_);
+  }
+
+ private:
+  static PoolOptions OptionsOf(const PoolSchedule& schedule) {
+    PoolOptions options;
+    options.entries = schedule.entries;
+    options.agents = schedule.agents;
+    options.time_ratios = {1.0, 1.6, 0.7};
+    options.clock_rates = {1.0, 0.98, 1.02};
+    options.seed = schedule.seed;
+    return options;
+  }
+
+  // Lets time pass; clients act meanwhile.
+  void RunFor(BootTime time) {
+    const BootTime end = pool_.now() + time;
+    while (pool_.now() < end) {
+      pool_.RunUntil(std::min<BootTime>(end, pool_.now() + kClientInterval));
+      for (ClientJob& job : jobs_) Attend(&job);
+    }
+  }
+
+  void Attend(ClientJob* job) {
+    if (job->ended) return;
+    if (pool_.now() >= job->gives_up_at) {
+      if (!job->resend_at) pool_.LeaveCall(job->call);
+      job->ended = true;
+      return;
+    }
+    if (job->resend_at) {
+      if (pool_.now() >= *job->resend_at) SubmitAgain(job);
+      return;
+    }
+    switch (pool_.StateOf(job->call)) {
+      case CallState::kOpen:
+        return;
+      case CallState::kBroken:
+        job->resend_at = pool_.now() + kResendAfter;
+        return;
+      case CallState::kAnswered:
+        NoteReply(job);
+    }
+  }
+
+  void NoteReply(ClientJob* job) {
+    job->ended = true;
+    const ReplyKind kind = pool_.ReplyOf(job->call)->kind;
+    ++replies_[kind];
+    if (kind == ReplyKind::kGivenUp && job->calls < 3) {
+      job->ended = false;
+      job->resend_at = pool_.now() + kResendAfter;
+      return;
+    }
+    if (job->calls == 1 && IsRefusal(kind) &&
+        pool_.ledger().HasBegun(job->spec.id)) {
+      violations_.push_back("job " + std::to_string(job->spec.id) +
+                            " was refused and has begun");
+    }
+  }
+
+  void SubmitAgain(ClientJob* job) {
+    job->resend_at.reset();
+    job->entry = (job->entry + 1) % pool_.entry_count();
+    ++job->calls;
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        job->gives_up_at - pool_.now());
+    job->call = pool_.Submit(job->entry, job->spec, left);
+  }
+
+  void Submit(int entry, std::uint32_t tasks) {
+    ClientJob job;
+    job.spec = MakeJob(jobs_.size() + 1, tasks, kTaskLength, kTaskMillis);
+    job.entry = entry;
+    job.gives_up_at = pool_.now() + kPatience;
+    job.call = pool_.Submit(entry, job.spec, kPatience);
+    jobs_.push_back(std::move(job));
+  }
+
+  int End(std::uint32_t n) const {
+    return static_cast<int>(n % pool_.end_count());
+  }
+  FakeMinion& MinionOf(std::uint32_t n) {
+    return pool_.minion(static_cast<int>(n % schedule_.agents));
+  }
+
+  void Do(const PoolStep& step) {
+    const int end = End(step.a);
+    const int other = End(step.b);
+    switch (step.kind) {
+      case PoolStepKind::kSubmit:
+        return Submit(static_cast<int>(step.a % schedule_.entries),
+                      1 + step.b % 6);
+      case PoolStepKind::kLeaveCall:
+        return LeaveCall(step.a);
+      case PoolStepKind::kKill:
+        return pool_.Kill(end);
+      case PoolStepKind::kPowerOff:
+        return PowerOff(end);
+      case PoolStepKind::kRestart:
+        return pool_.Restart(end);
+      case PoolStepKind::kFreeze:
+        return pool_.Freeze(end);
+      case PoolStepKind::kThaw:
+        return pool_.Thaw(end);
+      case PoolStepKind::kStop:
+        return pool_.Stop(end);
+      case PoolStepKind::kCut:
+        return Cut(end, other, true);
+      case PoolStepKind::kCutOneWay:
+        return Cut(end, other, false);
+      case PoolStepKind::kHealCuts:
+        return HealCuts();
+      case PoolStepKind::kResetLinks:
+        return pool_.ResetLinks(end, other);
+      case PoolStepKind::kCrashMinion:
+        return MinionOf(step.a).Crash();
+      case PoolStepKind::kRecoverMinion:
+      case PoolStepKind::kRecoverSameId:
+        if (MinionOf(step.a).mode() != MinionMode::kDown) return;
+        return MinionOf(step.a).Recover(step.kind ==
+                                        PoolStepKind::kRecoverSameId);
+      case PoolStepKind::kSilenceMinion:
+        return MinionOf(step.a).SetSilent(true);
+      case PoolStepKind::kWakeMinion:
+        return MinionOf(step.a).SetSilent(false);
+      case PoolStepKind::kFailingMinion:
+        return MinionOf(step.a).SetFailing(step.b % 2 == 0);
+      case PoolStepKind::kSlowMinion:
+        return MinionOf(step.a).SetTimeRatio(step.b % 2 == 0 ? 6.0 : 1.0);
+      case PoolStepKind::kDrainMinion:
+        return MinionOf(step.a).SetDraining(step.b % 2 == 0);
+      case PoolStepKind::kLoseAnswers:
+        return MinionOf(step.a).SetLostShare(step.b % 2 == 0 ? 0.2 : 0.0);
+      case PoolStepKind::kOrdersLate:
+        return MinionOf(step.a).SetLateShare(step.b % 2 == 0 ? 0.3 : 0.0);
+      case PoolStepKind::kStoreDown:
+        return pool_.SetStoreDown(true);
+      case PoolStepKind::kStoreUp:
+        return pool_.SetStoreDown(false);
+      case PoolStepKind::kChangeConfig:
+        return ChangeConfig();
+    }
+  }
+
+  void LeaveCall(std::uint32_t n) {
+    if (jobs_.empty()) return;
+    ClientJob& job = jobs_[n % jobs_.size()];
+    if (job.ended || job.resend_at) return;
+    pool_.LeaveCall(job.call);
+    job.ended = true;
+  }
+
+  // The machine of an agent is that of its minion.
+  void PowerOff(int end) {
+    pool_.PowerOff(end);
+    if (end >= schedule_.entries) pool_.minion(end - schedule_.entries).Crash();
+  }
+
+  void Cut(int end, int other, bool both_ways) {
+    if (end == other) return;
+    cuts_.emplace_back(end, other);
+    pool_.CutOneWay(end, other, true);
+    if (both_ways) pool_.CutOneWay(other, end, true);
+  }
+
+  void HealCuts() {
+    for (const auto& [end, other] : cuts_) pool_.Cut(end, other, false);
+    cuts_.clear();
+  }
+
+  void ChangeConfig() {
+    version_ += 3;
+    pool_.SetConfig({version_, {PoolOptions::DefaultQueue()}});
+  }
+
+  void EndFaults() {
+    HealCuts();
+    pool_.SetStoreDown(false);
+    for (int end = 0; end < pool_.end_count(); ++end) {
+      pool_.Thaw(end);
+      pool_.Restart(end);
+    }
+    for (int n = 0; n < schedule_.agents; ++n) {
+      FakeMinion& minion = pool_.minion(n);
+      if (minion.mode() == MinionMode::kDown) minion.Recover(false);
+      minion.SetSilent(false);
+      minion.SetFailing(false);
+      minion.SetTimeRatio(1.0);
+      minion.SetDraining(false);
+      minion.SetLostShare(0);
+      minion.SetLateShare(0);
+    }
+    ChangeConfig();
+  }
+
+  // After the faults each entry completes new jobs.
+  void ServeAgain() {
+    // Processes that were asked to stop end by themselves.
+    for (int end = 0; end < pool_.end_count(); ++end) pool_.Restart(end);
+    RunFor(seconds{4});
+    const std::size_t first = jobs_.size();
+    for (int n = 0; n < kProofJobs; ++n) {
+      Submit(n % schedule_.entries, 2);
+      RunFor(milliseconds{300});
+    }
+    RunFor(kPatience);
+    for (std::size_t n = first; n < jobs_.size(); ++n) {
+      const PoolReply* reply = pool_.ReplyOf(jobs_[n].call);
+      if (reply != nullptr && reply->kind == ReplyKind::kCompleted) continue;
+      violations_.push_back(
+          "job " + std::to_string(n + 1) + " after the faults: " +
+          (reply == nullptr
+               ? std::string("no reply")
+               : "reply " + std::to_string(static_cast<int>(reply->kind))));
+    }
+  }
+
+  void Check() {
+    for (const std::string& it : pool_.ledger().violations) {
+      violations_.push_back(it);
+    }
+    if (pool_.config_regressions() > 0) {
+      violations_.emplace_back("a configuration went back");
+    }
+    for (int n = 0; n < schedule_.entries; ++n) {
+      if (pool_.entry(n).config.version != version_) {
+        violations_.push_back("entry " + std::to_string(n) +
+                              " lacks the newest configuration");
+      }
+      if (!pool_.entry(n).active_jobs.empty()) {
+        violations_.push_back("entry " + std::to_string(n) +
+                              " keeps jobs that nobody waits for");
+      }
+    }
+    for (int n = 0; n < schedule_.agents; ++n) {
+      if (!pool_.agent(n).runs.empty()) {
+        violations_.push_back("agent " + std::to_string(n) +
+                              " keeps runs that have ended");
+      }
+    }
+  }
+
+  const PoolSchedule& schedule_;
+  TestPool pool_;
+  std::vector<ClientJob> jobs_;
+  std::vector<std::pair<int, int>> cuts_;
+  std::uint64_t version_ = 1;
+  std::map<ReplyKind, int> replies_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace
+
+std::ostream& operator<<(std::ostream& out, const PoolSchedule& schedule) {
+  out << schedule.entries << " entries, " << schedule.agents << " agents, seed "
+      << schedule.seed << "\n";
+  for (const PoolStep& step : schedule.steps) {
+    out << "  +" << step.gap.count() / 1'000 << " ms "
+        << kNames[static_cast<int>(step.kind)] << " " << step.a << " " << step.b
+        << "\n";
+  }
+  return out;
+}
+
+std::vector<std::string> RunPoolSchedule(const PoolSchedule& schedule) {
+  return Runner(schedule).Run();
+}
+
+}  // namespace dottereltrack::testing
--- /dev/null
+++ b/tests/support/test_pool.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/pool/agent/advance.h"
+#include "core/pool/entry/advance.h"
+#include "support/fake_minion.h"
+#include "support/virtual_clock.h"
+
+namespace dottereltrack::testing {
+
+struct PoolOptions {
+  int entries = 3;
+  int agents = 4;
+  pool::Resources capacity{24'000, 1'000, 0};
+  // Run time over the payload's time of each minion; the last one repeats.
+  std::vector<double> time_ratios{1.0};
+  // Speed of each minion's clock; the last one repeats.
+  std::vector<double> clock_rates{1.0};
+  // One-way delay between two link ends; entries come before agents.
+  std::function<BootTime(int end, int other)> delay;
+  pool::QueueConfig queue = DefaultQueue();
+  std::uint64_t seed = 1;
+
+  static pool::QueueConfig DefaultQueue();
+};
+
+// Messages between processes of the pool.
+struct PoolTally {
+  // Starts and results.
+  std::uint64_t useful = 0;
+  // All others.
+  std::uint64_t wasted = 0;
+  std::uint64_t results = 0;
+  friend bool operator==(const PoolTally&, const PoolTally&) = default;
+};
+
+struct PoolReply {
+  pool::ReplyKind kind = pool::ReplyKind::kCompleted;
+  BootTime at{0};
+};
+
+// What a client has of one of its calls.
+enum class CallState { kOpen, kAnswered, kBroken };
+
+// Runs the real decisions of entries and agents on a virtual clock, with fakes
+// of links, store and minions. Equal options and calls give equal runs.
+class TestPool {
+ public:
+  explicit TestPool(const PoolOptions& options);
+
+  void RunUntil(BootTime until) { clock_.RunUntil(until); }
+  void RunFor(BootTime time) { clock_.RunUntil(clock_.now() + time); }
+  VirtualClock& clock() { return clock_; }
+  BootTime now() const { return clock_.now(); }
+
+  // A call of a client; the id names the reply. It breaks at once if the
+  // process does not run.
+  CallId Submit(int entry, const pool::JobSpec& job, milliseconds patience);
+  CallId Cancel(int entry, std::uint64_t job);
+  // The client closes the connection of its call.
+  void LeaveCall(CallId call);
+  CallState StateOf(CallId call) const;
+  const PoolReply* ReplyOf(CallId call) const;
+
+  // Link ends: entries by their number, then agents.
+  int AgentEnd(int agent) const { return entry_count() + agent; }
+  int end_count() const { return static_cast<int>(ends_.size()); }
+  int entry_count() const { return options_.entries; }
+  bool IsRunning(int end) const;
+
+  // SIGKILL: its connections are reset.
+  void Kill(int end);
+  // Without power: its connections stay silent.
+  void PowerOff(int end);
+  // A new process in the place of one that has ended.
+  void Restart(int end);
+  void Freeze(int end);
+  void Thaw(int end);
+  // SIGTERM.
+  void Stop(int end);
+  // Holds back what `from` sends to `to`; it arrives when the cut ends.
+  void CutOneWay(int from, int to, bool is_cut);
+  void Cut(int end, int other, bool is_cut);
+  // Resets all connections between two ends.
+  void ResetLinks(int end, int other);
+  void SetStoreDown(bool down) { store_down_ = down; }
+  void SetConfig(const pool::PoolConfig& config);
+  FakeMinion& minion(int agent) { return *minions_[agent]; }
+
+  const pool::EntryBoard& entry(int n) const { return ends_[n].entry; }
+  const pool::AgentBoard& agent(int n) const {
+    return ends_[AgentEnd(n)].agent;
+  }
+  const RunLedger& ledger() const { return ledger_; }
+  const PoolTally& tally() const { return tally_; }
+  // Times that an entry went back to an older configuration.
+  int config_regressions() const { return config_regressions_; }
+
+ private:
+  enum class ProcessState { kRunning, kFrozen, kEnded, kWithoutPower };
+  // A process; `entry` or `agent` is in use.
+  struct End {
+    pool::EntryBoard entry;
+    pool::AgentBoard agent;
+    ProcessState state = ProcessState::kEnded;
+    std::uint64_t life = 0;
+    BootTime last_turn{0};
+    std::uint64_t config_version = 0;
+    std::vector<pool::EntryEvent> held_entry_events;
+    std::vector<pool::AgentEvent> held_agent_events;
+    std::set<CallId> calls;
+  };
+  // A connection. Each side closes by itself.
+  struct Link {
+    int ends[2] = {0, 0};
+    bool open[2] = {true, true};
+    // Deliveries keep their order in each direction, by sending side.
+    BootTime last_delivery[2] = {BootTime{0}, BootTime{0}};
+    std::vector<std::function<void()>> held[2];
+  };
+
+  bool IsAgent(int end) const { return end >= options_.entries; }
+  Endpoint AddressOf(int entry) const;
+  int EntryAt(const Endpoint& address) const;
+  BootTime DelayBetween(int end, int other) const;
+  bool IsCut(int from, int to) const { return cuts_.count({from, to}) != 0; }
+
+  void Boot(int end);
+  void EndProcess(int end, ProcessState state);
+  void Tick(int end, std::uint64_t life);
+  void Post(int end, pool::EntryEvent event);
+  void Post(int end, pool::AgentEvent event);
+  void RunEntry(int end, std::vector<pool::EntryEvent> events);
+  void RunAgent(int end, std::vector<pool::AgentEvent> events);
+  void ReportMinion(int agent, std::uint64_t life);
+  void ListEntries();
+  void ReadStore(int end, std::uint64_t life);
+
+  void Do(int end, const pool::Reply& effect);
+  void Do(int end, const pool::SendMessage& effect);
+  void Do(int end, const pool::DialPeer& effect);
+  void Do(int end, const pool::AbortLink& effect);
+  void Do(int end, const pool::Exit& effect);
+  void Do(int end, const pool::SendToEntry& effect);
+  void Do(int end, const pool::DialEntry& effect);
+  void Do(int end, const pool::AbortEntryLink& effect);
+  void Do(int end, const pool::CallStart& effect);
+  void Do(int end, const pool::CallStop& effect);
+  void Do(int end, const pool::CallLook& effect);
+  void Do(int end, const pool::ExitAgent& effect);
+  void Do(int, const pool::Decision&) {}
+
+  // Calls back with the answer, or without one after the timeout.
+  template <typename Answer>
+  std::function<void(Answer)> Awaiting(int end, milliseconds timeout,
+                                       Answer none,
+                                       std::function<void(const Answer&)> done);
+
+  void Dial(int from, int to,
+            const std::function<void(std::optional<LinkId>)>& done);
+  void Send(int from, LinkId link, const pool::Message& message);
+  void Carry(LinkId link, int side, const std::function<void()>& action);
+  void CloseSide(LinkId link, int side);
+  void ReportClosed(LinkId link, int side);
+  void Reset(LinkId link, int side);
+  int SideOf(const Link& link, int end) const {
+    return link.ends[0] == end ? 0 : 1;
+  }
+  void BreakCalls(int end);
+
+  PoolOptions options_;
+  VirtualClock clock_;
+  std::mt19937_64 random_;
+  RunLedger ledger_;
+  std::vector<End> ends_;
+  std::vector<std::unique_ptr<FakeMinion>> minions_;
+  std::map<LinkId, Link> links_;
+  std::set<std::pair<int, int>> cuts_;
+  std::map<CallId, PoolReply> replies_;
+  std::map<CallId, CallState> calls_;
+  pool::PoolConfig config_;
+  bool store_down_ = false;
+  std::uint64_t next_id_ = 1;
+  PoolTally tally_;
+  int config_regressions_ = 0;
+};
+
+// A job of `count` equal tasks that each take `length` and a part of a minion.
+pool::JobSpec MakeJob(std::uint64_t id, std::uint32_t count,
+                      milliseconds length, std::int64_t cpu_millis);
+
+}  // namespace dottereltrack::testing
