Use one client for the platform's store, and weigh both designs in the bench

The entry of the own interface keeps its cell table and configuration in the platform's store through the same client as the pool (platform/cell_store.h on platform/metadata_store.h). src/platform, with a second client for a protocol of its own, goes; JSON of table and configuration moves to src/cell_store, base64 is in one place (src/json). The store's stand-in speaks the platform's calls: items, ranges, watches with a history, transactions, leases.

Tests: the client's tests move to tests/cell_store with all rows (a conflict is 412 now, 429 proves that nothing was done, other 5xx statuses prove nothing); new: a watch goes on after the history was dropped. The first version of the stand-in refused '/' in a query, upon which a test waited for ever; the stand-in reads it as RFC 3986 allows.

bench/pool_run runs the traces through a pool.

--- a/apps/entry/entry_process.h
+++ b/apps/entry/entry_process.h
@@ -13,8 +13,8 @@
 
 #include "apps/entry/store_watch.h"
 #include "dottereltrack/api.h"
+#include "dottereltrack/cell_store.h"
 #include "dottereltrack/core.h"
-#include "dottereltrack/platform.h"
 #include "dottereltrack/runtime.h"
 
 namespace dottereltrack {
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -7,16 +7,17 @@
 #include <vector>
 
 #include "apps/entry/entry_process.h"
+#include "platform/cell_store.h"
 
 namespace {
 
 using namespace dottereltrack;  // NOLINT(google-build-using-namespace)
 
 Store MakeStore(asio::io_context& loop, const EntryDaemonSettings& settings) {
-  StoreClientSettings store;
+  users_platform::CellStoreSettings store;
   store.address = settings.store_address;
   store.cell = settings.cell;
-  return MakeHttpStore(loop, store, [](std::string_view text) {
+  return users_platform::MakeCellStore(loop, store, [](std::string_view text) {
     Log(LogPart::kStore, LogLevel::kWarning, text);
   });
 }
--- a/bench/cell_run.cpp
+++ b/bench/cell_run.cpp
@@ -130,6 +130,15 @@
         return cell_.SetStoreMode(testing::StoreMode::kDown);
       case DisturbanceKind::kStoreUp:
         return cell_.SetStoreMode(testing::StoreMode::kUp);
+      case DisturbanceKind::kEntryKilled:
+        run_.struck_entry = cell_.Dispatcher();
+        cell_.KillEntry(run_.struck_entry);
+        return;
+      case DisturbanceKind::kEntryFreezes:
+        run_.struck_entry = cell_.Dispatcher();
+        return cell_.FreezeEntry(run_.struck_entry, true);
+      case DisturbanceKind::kEntryThaws:
+        return cell_.FreezeEntry(run_.struck_entry, false);
     }
   }
 
--- a/bench/cell_run.h
+++ b/bench/cell_run.h
@@ -17,6 +17,8 @@
   testing::MessageTally messages;
   std::uint64_t store_calls = 0;
   std::uint64_t completed_tasks = 0;
+  // The entry that was killed or frozen; none if negative.
+  int struck_entry = -1;
   // Must be zero.
   std::uint64_t double_starts = 0;
   std::uint32_t overcommitted_slots = 0;
--- /dev/null
+++ b/bench/entry_fault.cpp
@@ -0,0 +1,58 @@
+#include "entry_fault.h"
+
+#include <algorithm>
+
+namespace dottereltrack::bench {
+namespace {
+
+constexpr BootTime kBefore{seconds{10}};
+constexpr BootTime kAfter{seconds{5}};
+// As the users' sheets have it for their kinds of jobs.
+constexpr double kStretch = 1.6;
+constexpr BootTime kTargetLatency{milliseconds{60}};
+
+BootTime ObjectiveOf(const TraceJob& job) {
+  BootTime longest{0};
+  for (const TraceTask& it : job.tasks) longest = std::max(longest, it.work);
+  const double stretched = kStretch * static_cast<double>(longest.count());
+  return kTargetLatency + BootTime{static_cast<std::int64_t>(stretched)};
+}
+
+// Jobs of some time, and those of them that were answered in time.
+struct Counts {
+  double arrived = 0;
+  double in_time = 0;
+
+  void Add(const TraceJob& job, const JobResult& result) {
+    ++arrived;
+    if (result.complete && result.response <= ObjectiveOf(job)) ++in_time;
+  }
+  double Share() const { return arrived > 0 ? in_time / arrived : 0; }
+};
+
+}  // namespace
+
+EntryFaultMeasures MeasureEntryFault(const Deployment& deployment,
+                                     DisturbanceKind kind, int seeds,
+                                     RunSystem run_system) {
+  const Scenario scenario = EntryFaultScenario(deployment, kind);
+  const BootTime fault_at = scenario.disturbances.front().at;
+  Counts before;
+  Counts after;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    const Trace trace = MakeTrace(scenario, seed);
+    const CellRun run = run_system(scenario, trace, seed);
+    for (std::size_t n = 0; n < trace.size(); ++n) {
+      const BootTime at = trace[n].at;
+      if (trace[n].entry == run.struck_entry) continue;
+      if (at >= fault_at - kBefore && at < fault_at) {
+        before.Add(trace[n], run.jobs[n]);
+      } else if (at >= fault_at && at < fault_at + kAfter) {
+        after.Add(trace[n], run.jobs[n]);
+      }
+    }
+  }
+  return {after.Share(), before.Share()};
+}
+
+}  // namespace dottereltrack::bench
--- a/bench/pool_run.cpp
+++ b/bench/pool_run.cpp
@@ -121,6 +121,14 @@
         return pool_.SetStoreDown(true);
       case DisturbanceKind::kStoreUp:
         return pool_.SetStoreDown(false);
+      case DisturbanceKind::kEntryKilled:
+        run_.struck_entry = 0;
+        return pool_.Kill(0);
+      case DisturbanceKind::kEntryFreezes:
+        run_.struck_entry = 0;
+        return pool_.Freeze(0);
+      case DisturbanceKind::kEntryThaws:
+        return pool_.Thaw(0);
     }
   }
 
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -129,6 +129,19 @@
   return all;
 }
 
+Scenario EntryFaultScenario(const Deployment& deployment,
+                            DisturbanceKind kind) {
+  const bool is_kill = kind == DisturbanceKind::kEntryKilled;
+  Scenario scenario =
+      Named(is_kill ? "entry_killed" : "entry_frozen", deployment, 0.6);
+  scenario.disturbances = {{seconds{20}, kind, 0, 1.0}};
+  if (!is_kill) {
+    scenario.disturbances.push_back(
+        {milliseconds{23'500}, DisturbanceKind::kEntryThaws, 0, 1.0});
+  }
+  return scenario;
+}
+
 Scenario OverloadScenario(const Deployment& deployment) {
   Scenario scenario = Named("overload", deployment, 0.6);
   scenario.burst_from = seconds{10};
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -44,6 +44,11 @@
   kMinionLost,
   kStoreDown,
   kStoreUp,
+  // The entry that dispatches, or the first one where none does, is killed or
+  // stands still until kEntryThaws.
+  kEntryKilled,
+  kEntryFreezes,
+  kEntryThaws,
 };
 
 // Something that goes wrong at a time after the start of the trace.
@@ -96,6 +101,9 @@
 // Everything that goes wrong, in both deployments.
 std::vector<Scenario> DisturbedScenarios();
 
+// A load of 0.6 while an entry is killed, or stands still for 3.5 s, at 20 s.
+Scenario EntryFaultScenario(const Deployment& deployment, DisturbanceKind kind);
+
 // Twice the capacity is offered for a while, then a load of 0.6.
 Scenario OverloadScenario(const Deployment& deployment);
 
--- a/src/api/answer_json.cpp
+++ b/src/api/answer_json.cpp
@@ -1,6 +1,7 @@
 #include "api/answer_json.h"
 
 #include "api/json_text.h"
+#include "json/base64.h"
 
 namespace dottereltrack {
 namespace {
--- a/src/api/job_json.cpp
+++ b/src/api/job_json.cpp
@@ -7,6 +7,7 @@
 
 #include "api/json_fields.h"
 #include "api/json_text.h"
+#include "json/base64.h"
 
 namespace dottereltrack {
 namespace {
--- a/src/api/json_text.h
+++ b/src/api/json_text.h
@@ -19,8 +19,4 @@
 // Whether the bytes can stand in a JSON text as they are.
 bool IsUtf8(const std::string& bytes);
 
-// Base64 with padding, without line breaks.
-std::string ToBase64(const std::string& bytes);
-std::optional<std::string> FromBase64(const std::string& text);
-
 }  // namespace dottereltrack
--- a/src/platform/cell_json.cpp
+++ b/src/cell_store/cell_json.cpp
@@ -1,4 +1,4 @@
-#include "platform/cell_json.h"
+#include "cell_store/cell_json.h"
 
 namespace dottereltrack {
 namespace {
--- /dev/null
+++ b/src/json/base64.cpp
@@ -0,0 +1,46 @@
+#include "json/base64.h"
+
+#include <openssl/evp.h>
+
+namespace dottereltrack {
+namespace {
+
+constexpr char kBase64Digits[] =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+// Number of '=' at the end; 3 or more are no padding.
+std::size_t PaddingOf(const std::string& text) {
+  const std::size_t last = text.find_last_not_of('=');
+  return last == std::string::npos ? text.size() : text.size() - last - 1;
+}
+
+}  // namespace
+
+std::string ToBase64(const std::string& bytes) {
+  std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int n =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(n));
+  return text;
+}
+
+std::optional<std::string> FromBase64(const std::string& text) {
+  const std::size_t padding = PaddingOf(text);
+  // OpenSSL skips white space, which would make two texts of one value.
+  const bool is_valid =
+      text.size() % 4 == 0 && padding <= 2 &&
+      text.find_first_not_of(kBase64Digits) >= text.size() - padding;
+  if (!is_valid) return std::nullopt;
+  std::string bytes(text.size() / 4 * 3, '\0');
+  const int n =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (n < 0) return std::nullopt;
+  bytes.resize(static_cast<std::size_t>(n) - padding);
+  return bytes;
+}
+
+}  // namespace dottereltrack
--- a/tests/api/replies_test.cpp
+++ b/tests/api/replies_test.cpp
@@ -4,6 +4,7 @@
 #include "api/json_text.h"
 #include "api/operator_json.h"
 #include "api/routes.h"
+#include "json/base64.h"
 
 namespace dottereltrack {
 
--- a/tests/platform/cell_json_test.cpp
+++ b/tests/cell_store/cell_json_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
-#include "dottereltrack/platform.h"
+#include "dottereltrack/cell_store.h"
 
 namespace dottereltrack {
 namespace {
