--- a/apps/pool_agent/main.cpp
+++ b/apps/pool_agent/main.cpp
@@ -11,16 +11,17 @@
 int main(int argc, char** argv) {
   using namespace dottereltrack;  // NOLINT(google-build-using-namespace)
   try {
-    return pool::RunDaemon(
-        "dotterel-pool-agent", "starts tasks on the minion beside it.",
-        DOTTERELTRACK_VERSION, {argv + 1, argv + argc},
-        [](const users_platform::NodeSettings& node, EventLog& log) {
-          asio::io_context loop(1);
-          pool::PoolAgent agent(loop, node, log);
-          if (!agent.Start()) return kExitFailed;
-          loop.run();
-          return kExitOk;
-        });
+    return pool::RunDaemon("dotterel-pool-agent",
+                           "starts tasks on the minion beside it.",
+                           DOTTERELTRACK_VERSION, {argv + 1, argv + argc},
+                           [](const users_platform::NodeSettings& node,
+                              const std::string& path, EventLog& log) {
+                             asio::io_context loop(1);
+                             pool::PoolAgent agent(loop, node, path, log);
+                             if (!agent.Start()) return kExitFailed;
+                             loop.run();
+                             return kExitOk;
+                           });
   } catch (const std::exception& error) {
     std::cerr << "dotterel-pool-agent stops on an unexpected error: "
               << error.what()
--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <utility>
 
+#include "apps/pool_agent/state_dump.h"
 #include "core/pool/agent/capacity.h"
 #include "core/pool/pause.h"
 #include "platform/minion.h"
@@ -53,7 +54,8 @@
 }  // namespace
 
 PoolAgent::PoolAgent(asio::io_context& loop,
-                     const users_platform::NodeSettings& node, EventLog& log)
+                     const users_platform::NodeSettings& node,
+                     const std::string& settings_path, EventLog& log)
     : loop_(loop),
       node_(node),
       log_(log),
@@ -76,7 +78,12 @@
                    [this](const auto& values) {
                      Post(EntriesRegistered{ReadEntries(values)});
                    }),
-      metrics_(loop, GaugesOf(board_)),
+      metrics_(loop, GaugesOf(board_),
+               [this] { return DumpState(board_, TakeNow()); }),
+      settings_watch_(loop, settings_path, node, log,
+                      [this](const users_platform::NodeSettings& changed) {
+                        Post(EntriesNamed{changed.seeds});
+                      }),
       tick_(loop),
       exit_timer_(loop),
       signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
@@ -104,6 +111,7 @@
   AwaitSignal();
   Post(EntriesNamed{node_.seeds});
   entry_watch_.Start();
+  settings_watch_.Start();
   Tick();
   return true;
 }
@@ -142,9 +150,7 @@
   signals_.async_wait([this](const asio::error_code& ec, int signal) {
     if (ec) return;
     if (signal == SIGHUP) {
-      // Addresses are fixed for the life of the process, and nothing else in
-      // the file concerns a running agent.
-      log_.Write("reload", {{"changed", 0}});
+      settings_watch_.Reload();
     } else {
       Post(AgentStopRequested{});
     }
--- a/apps/pool_agent/pool_agent.h
+++ b/apps/pool_agent/pool_agent.h
@@ -7,6 +7,7 @@
 
 #include "apps/pool_common/daemon.h"
 #include "apps/pool_common/metrics.h"
+#include "apps/pool_common/settings_watch.h"
 #include "apps/pool_common/store_watches.h"
 #include "core/pool/agent/advance.h"
 #include "http_client/http_client.h"
@@ -21,8 +22,9 @@
 // of the loop, and carries out their effects. All on the loop's thread.
 class PoolAgent {
  public:
+  // `settings_path` names the file that `node` was read from.
   PoolAgent(asio::io_context& loop, const users_platform::NodeSettings& node,
-            EventLog& log);
+            const std::string& settings_path, EventLog& log);
   PoolAgent(const PoolAgent&) = delete;
   PoolAgent& operator=(const PoolAgent&) = delete;
 
@@ -58,6 +60,7 @@
   users_platform::StoreClient store_;
   PrefixWatch entry_watch_;
   PoolMetrics metrics_;
+  SettingsWatch settings_watch_;
   asio::steady_timer tick_;
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
--- /dev/null
+++ b/apps/pool_agent/state_dump.cpp
@@ -0,0 +1,74 @@
+#include "apps/pool_agent/state_dump.h"
+
+#include "apps/pool_common/state_rows.h"
+#include "core/pool/agent/capacity.h"
+#include "runtime/settings/endpoint_text.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+using nlohmann::json;
+
+const char* NameOf(RunPhase phase) {
+  switch (phase) {
+    case RunPhase::kStarting:
+      return "starting";
+    case RunPhase::kUnconfirmed:
+      return "unconfirmed";
+    case RunPhase::kRunning:
+      return "running";
+    case RunPhase::kStopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
+json RowOf(const RunRow& run, const Now& now) {
+  return {{"task", ToText(run.key.task)},
+          {"run", run.key.number},
+          {"phase", NameOf(run.phase)},
+          {"cpu_millis", run.needs.cpu_millis},
+          {"estimate_ms", run.estimate.count()},
+          {"started_ms_ago", AgeOf(run.started_at, now)},
+          {"percent", run.percent},
+          {"progress_ms_ago", AgeOf(run.progress_at, now)}};
+}
+
+json RowOf(const EntryLinkRow& link, const Now& now) {
+  return {{"link", link.id.value},
+          {"address", ToText(link.address)},
+          {"heard_ms_ago", AgeOf(link.heard_at, now)},
+          {"reported_ms_ago", AgeOf(link.reported_at, now)}};
+}
+
+json MinionOf(const AgentBoard& board, const Now& now) {
+  if (!board.minion) return nullptr;
+  const MinionReport& minion = *board.minion;
+  return {{"minion", minion.id},
+          {"service", minion.service},
+          {"draining", minion.draining},
+          {"capacity_cpu_millis", minion.capacity.cpu_millis},
+          {"free_cpu_millis", FreeRoom(board).cpu_millis},
+          {"accepting", IsAccepting(board, now)},
+          {"clock_read_ms_ago", AgeOf(board.clock.at, now)},
+          {"failed_looks", board.look.failures},
+          {"look_sent_ms_ago", AgeOf(board.look.sent_at, now)},
+          {"failure_share", board.health.failure_share},
+          {"suspended_for_ms", -AgeOf(board.health.suspended_until, now)},
+          {"on_trial", board.health.on_trial},
+          {"log_slowness", board.health.log_slowness}};
+}
+
+}  // namespace
+
+std::string DumpState(const AgentBoard& board, const Now& now) {
+  const json dump = {{"stopping", board.stopping},
+                     {"fencing_token", board.fencing_token},
+                     {"minion", MinionOf(board, now)},
+                     {"runs", RowsOf(board.runs, now, &RowOf)},
+                     {"links", RowsOf(board.links, now, &RowOf)},
+                     {"entries", RowsOf(board.entries, now, &RowOfKnownEntry)}};
+  return dump.dump() + "\n";
+}
+
+}  // namespace dottereltrack::pool
--- a/apps/pool_common/daemon.cpp
+++ b/apps/pool_common/daemon.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "apps/pool_common/settings_watch.h"
 #include "core/pool/task.h"
 #include "runtime/command_line.h"
 
@@ -34,7 +35,7 @@
 
 Usage:
   )" + name +
-         R"( [--settings FILE] [--check-settings]
+         R"( [--settings FILE] [--check-settings | --print-settings]
   )" + name +
          R"( (--help | --version)
 
@@ -43,6 +44,8 @@
                     environment variable )" +
          users_platform::kSettingsVariable + R"( names.
   --check-settings  Read the settings file, report what is wrong, and exit.
+  --print-settings  Read the settings file, print what it means to this program
+                    as JSON, and exit.
   --help            Show this text.
   --version         Show the version.
 )";
@@ -78,10 +81,11 @@
   return limits;
 }
 
-int RunDaemon(const std::string& name, const std::string& summary,
-              const std::string& version, const std::vector<std::string>& args,
-              const std::function<int(const users_platform::NodeSettings&,
-                                      EventLog&)>& run) {
+int RunDaemon(
+    const std::string& name, const std::string& summary,
+    const std::string& version, const std::vector<std::string>& args,
+    const std::function<int(const users_platform::NodeSettings&,
+                            const std::string& path, EventLog&)>& run) {
   // Otherwise a reader of the log that goes away would end the process.
   std::signal(SIGPIPE, SIG_IGN);
   std::map<std::string, docopt::value> options;
@@ -108,8 +112,12 @@
   const auto settings = users_platform::ReadNodeSettings(*text);
   if (!settings) return ReportFault(path, settings.error().message);
   if (options["--check-settings"].asBool()) return kExitOk;
+  if (options["--print-settings"].asBool()) {
+    std::cout << ToJson(settings.value()).dump(2) << "\n";
+    return kExitOk;
+  }
   EventLog log(STDOUT_FILENO, settings.value().node);
-  return run(settings.value(), log);
+  return run(settings.value(), path, log);
 }
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_common/daemon.h
+++ b/apps/pool_common/daemon.h
@@ -18,11 +18,12 @@
 // Limits of the links between the processes of a pool.
 LinkLimits InternalLinkLimits();
 
-// Parses the command line, loads the settings and runs the daemon. Returns the
-// exit code.
-int RunDaemon(const std::string& name, const std::string& summary,
-              const std::string& version, const std::vector<std::string>& args,
-              const std::function<int(const users_platform::NodeSettings&,
-                                      EventLog&)>& run);
+// Parses the command line, loads the settings and runs the daemon with them and
+// the path of their file. Returns the exit code.
+int RunDaemon(
+    const std::string& name, const std::string& summary,
+    const std::string& version, const std::vector<std::string>& args,
+    const std::function<int(const users_platform::NodeSettings&,
+                            const std::string& path, EventLog&)>& run);
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_common/metrics.cpp
+++ b/apps/pool_common/metrics.cpp
@@ -15,6 +15,7 @@
 // As `metrics` in deploy/system.toml.
 constexpr std::uint16_t kPort = 9464;
 constexpr const char* kPath = "/metrics";
+constexpr const char* kStatePath = "/state";
 
 // Seconds; the jobs of the users last 0.05 to 5 s.
 const prometheus::Histogram::BucketBoundaries kBuckets = {
@@ -51,25 +52,33 @@
           .Register(registry);
 };
 
-PoolMetrics::PoolMetrics(asio::io_context& loop, std::vector<Gauge> gauges)
+PoolMetrics::PoolMetrics(asio::io_context& loop, std::vector<Gauge> gauges,
+                         std::function<std::string()> dump_state)
     : gauges_(std::move(gauges)),
+      dump_state_(std::move(dump_state)),
       families_(std::make_unique<Families>()),
       http_(loop, HttpLimits{},
             {[this](const HttpRequest& request, const HttpReplier& reply) {
-               HttpResponse response;
-               response.content_type = "text/plain; version=0.0.4";
-               if (request.path == kPath) {
-                 response.body = Render();
-               } else {
-                 response.status = 404;
-               }
-               reply(std::move(response));
+               reply(Serve(request.path));
              },
              {},
              {}}) {}
 
 PoolMetrics::~PoolMetrics() = default;
 
+HttpResponse PoolMetrics::Serve(const std::string& path) {
+  HttpResponse response;
+  if (path == kPath) {
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = Render();
+  } else if (path == kStatePath) {
+    response.body = dump_state_();
+  } else {
+    response.status = 404;
+  }
+  return response;
+}
+
 void PoolMetrics::Count(const Decision& decision) {
   prometheus::Labels labels = {{"event", decision.what}};
   const std::string reason = TextOf(decision, "reason");
--- a/apps/pool_common/metrics.h
+++ b/apps/pool_common/metrics.h
@@ -20,11 +20,13 @@
   std::function<double()> read;
 };
 
-// Counts decisions and measures durations, and serves them as Prometheus text.
-// docs/metrics.md lists the metrics.
+// Counts decisions and measures durations, and serves them as Prometheus text;
+// docs/metrics.md lists the metrics. Serves a dump of the state, too.
 class PoolMetrics {
  public:
-  PoolMetrics(asio::io_context& loop, std::vector<Gauge> gauges);
+  // `dump_state` is called for each request of the dump.
+  PoolMetrics(asio::io_context& loop, std::vector<Gauge> gauges,
+              std::function<std::string()> dump_state);
   ~PoolMetrics();
   PoolMetrics(const PoolMetrics&) = delete;
   PoolMetrics& operator=(const PoolMetrics&) = delete;
@@ -38,7 +40,10 @@
  private:
   struct Families;
 
+  HttpResponse Serve(const std::string& path);
+
   std::vector<Gauge> gauges_;
+  std::function<std::string()> dump_state_;
   std::unique_ptr<Families> families_;
   HttpServer http_;
 };
--- /dev/null
+++ b/apps/pool_common/settings_watch.cpp
@@ -0,0 +1,100 @@
+#include "apps/pool_common/settings_watch.h"
+
+#include <utility>
+
+#include "runtime/settings/endpoint_text.h"
+#include "runtime/settings/file.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+using nlohmann::json;
+using users_platform::NodeSettings;
+
+// A change without a signal is noticed within this time. Seeds matter only
+// while no entry is known, so a few seconds do no harm.
+constexpr milliseconds kReadInterval{2'000};
+
+// What a running process applies; the rest is fixed for its life.
+constexpr const char* kSeeds = "seeds";
+
+}  // namespace
+
+json ToJson(const NodeSettings& settings) {
+  json seeds = json::array();
+  for (const Endpoint& seed : settings.seeds) seeds.push_back(ToText(seed));
+  return {{"node", settings.node},
+          {"data_centre", settings.data_centre},
+          {"client_address", ToText(settings.client_address)},
+          {"readiness_address", ToText(settings.readiness_address)},
+          {"report_address", ToText(settings.report_address)},
+          {"internal_address", ToText(settings.internal_address)},
+          {kSeeds, std::move(seeds)},
+          {"service", settings.service},
+          {"store_address", ToText(settings.store_address)},
+          {"max_descriptors", settings.max_descriptors}};
+}
+
+std::vector<std::string> ChangedSettings(const NodeSettings& before,
+                                         const NodeSettings& after) {
+  const json old_values = ToJson(before);
+  const json new_values = ToJson(after);
+  std::vector<std::string> names;
+  for (const auto& [name, value] : new_values.items()) {
+    if (value != old_values.at(name)) names.push_back(name);
+  }
+  return names;
+}
+
+SettingsWatch::SettingsWatch(asio::io_context& loop, std::string path,
+                             const NodeSettings& current, EventLog& log,
+                             Changed changed)
+    : path_(std::move(path)),
+      current_(current),
+      log_(log),
+      changed_(std::move(changed)),
+      timer_(loop),
+      text_(ReadFile(path_).value_or("")) {}
+
+void SettingsWatch::Start() { Await(); }
+
+void SettingsWatch::Await() {
+  timer_.expires_after(kReadInterval);
+  timer_.async_wait([this](const asio::error_code& ec) {
+    if (ec) return;
+    Read(false);
+    Await();
+  });
+}
+
+void SettingsWatch::Reload() { Read(true); }
+
+void SettingsWatch::Read(bool on_request) {
+  const auto text = ReadFile(path_);
+  const bool is_same = text && *text == text_;
+  if (is_same && !on_request) return;
+  if (!text) {
+    // Absent while it is being replaced; the next reading finds it.
+    if (on_request) {
+      log_.Write("reload_refused", {{"problem", "the file cannot be read"}});
+    }
+    return;
+  }
+  text_ = *text;
+  const auto settings = users_platform::ReadNodeSettings(*text);
+  if (!settings) {
+    log_.Write("reload_refused", {{"problem", settings.error().message}});
+    return;
+  }
+  std::vector<std::string> changed =
+      ChangedSettings(current_, settings.value());
+  const bool has_new_seeds = settings.value().seeds != current_.seeds;
+  current_ = settings.value();
+  std::vector<std::string> for_restart = changed;
+  std::erase(for_restart, kSeeds);
+  log_.Write("reload",
+             {{"changed", changed}, {"after_a_restart", for_restart}});
+  if (has_new_seeds) changed_(current_);
+}
+
+}  // namespace dottereltrack::pool
--- /dev/null
+++ b/apps/pool_common/state_rows.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+
+#include "core/pool/decision.h"
+#include "core/pool/known_entries.h"
+#include "core/table.h"
+#include "core/time.h"
+
+namespace dottereltrack::pool {
+
+// Rows of a table that a dump shows; it then stays below 1 MB.
+inline constexpr std::size_t kMaxDumpRows = 1'000;
+
+// Milliseconds since then; negative if it is to come.
+inline std::int64_t AgeOf(BootTime at, const Now& now) {
+  return ToMilliseconds(now.boot - at);
+}
+
+// The size of a table and its first rows.
+template <typename Row>
+nlohmann::json RowsOf(const Table<Row>& table, const Now& now,
+                      nlohmann::json (*row_of)(const Row&, const Now&)) {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [key, row] : table) {
+    if (rows.size() == kMaxDumpRows) break;
+    rows.push_back(row_of(row, now));
+  }
+  return {{"size", table.size()}, {"rows", std::move(rows)}};
+}
+
+nlohmann::json RowOfKnownEntry(const KnownEntry& entry, const Now& now);
+
+}  // namespace dottereltrack::pool
--- a/apps/pool_entry/main.cpp
+++ b/apps/pool_entry/main.cpp
@@ -11,17 +11,17 @@
 int main(int argc, char** argv) {
   using namespace dottereltrack;  // NOLINT(google-build-using-namespace)
   try {
-    return pool::RunDaemon(
-        "dotterel-pool-entry",
-        "accepts jobs from clients and has their tasks run.",
-        DOTTERELTRACK_VERSION, {argv + 1, argv + argc},
-        [](const users_platform::NodeSettings& node, EventLog& log) {
-          asio::io_context loop(1);
-          pool::PoolEntry entry(loop, node, log);
-          if (!entry.Start()) return kExitFailed;
-          loop.run();
-          return kExitOk;
-        });
+    return pool::RunDaemon("dotterel-pool-entry",
+                           "accepts jobs from clients and has their tasks run.",
+                           DOTTERELTRACK_VERSION, {argv + 1, argv + argc},
+                           [](const users_platform::NodeSettings& node,
+                              const std::string& path, EventLog& log) {
+                             asio::io_context loop(1);
+                             pool::PoolEntry entry(loop, node, path, log);
+                             if (!entry.Start()) return kExitFailed;
+                             loop.run();
+                             return kExitOk;
+                           });
   } catch (const std::exception& error) {
     std::cerr << "dotterel-pool-entry stops on an unexpected error: "
               << error.what()
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -1,9 +1,11 @@
 #include "apps/pool_entry/pool_entry.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <csignal>
 #include <utility>
 
+#include "apps/pool_entry/state_dump.h"
 #include "core/pool/pause.h"
 #include "platform/config.h"
 #include "pool_wire/codec.h"
@@ -32,12 +34,18 @@
 // The last responses and messages leave within this time.
 constexpr milliseconds kExitDelay{100};
 
-HttpLimits ClientLimits() {
+// Descriptors for links to agents and other entries, the store, metrics and the
+// process itself; pools of the users have up to 300 machines.
+constexpr std::uint32_t kReservedDescriptors = 600;
+constexpr std::uint32_t kMinConnections = 100;
+
+HttpLimits ClientLimits(const users_platform::NodeSettings& node) {
   HttpLimits limits;
   limits.max_body_bytes = 256U << 10;
-  // Below the 4,100 descriptors of the smallest machine, of which 200 are
-  // reserved.
-  limits.max_connections = 3'500;
+  const std::uint32_t descriptors =
+      std::max(node.max_descriptors, kReservedDescriptors);
+  limits.max_connections =
+      std::max(descriptors - kReservedDescriptors, kMinConnections);
   return limits;
 }
 
@@ -67,7 +75,8 @@
 }  // namespace
 
 PoolEntry::PoolEntry(asio::io_context& loop,
-                     const users_platform::NodeSettings& node, EventLog& log)
+                     const users_platform::NodeSettings& node,
+                     const std::string& settings_path, EventLog& log)
     : loop_(loop),
       node_(node),
       log_(log),
@@ -77,7 +86,7 @@
                 OnFrame(link, frame);
               },
               [this](LinkId link) { Post(LinkClosed{link}); }}),
-      clients_(loop, ClientLimits(),
+      clients_(loop, ClientLimits(node),
                {[this](const HttpRequest& request, const HttpReplier& reply) {
                   OnClientRequest(request, reply);
                 },
@@ -105,7 +114,12 @@
                    [this](const auto& values) {
                      Post(EntriesListed{ReadEntries(values)});
                    }),
-      metrics_(loop, GaugesOf(board_)),
+      metrics_(loop, GaugesOf(board_),
+               [this] { return DumpState(board_, TakeNow()); }),
+      settings_watch_(loop, settings_path, node, log,
+                      [this](const users_platform::NodeSettings& changed) {
+                        Post(EntriesSuggested{changed.seeds});
+                      }),
       tick_(loop),
       exit_timer_(loop),
       signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
@@ -122,6 +136,7 @@
   registration_.Start();
   config_watch_.Start();
   entry_watch_.Start();
+  settings_watch_.Start();
   Tick();
   return true;
 }
@@ -183,9 +198,7 @@
   signals_.async_wait([this](const asio::error_code& ec, int signal) {
     if (ec) return;
     if (signal == SIGHUP) {
-      // Addresses are fixed for the life of the process, and nothing else in
-      // the file concerns a running entry.
-      log_.Write("reload", {{"changed", 0}});
+      settings_watch_.Reload();
     } else {
       registration_.Withdraw();
       Post(StopRequested{});
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -8,6 +8,7 @@
 
 #include "apps/pool_common/daemon.h"
 #include "apps/pool_common/metrics.h"
+#include "apps/pool_common/settings_watch.h"
 #include "apps/pool_common/store_watches.h"
 #include "core/pool/entry/advance.h"
 #include "platform/job.h"
@@ -22,8 +23,9 @@
 // of the loop, and carries out their effects. All on the loop's thread.
 class PoolEntry {
  public:
+  // `settings_path` names the file that `node` was read from.
   PoolEntry(asio::io_context& loop, const users_platform::NodeSettings& node,
-            EventLog& log);
+            const std::string& settings_path, EventLog& log);
   PoolEntry(const PoolEntry&) = delete;
   PoolEntry& operator=(const PoolEntry&) = delete;
 
@@ -73,6 +75,7 @@
   PrefixWatch config_watch_;
   PrefixWatch entry_watch_;
   PoolMetrics metrics_;
+  SettingsWatch settings_watch_;
   asio::steady_timer tick_;
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
--- /dev/null
+++ b/apps/pool_entry/state_dump.cpp
@@ -0,0 +1,96 @@
+#include "apps/pool_entry/state_dump.h"
+
+#include "apps/pool_common/state_rows.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+using nlohmann::json;
+
+const char* NameOf(JobState state) {
+  switch (state) {
+    case JobState::kActive:
+      return "active";
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
+const char* NameOf(TaskState state) {
+  switch (state) {
+    case TaskState::kWaiting:
+      return "waiting";
+    case TaskState::kPlaced:
+      return "placed";
+    case TaskState::kStopping:
+      return "stopping";
+    case TaskState::kLost:
+      return "lost";
+    case TaskState::kDone:
+      return "done";
+  }
+  return "unknown";
+}
+
+json RowOf(const JobRow& job, const Now& now) {
+  return {{"job", JobText(job.id)},
+          {"request", job.request_id},
+          {"queue", job.queue},
+          {"state", NameOf(job.state)},
+          {"open_tasks", job.open_tasks},
+          {"callers", job.waiters.size()},
+          {"age_ms", AgeOf(job.arrived_at, now)},
+          {"past_goal_ms", AgeOf(job.goal_at, now)},
+          {"past_deadline_ms", AgeOf(job.deadline_at, now)}};
+}
+
+json RowOf(const TaskRow& task, const Now& now) {
+  json row = {{"task", ToText(task.key)},
+              {"state", NameOf(task.state)},
+              {"run", task.run_number},
+              {"failures", task.failures}};
+  if (task.run_number != 0) {
+    row["minion"] = task.minion;
+    row["placed_ms_ago"] = AgeOf(task.placed_at, now);
+  }
+  return row;
+}
+
+json RowOf(const LinkRow& link, const Now& now) {
+  return {{"link", link.id.value},
+          {"heard_ms_ago", AgeOf(link.heard_at, now)},
+          {"sent_ms_ago", AgeOf(link.sent_at, now)}};
+}
+
+json RowOf(const AgentRow& agent, const Now&) {
+  return {{"link", agent.link.value},
+          {"minion", agent.hello->minion},
+          {"service", agent.hello->service},
+          {"data_centre", agent.hello->data_centre},
+          {"accepting", agent.load.accepting},
+          {"free_cpu_millis", agent.free.cpu_millis},
+          {"unreported_starts", agent.unreported.size()}};
+}
+
+}  // namespace
+
+std::string DumpState(const EntryBoard& board, const Now& now) {
+  const json dump = {{"age_ms", AgeOf(board.started_at, now)},
+                     {"stopping", board.stopping},
+                     {"config_version", board.config.version},
+                     {"waiting_tasks", board.waiting_tasks.size()},
+                     {"lost_tasks", board.lost_tasks.size()},
+                     {"jobs", RowsOf(board.jobs, now, &RowOf)},
+                     {"tasks", RowsOf(board.tasks, now, &RowOf)},
+                     {"agents", RowsOf(board.agents, now, &RowOf)},
+                     {"links", RowsOf(board.links, now, &RowOf)},
+                     {"entries", RowsOf(board.peers, now, &RowOfKnownEntry)}};
+  return dump.dump() + "\n";
+}
+
+}  // namespace dottereltrack::pool
--- a/tests/process/pool/cell.py
+++ b/tests/process/pool/cell.py
@@ -6,19 +6,23 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import subprocess
 import tempfile
 import time
 
+from proxy import Proxy
 from web import call, fetch_text
 from standins import Ledger, Minion, Store
 
 FRONT, READY, CONTROL, INTERNAL, APP, STORE = 8161, 8167, 8166, 7720, 8165, 8169
+APP_PROXY = 8185
 METRICS = 9464
 MINION_CPU = 24_000
 TASK_CPU = 6_000
 RESEND_S = 1.3
+DOCS = pathlib.Path(__file__).resolve().parents[3] / "docs"
 
 
 class Node:
@@ -32,6 +36,8 @@
         self.path.write_text(json.dumps(settings))
         self.log = cell.folder / f"{name}.log"
         self.process = None
+        # Ends that nobody has asked for.
+        self.own_exits = []
 
     def start(self):
         with self.log.open("ab") as log:
@@ -53,7 +59,21 @@
             await asyncio.sleep(0.02)
         return self.process.poll()
 
+    def lines(self):
+        """What the process has logged."""
+        return [
+            json.loads(line)
+            for line in self.log.read_text().splitlines()
+            if line.startswith("{") and line.endswith("}")
+        ]
+
+    def note_own_exit(self):
+        code = self.process.poll()
+        if code is not None:
+            self.own_exits.append(f"has ended by itself with {code}")
+
     async def kill(self, down_s):
+        self.note_own_exit()
         self.signal(signal.SIGKILL)
         self.process.wait()
         await asyncio.sleep(down_s)
@@ -66,6 +86,7 @@
 
     async def restart(self):
         """As the platform does: SIGTERM, SIGKILL after the grace period."""
+        self.note_own_exit()
         self.signal(signal.SIGTERM)
         code = await self.wait(6.0)
         if code != 0:
@@ -78,15 +99,18 @@
 
 class Cell:
     """Entries, agents with minions, and the store. All addresses are in one /16 of
-    the loopback range, so that several cells can run side by side."""
+    the loopback range, so that several cells can run side by side. If `proxied`,
+    proxies stand before the store, for each process, the minions and the entries."""
 
-    def __init__(self, build, number, entries=3, agents=4):
+    def __init__(self, build, number, entries=3, agents=4, proxied=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="pool-"))
         self.ledger = Ledger()
         self.store = Store()
         self.net = f"127.{40 + number}"
         self.build = pathlib.Path(build)
         self.version = 0
+        self.proxied = proxied
+        self.proxies = []
         self.entries = [self.entry(n) for n in range(entries)]
         self.agents = [self.agent(n) for n in range(agents)]
         self.minions = [
@@ -97,13 +121,25 @@
                 f"z{n % 2}",
                 self.ledger,
                 MINION_CPU,
+                self.proxy_to((self.host(2, n), APP), (self.host(2, n), APP_PROXY)),
             )
             for n in range(agents)
         ]
+        self.fronts = [
+            self.proxy_to((self.host(1, n), FRONT), (self.host(4, n), FRONT))
+            for n in range(entries)
+        ]
 
     def host(self, kind, n):
         return f"{self.net}.{kind}.{n + 1}"
 
+    def proxy_to(self, target, address):
+        """Where the target is to be called: at a proxy, if there are any."""
+        if not self.proxied:
+            return target
+        self.proxies.append(Proxy(*address, target))
+        return address
+
     def settings(self, name, host, zone, listen, **more):
         return {
             "node_name": name,
@@ -112,10 +148,17 @@
             "listen": {key: f"{host}:{port}" for key, port in listen.items()},
             "internal_ports": [INTERNAL, INTERNAL + 15],
             "seeds": [],
-            "platform": {"address": f"{self.host(0, 0)}:{STORE}"},
+            "platform": {"address": "%s:%d" % self.store_address(host)},
             **more,
         }
 
+    def store_address(self, host):
+        # The proxy of each process is in the same /16 as the process.
+        kind, n = host.split(".")[2:]
+        return self.proxy_to(
+            (self.host(0, 0), STORE), (f"{self.net}.{int(kind) + 4}.{n}", STORE)
+        )
+
     def entry(self, n):
         name = f"entry-{n + 1}"
         listen = {"front": FRONT, "readiness": READY}
@@ -159,6 +202,8 @@
     async def start(self):
         await self.store.server.start(self.host(0, 0), STORE)
         self.write_config("q")
+        for proxy in self.proxies:
+            await proxy.start()
         for node in self.entries + self.agents:
             node.start()
         for minion in self.minions:
@@ -171,6 +216,8 @@
             node.process.wait()
         for minion in self.minions:
             await minion.stop()
+        for proxy in self.proxies:
+            await proxy.stop()
         await self.store.server.stop()
 
     async def is_ready(self, n):
@@ -188,17 +235,45 @@
         return False
 
     async def check_metrics(self):
-        """What is missing in the metrics of a process of each kind."""
-        wanted = {
-            (1, 0): ["dottereltrack_entry_open_jobs", "job_completed"],
-            (2, 0): ["dottereltrack_agent_runs", "dottereltrack_duration_seconds"],
-        }
+        """Compares the metrics of a process of each kind with their page, and reads
+        the dumps of their state."""
+        page = (DOCS / "metrics.md").read_text().split("## Pool", 1)[1]
+        documented = set(re.findall(r"dottereltrack_[a-z_]+", page))
+        served = set()
         problems = []
-        for (kind, n), names in wanted.items():
-            text = await fetch_text((self.host(kind, n), METRICS), "/metrics")
-            problems += [f"no {name} in the metrics" for name in names if name not in text]
+        for kind, table in ((1, "jobs"), (2, "runs")):
+            address = (self.host(kind, 0), METRICS)
+            text = await fetch_text(address, "/metrics")
+            served |= set(re.findall(r"^# TYPE (\S+)", text, re.MULTILINE))
+            state = await fetch_text(address, "/state")
+            if table not in (json.loads(state) if state else {}):
+                problems.append(f"no {table} in the state")
+        if served != documented:
+            problems.append(f"metrics and page differ: {served ^ documented}")
         return problems
 
+    async def await_event(self, node, event, seconds=5.0, **fields):
+        """Notes a fault if the node does not log the event with these fields."""
+        end = time.monotonic() + seconds
+        wanted = {"event": event, **fields}
+        while time.monotonic() < end:
+            for line in node.lines():
+                if wanted.items() <= line.items():
+                    return
+            await asyncio.sleep(0.1)
+        self.ledger.faults.append(f"{node.name} has not logged {wanted}")
+
+    def check_events(self):
+        """Events that a process has logged and OPERATIONS.md does not explain."""
+        page = (DOCS / "OPERATIONS.md").read_text()
+        documented = set(re.findall(r"`([a-z_]+)`", page))
+        events = {
+            line["event"]
+            for node in self.entries + self.agents
+            for line in node.lines()
+        }
+        return [f"no page explains the event {it}" for it in events - documented]
+
     def logs(self):
         return "".join(
             f"== {node.name}\n{node.log.read_text()[-4000:]}"
@@ -251,7 +326,7 @@
                 "Request-Id": job,
                 "X-Dottereltrack-Deadline-Ms": str(int(left * 1000)),
             }
-            address = (self.cell.host(1, n), FRONT)
+            address = self.cell.fronts[n]
             status, answer = await call(
                 address, "POST", f"/q/{job}", body, headers, timeout=left
             )
--- a/tests/process/pool/run_scenario.py
+++ b/tests/process/pool/run_scenario.py
@@ -53,7 +53,7 @@
         end, _ = await asyncio.gather(
             strike(cell, fault, begin, callers), callers.run(LONGEST_FAULT_S)
         )
-        problems = await cell.check_metrics()
+        problems = await cell.check_metrics() + cell.check_events()
         return problems + judge(callers, cell.ledger, end, bound)
     finally:
         await cell.stop()
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -4,6 +4,7 @@
 and 2 s after the fault all jobs complete."""
 
 import asyncio
+import json
 import signal
 
 
@@ -91,9 +92,16 @@
 
 
 async def reload_all(cell):
-    for node in cell.entries + cell.agents:
-        node.signal(signal.SIGHUP)
-    await asyncio.sleep(0.5)
+    """Files change with and without a signal; one of them has a fault."""
+    nodes = cell.entries + cell.agents
+    for node in nodes:
+        settings = json.loads(node.path.read_text())
+        node.path.write_text(json.dumps({**settings, "seeds": ["127.0.0.9:8166"]}))
+    nodes[0].signal(signal.SIGHUP)
+    for node in nodes:
+        await cell.await_event(node, "reload", changed=["seeds"])
+    nodes[0].path.write_text("{")
+    await cell.await_event(nodes[0], "reload_refused")
 
 
 SCENARIOS = {
--- a/tests/process/pool/standins.py
+++ b/tests/process/pool/standins.py
@@ -182,16 +182,18 @@
 
     numbers = itertools.count(1)
 
-    def __init__(self, host, port, agent, zone, ledger, cpu):
+    def __init__(self, host, port, agent, zone, ledger, cpu, address):
         self.host = host
         self.port = port
         self.agent = agent
         self.zone = zone
         self.ledger = ledger
         self.cpu = cpu
+        # Where the agent is to call; a proxy may stand there.
+        self.address = address
         self.mode = "up"
         self.lost_answers = 0.0
-        self.random = random.Random(port)
+        self.random = random.Random(host)
         self.server = Server(self.handle)
         self.tasks = []
         self.reset()
@@ -236,7 +238,7 @@
         self.sequence += 1
         value = {
             "service": "svc",
-            "address": f"{self.host}:{self.port}",
+            "address": "%s:%d" % self.address,
             "zone": self.zone,
             "version": "v1",
             "slots": 8,
--- a/tests/users_platform/store_test.cpp
+++ b/tests/users_platform/store_test.cpp
@@ -87,6 +87,7 @@
       R"("listen":{"front":"10.1.0.13:8161","readiness":"10.1.0.13:8167"},)"
       R"("internal_ports":[7720,7735],"seeds":["10.2.0.30:8166"],)"
       R"("app":"10.1.0.14:8165","service":"s","unknown":{},)"
+      R"("limits":{"file_descriptors":8192,"cpu_share":0.2},)"
       R"("platform":{"address":"10.200.1.7:8169"}})");
   REQUIRE(settings);
   NodeSettings expected;
@@ -98,6 +99,7 @@
   expected.seeds = {{"10.2.0.30", 7720}};
   expected.service = "s";
   expected.store_address = {"10.200.1.7", 8169};
+  expected.max_descriptors = 8'192;
   CHECK(settings.value() == expected);
 }
 
