--- a/tests/support/test_cell.cpp
+++ b/tests/support/test_cell.cpp
@@ -8,17 +8,11 @@
 namespace {
 
 constexpr BootTime kTickInterval{50'000};
-// Wall clock at the start of a run, in Unix milliseconds.
-constexpr WallTime kWallStart{1'800'000'000'000};
-// A call to a store that is down fails after this time.
-constexpr BootTime kStoreTimeout{100'000};
 
 }  // namespace
 
 TestCell::TestCell(const CellOptions& options)
     : options_(options), random_(options.seed) {
-  // Boot time zero means "never" in several rows.
-  now_ = BootTime{1'000'000};
   entries_.resize(options.entries);
   agents_.resize(options.agents);
   for (int n = 0; n < options.entries; ++n) BootEntry(n);
@@ -29,20 +23,6 @@
   }
 }
 
-void TestCell::RunUntil(BootTime until) {
-  while (!queue_.empty() && queue_.top().at <= until) {
-    const Scheduled next = queue_.top();
-    queue_.pop();
-    now_ = next.at;
-    next.action();
-  }
-  now_ = until;
-}
-
-WallTime TestCell::wall() const {
-  return kWallStart + std::chrono::duration_cast<WallTime>(now_);
-}
-
 CallId TestCell::Submit(int entry, const SubmitRequest& request) {
   const CallId call{next_id_++};
   PostToEntry(entry, CallerSubmits{call, request, false});
@@ -141,48 +121,6 @@
   PostToAgent(agent, AgentStopRequested{});
 }
 
-void TestCell::CutEnds(int end, int other) {
-  for (auto& [id, link] : links_) {
-    const bool between = (link.from == end && link.to == other) ||
-                         (link.to == end && link.from == other);
-    if (between && link.open) {
-      CloseOne(id, end);
-      CloseOne(id, other);
-    }
-  }
-}
-
-void TestCell::Block(int end, int other, bool blocked) {
-  if (blocked) {
-    blocked_.insert({end, other});
-    blocked_.insert({other, end});
-    CutEnds(end, other);
-  } else {
-    blocked_.erase({end, other});
-    blocked_.erase({other, end});
-  }
-}
-
-void TestCell::Stall(int end, int other, BootTime until) {
-  for (auto& [id, link] : links_) {
-    const bool between = (link.from == end && link.to == other) ||
-                         (link.to == end && link.from == other);
-    if (!between || !link.open) continue;
-    for (BootTime& last : link.last_delivery) last = std::max(last, until);
-  }
-}
-
-void TestCell::SetStoreMode(StoreMode mode) {
-  store_mode_ = mode;
-  // A watch that could not reach the store gets the newest values then.
-  if (mode != StoreMode::kDown) NotifyWatches();
-}
-
-BootTime TestCell::StoreDelay() const {
-  return store_mode_ == StoreMode::kSlow ? 50 * options_.store_delay
-                                         : options_.store_delay;
-}
-
 void TestCell::ReplaceMinion(int agent) {
   AgentNode& node = agents_[agent];
   if (!node.alive) return;
@@ -222,11 +160,7 @@
   return tasks;
 }
 
-void TestCell::At(BootTime at, std::function<void()> action) {
-  queue_.push({at, next_order_++, std::move(action)});
-}
-
-Now TestCell::MakeNow() { return {now_, wall(), random_()}; }
+Now TestCell::MakeNow() { return {now(), wall(), random_()}; }
 
 int TestCell::RackOfAgent(int n) const {
   return options_.agents_per_rack > 0 ? n / options_.agents_per_rack
@@ -298,7 +232,7 @@
   } else if (const auto* peer = std::get_if<SendToPeer>(&effect)) {
     Deliver(entry, peer->link, peer->message);
   } else if (const auto* reply = std::get_if<ReplyToCaller>(&effect)) {
-    replies_.insert_or_assign(reply->call, CallerReply{reply->reply, now_});
+    replies_.insert_or_assign(reply->call, CallerReply{reply->reply, now()});
   } else if (const auto* told = std::get_if<ReplyToOperator>(&effect)) {
     operator_replies_.insert_or_assign(told->call, *told);
   } else if (const auto* dial = std::get_if<DialPeer>(&effect)) {
@@ -333,7 +267,7 @@
   } else if (const auto* abort = std::get_if<AbortOnMinion>(&effect)) {
     const TaskId task = abort->task;
     const std::uint64_t incarnation = agents_[agent].incarnation;
-    At(now_, [this, agent, task, incarnation] {
+    clock_.At(now(), [this, agent, task, incarnation] {
       if (agents_[agent].incarnation != incarnation) return;
       // The minion abandons the task when its connection closes.
       if (agents_[agent].running.erase(task) == 0) return;
@@ -358,101 +292,6 @@
   }
 }
 
-void TestCell::Deliver(int from_end, LinkId link, EntryToAgent message) {
-  tally_ = Tally(tally_, message);
-  DeliverBy(from_end, link, [this, link, message](int to_end) {
-    PostToAgent(to_end - entry_count(), EntrySays{link, message});
-  });
-}
-
-void TestCell::Deliver(int from_end, LinkId link, EntryToEntry message) {
-  tally_ = Tally(tally_, message);
-  DeliverBy(from_end, link, [this, link, message](int to_end) {
-    PostToEntry(to_end, PeerSays{link, message});
-  });
-}
-
-void TestCell::Deliver(int from_end, LinkId link, AgentToEntry message) {
-  tally_ = Tally(tally_, message);
-  DeliverBy(from_end, link, [this, link, message](int to_end) {
-    PostToEntry(to_end, AgentSays{link, message});
-  });
-}
-
-void TestCell::DeliverBy(int from_end, LinkId id,
-                         std::function<void(int to_end)> action) {
-  const auto it = links_.find(id);
-  if (it == links_.end() || !it->second.open) return;
-  Link& link = it->second;
-  ++messages_;
-  const int direction = link.from == from_end ? 0 : 1;
-  const int to_end = direction == 0 ? link.to : link.from;
-  const BootTime at = std::max(now_ + DelayBetween(link.from, link.to),
-                               link.last_delivery[direction]);
-  link.last_delivery[direction] = at;
-  At(at, [this, id, to_end, action] {
-    const Link& now_link = links_.at(id);
-    const std::uint64_t expected = now_link.to == to_end
-                                       ? now_link.to_incarnation
-                                       : now_link.from_incarnation;
-    if (IncarnationOf(to_end) == expected && IsAlive(to_end)) action(to_end);
-  });
-}
-
-LinkId TestCell::OpenLink(int from_end, int to_end) {
-  const LinkId id{next_id_++};
-  Link link;
-  link.from = from_end;
-  link.to = to_end;
-  link.from_incarnation = IncarnationOf(from_end);
-  link.to_incarnation = IncarnationOf(to_end);
-  links_.emplace(id, link);
-  return id;
-}
-
-void TestCell::CloseLinksOf(int end) {
-  for (auto& [id, link] : links_) {
-    const bool ours =
-        (link.from == end && link.from_incarnation == IncarnationOf(end)) ||
-        (link.to == end && link.to_incarnation == IncarnationOf(end));
-    if (ours && link.open) CloseOne(id, end);
-  }
-}
-
-void TestCell::CloseOne(LinkId id, int closed_by) {
-  const auto it = links_.find(id);
-  if (it == links_.end()) return;
-  Link& link = it->second;
-  link.open = false;
-  const int other = link.from == closed_by ? link.to : link.from;
-  const std::uint64_t expected =
-      link.from == closed_by ? link.to_incarnation : link.from_incarnation;
-  const int direction = link.from == closed_by ? 0 : 1;
-  const BootTime at = std::max(now_ + DelayBetween(link.from, link.to),
-                               link.last_delivery[direction]);
-  At(at, [this, id, other, expected] {
-    if (IncarnationOf(other) != expected) return;
-    if (IsAgentEnd(other)) {
-      PostToAgent(other - entry_count(), EntryLinkClosed{id});
-    } else {
-      PostToEntry(other, LinkClosed{id});
-    }
-  });
-}
-
-void TestCell::Dial(int from_end, const Endpoint& address,
-                    std::function<void(bool, LinkId)> done) {
-  const std::uint64_t incarnation = IncarnationOf(from_end);
-  const int to_end = address.port;
-  const BootTime at = now_ + 2 * DelayBetween(from_end, to_end);
-  At(at, [this, from_end, to_end, incarnation, done] {
-    if (IncarnationOf(from_end) != incarnation || !IsAlive(from_end)) return;
-    const bool blocked = blocked_.count({from_end, to_end}) != 0;
-    if (!IsAlive(to_end) || blocked) return done(false, LinkId{});
-    done(true, OpenLink(from_end, to_end));
-  });
-}
-
 void TestCell::StartTask(int agent, const TaskStart& start) {
   AgentNode& node = agents_[agent];
   ++starts_[start.id];
@@ -469,14 +308,14 @@
       failing ? 1'000 : static_cast<std::int64_t>(declared_us * node.speed)};
   const std::uint64_t incarnation = node.incarnation;
   const std::string output = "result of " + *start.payload;
-  At(now_ + run_time,
-     [this, agent, start, incarnation, failing, run_time, output] {
-       FinishTask(agent, start, incarnation,
-                  {start.id, failing ? AttemptEnd::kFailed : AttemptEnd::kDone,
-                   failing ? std::string("refused") : output, run_time});
-     });
+  clock_.At(now() + run_time, [this, agent, start, incarnation, failing,
+                               run_time, output] {
+    FinishTask(agent, start, incarnation,
+               {start.id, failing ? AttemptEnd::kFailed : AttemptEnd::kDone,
+                failing ? std::string("refused") : output, run_time});
+  });
   // The agent gives up on the minion at the deadline and closes the connection.
-  At(now_ + start.timeout, [this, agent, start, incarnation] {
+  clock_.At(now() + start.timeout, [this, agent, start, incarnation] {
     FinishTask(agent, start, incarnation,
                {start.id, AttemptEnd::kUnknown, std::string("timeout"), {}});
   });
@@ -491,107 +330,8 @@
   PostToAgent(agent, std::move(end));
 }
 
-void TestCell::ReadStore(int entry, bool table) {
-  ++store_calls_;
-  const std::uint64_t incarnation = entries_[entry].incarnation;
-  if (IsStoreDown(entry)) {
-    At(now_ + kStoreTimeout, [this, entry, incarnation] {
-      if (entries_[entry].incarnation != incarnation) return;
-      PostToEntry(entry, StoreReadFailed{});
-    });
-    return;
-  }
-  At(now_ + StoreDelay(), [this, entry, table, incarnation] {
-    if (entries_[entry].incarnation != incarnation) return;
-    if (table) {
-      PostToEntry(entry, TableSeen{table_});
-    } else {
-      PostToEntry(entry, ConfigSeen{config_});
-    }
-  });
-}
-
-void TestCell::WriteStore(int entry, const WriteTable& write) {
-  ++store_calls_;
-  const std::uint64_t incarnation = entries_[entry].incarnation;
-  const auto answer = [this, entry, incarnation](BootTime after,
-                                                 TableWritten event) {
-    At(now_ + after, [this, entry, incarnation, event] {
-      if (entries_[entry].incarnation == incarnation) PostToEntry(entry, event);
-    });
-  };
-  if (IsStoreDown(entry)) {
-    return answer(kStoreTimeout, {WriteStatus::kNotApplied, 0});
-  }
-  const bool lost = store_mode_ == StoreMode::kLosesAnswers;
-  const bool late = store_mode_ == StoreMode::kWritesLate;
-  const BootTime half = StoreDelay() / 2;
-  if (late) answer(kStoreTimeout, {WriteStatus::kUndecided, 0});
-  At(now_ + (late ? 5 * kStoreTimeout : half),
-     [this, write, answer, lost, late, half] {
-       const bool applies = table_.revision == write.expected_revision;
-       if (applies) {
-         table_ = {table_.revision + 1, write.table};
-         NotifyWatches();
-       }
-       if (late) return;
-       if (lost) return answer(kStoreTimeout, {WriteStatus::kUndecided, 0});
-       const auto status =
-           applies ? WriteStatus::kApplied : WriteStatus::kConflict;
-       answer(half, {status, table_.revision});
-     });
-}
-
-void TestCell::WriteStore(int entry, const WriteConfig& write) {
-  ++store_calls_;
-  const std::uint64_t incarnation = entries_[entry].incarnation;
-  const auto answer = [this, entry, incarnation](BootTime after,
-                                                 ConfigWritten event) {
-    At(now_ + after, [this, entry, incarnation, event] {
-      if (entries_[entry].incarnation == incarnation) PostToEntry(entry, event);
-    });
-  };
-  if (IsStoreDown(entry)) {
-    return answer(kStoreTimeout, {write.call, WriteStatus::kNotApplied, 0});
-  }
-  const bool lost = store_mode_ == StoreMode::kLosesAnswers;
-  const bool late = store_mode_ == StoreMode::kWritesLate;
-  const BootTime half = StoreDelay() / 2;
-  if (late) answer(kStoreTimeout, {write.call, WriteStatus::kUndecided, 0});
-  At(now_ + (late ? 5 * kStoreTimeout : half),
-     [this, write, answer, lost, late, half] {
-       const bool applies = config_.revision == write.expected_revision;
-       if (applies) {
-         config_ = {config_.revision + 1, write.config};
-         NotifyWatches();
-       }
-       if (late) return;
-       if (lost) {
-         return answer(kStoreTimeout, {write.call, WriteStatus::kUndecided, 0});
-       }
-       const auto status =
-           applies ? WriteStatus::kApplied : WriteStatus::kConflict;
-       answer(half, {write.call, status, config_.revision});
-     });
-}
-
-void TestCell::NotifyWatches() {
-  for (int n = 0; n < entry_count(); ++n) NotifyWatch(n);
-}
-
-void TestCell::NotifyWatch(int entry) {
-  const std::uint64_t incarnation = entries_[entry].incarnation;
-  At(now_ + StoreDelay(), [this, entry, incarnation] {
-    const bool reached =
-        entries_[entry].incarnation == incarnation && !IsStoreDown(entry);
-    if (!reached) return;
-    PostToEntry(entry, TableSeen{table_});
-    PostToEntry(entry, ConfigSeen{config_});
-  });
-}
-
 void TestCell::ScheduleTick(int end, std::uint64_t incarnation) {
-  At(now_ + kTickInterval, [this, end, incarnation] {
+  clock_.At(now() + kTickInterval, [this, end, incarnation] {
     if (IncarnationOf(end) != incarnation || !IsAlive(end)) return;
     if (IsAgentEnd(end)) {
       // A paused process has one timer that fires late, not many.
--- a/tests/support/test_cell.h
+++ b/tests/support/test_cell.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -13,6 +12,7 @@
 #include "core/agent/advance.h"
 #include "core/entry/advance.h"
 #include "support/message_tally.h"
+#include "support/virtual_clock.h"
 
 namespace dottereltrack::testing {
 
@@ -66,10 +66,10 @@
   explicit TestCell(const CellOptions& options);
 
   // Runs until the given time on the virtual clock.
-  void RunUntil(BootTime until);
-  void RunFor(BootTime duration) { RunUntil(now_ + duration); }
-  BootTime now() const { return now_; }
-  WallTime wall() const;
+  void RunUntil(BootTime until) { clock_.RunUntil(until); }
+  void RunFor(BootTime duration) { RunUntil(now() + duration); }
+  BootTime now() const { return clock_.now(); }
+  WallTime wall() const { return clock_.wall(); }
 
   // Submits through an entry; the call id names the reply.
   CallId Submit(int entry, const SubmitRequest& request);
@@ -173,16 +173,7 @@
     // Deliveries keep their order in each direction.
     BootTime last_delivery[2] = {BootTime{0}, BootTime{0}};
   };
-  struct Scheduled {
-    BootTime at{0};
-    std::uint64_t order = 0;
-    std::function<void()> action;
-    bool operator<(const Scheduled& other) const {
-      return std::pair(at, order) > std::pair(other.at, other.order);
-    }
-  };
 
-  void At(BootTime at, std::function<void()> action);
   Now MakeNow();
   bool IsAgentEnd(int end) const { return end >= entry_count(); }
   int RackOfAgent(int n) const;
@@ -227,10 +218,8 @@
 
   CellOptions options_;
   std::mt19937_64 random_;
-  BootTime now_{0};
-  std::uint64_t next_order_ = 0;
+  VirtualClock clock_;
   std::uint64_t next_id_ = 1;
-  std::priority_queue<Scheduled> queue_;
   std::vector<EntryNode> entries_;
   std::vector<AgentNode> agents_;
   std::map<LinkId, Link> links_;
--- /dev/null
+++ b/tests/support/test_cell_store.cpp
@@ -0,0 +1,127 @@
+// The store of a TestCell.
+
+#include <algorithm>
+#include <utility>
+
+#include "support/test_cell.h"
+
+namespace dottereltrack::testing {
+namespace {
+
+// A call to a store that is down fails after this time.
+constexpr BootTime kStoreTimeout{100'000};
+
+}  // namespace
+
+void TestCell::SetStoreMode(StoreMode mode) {
+  store_mode_ = mode;
+  // A watch that could not reach the store gets the newest values then.
+  if (mode != StoreMode::kDown) NotifyWatches();
+}
+
+BootTime TestCell::StoreDelay() const {
+  return store_mode_ == StoreMode::kSlow ? 50 * options_.store_delay
+                                         : options_.store_delay;
+}
+
+void TestCell::ReadStore(int entry, bool table) {
+  ++store_calls_;
+  const std::uint64_t incarnation = entries_[entry].incarnation;
+  if (IsStoreDown(entry)) {
+    clock_.At(now() + kStoreTimeout, [this, entry, incarnation] {
+      if (entries_[entry].incarnation != incarnation) return;
+      PostToEntry(entry, StoreReadFailed{});
+    });
+    return;
+  }
+  clock_.At(now() + StoreDelay(), [this, entry, table, incarnation] {
+    if (entries_[entry].incarnation != incarnation) return;
+    if (table) {
+      PostToEntry(entry, TableSeen{table_});
+    } else {
+      PostToEntry(entry, ConfigSeen{config_});
+    }
+  });
+}
+
+void TestCell::WriteStore(int entry, const WriteTable& write) {
+  ++store_calls_;
+  const std::uint64_t incarnation = entries_[entry].incarnation;
+  const auto answer = [this, entry, incarnation](BootTime after,
+                                                 TableWritten event) {
+    clock_.At(now() + after, [this, entry, incarnation, event] {
+      if (entries_[entry].incarnation == incarnation) PostToEntry(entry, event);
+    });
+  };
+  if (IsStoreDown(entry)) {
+    return answer(kStoreTimeout, {WriteStatus::kNotApplied, 0});
+  }
+  const bool lost = store_mode_ == StoreMode::kLosesAnswers;
+  const bool late = store_mode_ == StoreMode::kWritesLate;
+  const BootTime half = StoreDelay() / 2;
+  if (late) answer(kStoreTimeout, {WriteStatus::kUndecided, 0});
+  clock_.At(now() + (late ? 5 * kStoreTimeout : half),
+            [this, write, answer, lost, late, half] {
+              const bool applies = table_.revision == write.expected_revision;
+              if (applies) {
+                table_ = {table_.revision + 1, write.table};
+                NotifyWatches();
+              }
+              if (late) return;
+              if (lost)
+                return answer(kStoreTimeout, {WriteStatus::kUndecided, 0});
+              const auto status =
+                  applies ? WriteStatus::kApplied : WriteStatus::kConflict;
+              answer(half, {status, table_.revision});
+            });
+}
+
+void TestCell::WriteStore(int entry, const WriteConfig& write) {
+  ++store_calls_;
+  const std::uint64_t incarnation = entries_[entry].incarnation;
+  const auto answer = [this, entry, incarnation](BootTime after,
+                                                 ConfigWritten event) {
+    clock_.At(now() + after, [this, entry, incarnation, event] {
+      if (entries_[entry].incarnation == incarnation) PostToEntry(entry, event);
+    });
+  };
+  if (IsStoreDown(entry)) {
+    return answer(kStoreTimeout, {write.call, WriteStatus::kNotApplied, 0});
+  }
+  const bool lost = store_mode_ == StoreMode::kLosesAnswers;
+  const bool late = store_mode_ == StoreMode::kWritesLate;
+  const BootTime half = StoreDelay() / 2;
+  if (late) answer(kStoreTimeout, {write.call, WriteStatus::kUndecided, 0});
+  clock_.At(now() + (late ? 5 * kStoreTimeout : half), [this, write, answer,
+                                                        lost, late, half] {
+    const bool applies = config_.revision == write.expected_revision;
+    if (applies) {
+      config_ = {config_.revision + 1, write.config};
+      NotifyWatches();
+    }
+    if (late) return;
+    if (lost) {
+      return answer(kStoreTimeout, {write.call, WriteStatus::kUndecided, 0});
+    }
+    const auto status =
+        applies ? WriteStatus::kApplied : WriteStatus::kConflict;
+    answer(half, {write.call, status, config_.revision});
+  });
+}
+
+void TestCell::NotifyWatches() {
+  for (int n = 0; n < entry_count(); ++n) NotifyWatch(n);
+}
+
+void TestCell::NotifyWatch(int entry) {
+  const std::uint64_t incarnation = entries_[entry].incarnation;
+  clock_.At(now() + StoreDelay(), [this, entry, incarnation] {
+    const bool reached =
+        entries_[entry].incarnation == incarnation && !IsStoreDown(entry);
+    if (!reached) return;
+    PostToEntry(entry, TableSeen{table_});
+    PostToEntry(entry, ConfigSeen{config_});
+  });
+}
+
+}  // namespace dottereltrack::testing
