--- a/apps/pool_agent/state_dump.cpp
+++ b/apps/pool_agent/state_dump.cpp
@@ -63,7 +63,7 @@
 
 std::string DumpState(const AgentBoard& board, const Now& now) {
   const json dump = {{"stopping", board.stopping},
-                     {"fencing_token", board.fencing_token},
+                     {"fence", board.fencing_token},
                      {"minion", MinionOf(board, now)},
                      {"runs", RowsOf(board.runs, now, &RowOf)},
                      {"links", RowsOf(board.links, now, &RowOf)},
