--- a/tools/standins/store/store_api.cpp
+++ b/tools/standins/store/store_api.cpp
@@ -12,6 +12,8 @@
 
 constexpr milliseconds kDefaultWait{30'000};
 constexpr std::size_t kMaxEntries = 32;
+// Base64 takes a third more.
+constexpr std::size_t kMaxTextBytes = kMaxValueBytes / 3 * 4 + 4;
 
 std::optional<std::uint64_t> ToNumber(const std::string& text) {
   std::uint64_t value = 0;
@@ -81,8 +83,6 @@
 }
 
 bool IsTooLarge(const Transaction& transaction) {
-  // Base64 takes a third more.
-  constexpr std::size_t kMaxTextBytes = kMaxValueBytes / 3 * 4 + 4;
   return std::any_of(
       transaction.puts.begin(), transaction.puts.end(),
       [](const Item& put) { return put.value.size() > kMaxTextBytes; });
