Use one piece of code where the change had written it again

What was written twice or more, and what serves it now: - the loop that collects events and runs one turn, in four daemons: TurnQueue (src/runtime/turn_queue.h); - EntryChanges and AgentChanges of both designs: ChangeSet (src/core/change_set.h); - reading 16 hexadecimal digits, three times: ParseHexId beside ToHex; - Retry-After in whole seconds, twice: SetRetryAfter; - the schedule of a trace in the two bench drivers: ActionsOf.

The pool's daemons read their settings file once at the start, not twice: a change between the two readings would never have been noticed. Two tallies of the test support that nothing read are gone, and the loop in which a test once waited for ever has a limit.

--- a/apps/agent/agent_process.cpp
+++ b/apps/agent/agent_process.cpp
@@ -1,6 +1,5 @@
 #include "apps/agent/agent_process.h"
 
-#include <asio/post.hpp>
 #include <csignal>
 #include <utility>
 
@@ -54,7 +53,9 @@
       tick_(loop),
       exit_timer_(loop),
       signals_(loop, SIGTERM, SIGINT),
-      random_(RandomId()) {}
+      random_(RandomId()),
+      turns_(loop,
+             [this](const std::vector<AgentEvent>& events) { Turn(events); }) {}
 
 bool AgentProcess::Start() {
   const auto port = http_.Listen(settings_.http_listen);
@@ -72,19 +73,10 @@
   return true;
 }
 
-void AgentProcess::Post(AgentEvent event) {
-  events_.push_back(std::move(event));
-  if (turn_posted_ || exiting_) return;
-  turn_posted_ = true;
-  // Runs after the handlers that are ready now, whose events join this turn.
-  asio::post(loop_, [this] { Turn(); });
-}
+void AgentProcess::Post(AgentEvent event) { turns_.Post(std::move(event)); }
 
-void AgentProcess::Turn() {
-  turn_posted_ = false;
-  if (exiting_) return;
+void AgentProcess::Turn(const std::vector<AgentEvent>& events) {
   const Fence before = board_.fence;
-  const std::vector<AgentEvent> events = std::exchange(events_, {});
   const auto effects =
       Advance(&board_, settings_.entry_seeds, events, TakeNow());
   for (const AgentEffect& effect : effects) {
--- a/apps/agent/agent_process.h
+++ b/apps/agent/agent_process.h
@@ -29,7 +29,7 @@
 
  private:
   void Post(AgentEvent event);
-  void Turn();
+  void Turn(const std::vector<AgentEvent>& events);
   void Tick();
   void AwaitStopSignal();
   Now TakeNow();
@@ -58,9 +58,7 @@
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
   std::mt19937_64 random_;
-  std::vector<AgentEvent> events_;
-  bool turn_posted_ = false;
-  bool exiting_ = false;
+  TurnQueue<AgentEvent> turns_;
   // Address of the newest instances. A start names its instance, so a start
   // for a replaced instance cannot reach the new one.
   std::map<std::uint64_t, MinionTarget> targets_;
--- a/apps/agent/effects.cpp
+++ b/apps/agent/effects.cpp
@@ -94,7 +94,7 @@
 }
 
 void AgentProcess::Do(const ExitAgent&) {
-  if (std::exchange(exiting_, true)) return;
+  if (!turns_.Stop()) return;
   http_.StopListening();
   tick_.cancel();
   http_.WhenSent([this] {
--- a/apps/entry/effects.cpp
+++ b/apps/entry/effects.cpp
@@ -108,7 +108,7 @@
 }
 
 void EntryProcess::Do(const ExitProcess&) {
-  if (std::exchange(exiting_, true)) return;
+  if (!turns_.Stop()) return;
   http_.StopListening();
   table_watch_->Stop();
   config_watch_->Stop();
--- a/apps/entry/entry_process.cpp
+++ b/apps/entry/entry_process.cpp
@@ -1,6 +1,5 @@
 #include "apps/entry/entry_process.h"
 
-#include <asio/post.hpp>
 #include <csignal>
 #include <utility>
 
@@ -41,7 +40,9 @@
       tick_(loop),
       signals_(loop, SIGTERM, SIGINT),
       exit_timer_(loop),
-      random_(RandomId()) {}
+      random_(RandomId()),
+      turns_(loop,
+             [this](const std::vector<EntryEvent>& events) { Turn(events); }) {}
 
 bool EntryProcess::Start(Store store) {
   store_ = std::move(store);
@@ -75,20 +76,11 @@
   return true;
 }
 
-void EntryProcess::Post(EntryEvent event) {
-  events_.push_back(std::move(event));
-  if (turn_posted_ || exiting_) return;
-  turn_posted_ = true;
-  // Runs after the handlers that are ready now, whose events join this turn.
-  asio::post(loop_, [this] { Turn(); });
-}
+void EntryProcess::Post(EntryEvent event) { turns_.Post(std::move(event)); }
 
-void EntryProcess::Turn() {
-  turn_posted_ = false;
-  if (exiting_) return;
+void EntryProcess::Turn(const std::vector<EntryEvent>& events) {
   const Now now = TakeNow();
   const Authority before = board_.authority;
-  const std::vector<EntryEvent> events = std::exchange(events_, {});
   for (const EntryEffect& effect : Advance(&board_, events, now)) {
     std::visit([this](const auto& it) { Do(it); }, effect);
   }
--- a/apps/entry/entry_process.h
+++ b/apps/entry/entry_process.h
@@ -43,7 +43,7 @@
 
  private:
   void Post(EntryEvent event);
-  void Turn();
+  void Turn(const std::vector<EntryEvent>& events);
   void Tick();
   void NoteRole(const Authority& before);
   void AwaitStopSignal();
@@ -88,10 +88,8 @@
   asio::signal_set signals_;
   asio::steady_timer exit_timer_;
   std::mt19937_64 random_;
-  std::vector<EntryEvent> events_;
+  TurnQueue<EntryEvent> turns_;
   std::uint16_t http_port_ = 0;
-  bool turn_posted_ = false;
-  bool exiting_ = false;
   std::uint64_t next_call_ = 1;
   std::map<CallId, PendingCall> calls_;
   std::map<std::uint64_t, std::set<CallId>> calls_by_connection_;
--- a/apps/entry/http_form.cpp
+++ b/apps/entry/http_form.cpp
@@ -1,8 +1,5 @@
 #include "apps/entry/http_form.h"
 
-#include <chrono>
-#include <string>
-
 namespace dottereltrack {
 
 HttpResponse ToHttp(const ApiReply& reply) {
@@ -10,10 +7,7 @@
   response.status = reply.status;
   response.body = reply.body;
   response.content_type = reply.content_type;
-  if (reply.retry_after) {
-    const auto wait = std::chrono::ceil<seconds>(*reply.retry_after);
-    response.headers["Retry-After"] = std::to_string(wait.count());
-  }
+  if (reply.retry_after) SetRetryAfter(*reply.retry_after, &response);
   return response;
 }
 
--- a/apps/pool_agent/main.cpp
+++ b/apps/pool_agent/main.cpp
@@ -14,10 +14,9 @@
     return pool::RunDaemon("dotterel-pool-agent",
                            "starts tasks on the minion beside it.",
                            DOTTERELTRACK_VERSION, {argv + 1, argv + argc},
-                           [](const users_platform::NodeSettings& node,
-                              const std::string& path, EventLog& log) {
+                           [](const pool::SettingsFile& file, EventLog& log) {
                              asio::io_context loop(1);
-                             pool::PoolAgent agent(loop, node, path, log);
+                             pool::PoolAgent agent(loop, file, log);
                              if (!agent.Start()) return kExitFailed;
                              loop.run();
                              return kExitOk;
--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -1,6 +1,5 @@
 #include "apps/pool_agent/pool_agent.h"
 
-#include <asio/post.hpp>
 #include <csignal>
 #include <utility>
 
@@ -53,11 +52,10 @@
 
 }  // namespace
 
-PoolAgent::PoolAgent(asio::io_context& loop,
-                     const users_platform::NodeSettings& node,
-                     const std::string& settings_path, EventLog& log)
+PoolAgent::PoolAgent(asio::io_context& loop, const SettingsFile& file,
+                     EventLog& log)
     : loop_(loop),
-      node_(node),
+      node_(file.settings),
       log_(log),
       board_(MakeBoard()),
       links_(loop, InternalLinkLimits(),
@@ -72,7 +70,7 @@
                 {},
                 {}}),
       minion_(loop, MinionLimits()),
-      store_(loop, node.store_address),
+      store_(loop, node_.store_address),
       entry_watch_(loop, store_, log,
                    {kEntryPrefix, kEntriesWait, kEntriesRetry},
                    [this](const auto& values) {
@@ -80,13 +78,16 @@
                    }),
       metrics_(loop, GaugesOf(board_),
                [this] { return DumpState(board_, TakeNow()); }),
-      settings_watch_(loop, settings_path, node, log,
+      settings_watch_(loop, file, log,
                       [this](const users_platform::NodeSettings& changed) {
                         Post(EntriesNamed{changed.seeds});
                       }),
       tick_(loop),
       exit_timer_(loop),
-      signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
+      signals_(loop, SIGTERM, SIGINT, SIGHUP),
+      turns_(loop, [this](std::vector<AgentEvent> events) {
+        Turn(std::move(events));
+      }) {}
 
 bool PoolAgent::Start() {
   if (node_.report_address.port == 0) {
@@ -116,19 +117,10 @@
   return true;
 }
 
-void PoolAgent::Post(AgentEvent event) {
-  events_.push_back(std::move(event));
-  if (turn_posted_ || exiting_) return;
-  turn_posted_ = true;
-  // Runs after the handlers that are ready now, whose events join this turn.
-  asio::post(loop_, [this] { Turn(); });
-}
+void PoolAgent::Post(AgentEvent event) { turns_.Post(std::move(event)); }
 
-void PoolAgent::Turn() {
-  turn_posted_ = false;
-  if (exiting_) return;
+void PoolAgent::Turn(std::vector<AgentEvent> events) {
   const Now now = TakeNow();
-  std::vector<AgentEvent> events = std::exchange(events_, {});
   const milliseconds pause =
       PauseLength(std::exchange(last_turn_, now.boot), now.boot, kTickInterval);
   if (pause.count() > 0) events.insert(events.begin(), AgentPaused{pause});
@@ -238,7 +230,7 @@
 }
 
 void PoolAgent::Do(const ExitAgent&) {
-  exiting_ = true;
+  turns_.Stop();
   log_.Write("stopped", {{"runs", board_.runs.size()}});
   exit_timer_.expires_after(kExitDelay);
   exit_timer_.async_wait([this](const asio::error_code&) { loop_.stop(); });
--- a/apps/pool_agent/pool_agent.h
+++ b/apps/pool_agent/pool_agent.h
@@ -15,6 +15,7 @@
 #include "platform/settings.h"
 #include "runtime/http/http_server.h"
 #include "runtime/link_hub.h"
+#include "runtime/turn_queue.h"
 
 namespace dottereltrack::pool {
 
@@ -22,9 +23,7 @@
 // of the loop, and carries out their effects. All on the loop's thread.
 class PoolAgent {
  public:
-  // `settings_path` names the file that `node` was read from.
-  PoolAgent(asio::io_context& loop, const users_platform::NodeSettings& node,
-            const std::string& settings_path, EventLog& log);
+  PoolAgent(asio::io_context& loop, const SettingsFile& file, EventLog& log);
   PoolAgent(const PoolAgent&) = delete;
   PoolAgent& operator=(const PoolAgent&) = delete;
 
@@ -33,7 +32,7 @@
 
  private:
   void Post(AgentEvent event);
-  void Turn();
+  void Turn(std::vector<AgentEvent> events);
   void Tick();
   void AwaitSignal();
   Now TakeNow() const;
@@ -65,9 +64,7 @@
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
   BootTime last_turn_{0};
-  std::vector<AgentEvent> events_;
-  bool turn_posted_ = false;
-  bool exiting_ = false;
+  TurnQueue<AgentEvent> turns_;
 };
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_common/daemon.cpp
+++ b/apps/pool_common/daemon.cpp
@@ -7,7 +7,6 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "apps/pool_common/settings_watch.h"
 #include "core/pool/task.h"
 #include "runtime/command_line.h"
 
@@ -81,11 +80,9 @@
   return limits;
 }
 
-int RunDaemon(
-    const std::string& name, const std::string& summary,
-    const std::string& version, const std::vector<std::string>& args,
-    const std::function<int(const users_platform::NodeSettings&,
-                            const std::string& path, EventLog&)>& run) {
+int RunDaemon(const std::string& name, const std::string& summary,
+              const std::string& version, const std::vector<std::string>& args,
+              const std::function<int(const SettingsFile&, EventLog&)>& run) {
   // Otherwise a reader of the log that goes away would end the process.
   std::signal(SIGPIPE, SIG_IGN);
   std::map<std::string, docopt::value> options;
@@ -117,7 +114,7 @@
     return kExitOk;
   }
   EventLog log(STDOUT_FILENO, settings.value().node);
-  return run(settings.value(), path, log);
+  return run({path, *text, settings.value()}, log);
 }
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_common/settings_watch.cpp
+++ b/apps/pool_common/settings_watch.cpp
@@ -46,15 +46,12 @@
   return names;
 }
 
-SettingsWatch::SettingsWatch(asio::io_context& loop, std::string path,
-                             const NodeSettings& current, EventLog& log,
-                             Changed changed)
-    : path_(std::move(path)),
-      current_(current),
+SettingsWatch::SettingsWatch(asio::io_context& loop, SettingsFile file,
+                             EventLog& log, Changed changed)
+    : file_(std::move(file)),
       log_(log),
       changed_(std::move(changed)),
-      timer_(loop),
-      text_(ReadFile(path_).value_or("")) {}
+      timer_(loop) {}
 
 void SettingsWatch::Start() { Await(); }
 
@@ -70,8 +67,8 @@
 void SettingsWatch::Reload() { Read(true); }
 
 void SettingsWatch::Read(bool on_request) {
-  const auto text = ReadFile(path_);
-  const bool is_same = text && *text == text_;
+  const auto text = ReadFile(file_.path);
+  const bool is_same = text && *text == file_.text;
   if (is_same && !on_request) return;
   if (!text) {
     // Absent while it is being replaced; the next reading finds it.
@@ -80,21 +77,21 @@
     }
     return;
   }
-  text_ = *text;
+  file_.text = *text;
   const auto settings = users_platform::ReadNodeSettings(*text);
   if (!settings) {
     log_.Write("reload_refused", {{"problem", settings.error().message}});
     return;
   }
   std::vector<std::string> changed =
-      ChangedSettings(current_, settings.value());
-  const bool has_new_seeds = settings.value().seeds != current_.seeds;
-  current_ = settings.value();
+      ChangedSettings(file_.settings, settings.value());
+  const bool has_new_seeds = settings.value().seeds != file_.settings.seeds;
+  file_.settings = settings.value();
   std::vector<std::string> for_restart = changed;
   std::erase(for_restart, kSeeds);
   log_.Write("reload",
              {{"changed", changed}, {"after_a_restart", for_restart}});
-  if (has_new_seeds) changed_(current_);
+  if (has_new_seeds) changed_(file_.settings);
 }
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_common/settings_watch.h
+++ b/apps/pool_common/settings_watch.h
@@ -20,14 +20,20 @@
     const users_platform::NodeSettings& before,
     const users_platform::NodeSettings& after);
 
+// A settings file as it was read.
+struct SettingsFile {
+  std::string path;
+  std::string text;
+  users_platform::NodeSettings settings;
+};
+
 // Follows the settings file, which may change without a signal. A file with a
 // fault is logged and changes nothing.
 class SettingsWatch {
  public:
   using Changed = std::function<void(const users_platform::NodeSettings&)>;
 
-  SettingsWatch(asio::io_context& loop, std::string path,
-                const users_platform::NodeSettings& current, EventLog& log,
+  SettingsWatch(asio::io_context& loop, SettingsFile file, EventLog& log,
                 Changed changed);
   void Start();
   // Reads the file at once and logs the outcome also if nothing has changed.
@@ -37,12 +43,10 @@
   void Await();
   void Read(bool on_request);
 
-  std::string path_;
-  users_platform::NodeSettings current_;
+  SettingsFile file_;
   EventLog& log_;
   Changed changed_;
   asio::steady_timer timer_;
-  std::string text_;
 };
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_entry/main.cpp
+++ b/apps/pool_entry/main.cpp
@@ -14,10 +14,9 @@
     return pool::RunDaemon("dotterel-pool-entry",
                            "accepts jobs from clients and has their tasks run.",
                            DOTTERELTRACK_VERSION, {argv + 1, argv + argc},
-                           [](const users_platform::NodeSettings& node,
-                              const std::string& path, EventLog& log) {
+                           [](const pool::SettingsFile& file, EventLog& log) {
                              asio::io_context loop(1);
-                             pool::PoolEntry entry(loop, node, path, log);
+                             pool::PoolEntry entry(loop, file, log);
                              if (!entry.Start()) return kExitFailed;
                              loop.run();
                              return kExitOk;
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -1,7 +1,6 @@
 #include "apps/pool_entry/pool_entry.h"
 
 #include <algorithm>
-#include <asio/post.hpp>
 #include <csignal>
 #include <utility>
 
@@ -74,19 +73,18 @@
 
 }  // namespace
 
-PoolEntry::PoolEntry(asio::io_context& loop,
-                     const users_platform::NodeSettings& node,
-                     const std::string& settings_path, EventLog& log)
+PoolEntry::PoolEntry(asio::io_context& loop, const SettingsFile& file,
+                     EventLog& log)
     : loop_(loop),
-      node_(node),
+      node_(file.settings),
       log_(log),
-      board_(MakeBoard(node)),
+      board_(MakeBoard(node_)),
       links_(loop, InternalLinkLimits(),
              {[this](LinkId link, const std::string& frame) {
                 OnFrame(link, frame);
               },
               [this](LinkId link) { Post(LinkClosed{link}); }}),
-      clients_(loop, ClientLimits(node),
+      clients_(loop, ClientLimits(node_),
                {[this](const HttpRequest& request, const HttpReplier& reply) {
                   OnClientRequest(request, reply);
                 },
@@ -101,8 +99,8 @@
            },
            {},
            {}}),
-      store_(loop, node.store_address),
-      registration_(loop, store_, log, node.internal_address),
+      store_(loop, node_.store_address),
+      registration_(loop, store_, log, node_.internal_address),
       config_watch_(loop, store_, log,
                     {users_platform::kConfigKey, kConfigWait, kConfigRetry},
                     [this](const auto& values) {
@@ -116,13 +114,16 @@
                    }),
       metrics_(loop, GaugesOf(board_),
                [this] { return DumpState(board_, TakeNow()); }),
-      settings_watch_(loop, settings_path, node, log,
+      settings_watch_(loop, file, log,
                       [this](const users_platform::NodeSettings& changed) {
                         Post(EntriesSuggested{changed.seeds});
                       }),
       tick_(loop),
       exit_timer_(loop),
-      signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
+      signals_(loop, SIGTERM, SIGINT, SIGHUP),
+      turns_(loop, [this](std::vector<EntryEvent> events) {
+        Turn(std::move(events));
+      }) {}
 
 bool PoolEntry::Start() {
   if (!Listen()) return false;
@@ -164,19 +165,10 @@
   return listens;
 }
 
-void PoolEntry::Post(EntryEvent event) {
-  events_.push_back(std::move(event));
-  if (turn_posted_ || exiting_) return;
-  turn_posted_ = true;
-  // Runs after the handlers that are ready now, whose events join this turn.
-  asio::post(loop_, [this] { Turn(); });
-}
+void PoolEntry::Post(EntryEvent event) { turns_.Post(std::move(event)); }
 
-void PoolEntry::Turn() {
-  turn_posted_ = false;
-  if (exiting_) return;
+void PoolEntry::Turn(std::vector<EntryEvent> events) {
   const Now now = TakeNow();
-  std::vector<EntryEvent> events = std::exchange(events_, {});
   const milliseconds pause =
       PauseLength(std::exchange(last_turn_, now.boot), now.boot, kTickInterval);
   if (pause.count() > 0) events.insert(events.begin(), PauseNoticed{pause});
@@ -321,7 +313,7 @@
 void PoolEntry::Do(const AbortLink& effect) { links_.Abort(effect.link); }
 
 void PoolEntry::Do(const Exit&) {
-  exiting_ = true;
+  turns_.Stop();
   clients_.StopListening();
   log_.Write("stopped", {{"open_calls", calls_.size()}});
   exit_timer_.expires_after(kExitDelay);
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -16,6 +16,7 @@
 #include "platform/settings.h"
 #include "runtime/http/http_server.h"
 #include "runtime/link_hub.h"
+#include "runtime/turn_queue.h"
 
 namespace dottereltrack::pool {
 
@@ -23,9 +24,7 @@
 // of the loop, and carries out their effects. All on the loop's thread.
 class PoolEntry {
  public:
-  // `settings_path` names the file that `node` was read from.
-  PoolEntry(asio::io_context& loop, const users_platform::NodeSettings& node,
-            const std::string& settings_path, EventLog& log);
+  PoolEntry(asio::io_context& loop, const SettingsFile& file, EventLog& log);
   PoolEntry(const PoolEntry&) = delete;
   PoolEntry& operator=(const PoolEntry&) = delete;
 
@@ -41,7 +40,7 @@
 
   bool Listen();
   void Post(EntryEvent event);
-  void Turn();
+  void Turn(std::vector<EntryEvent> events);
   void Tick();
   void AwaitSignal();
   Now TakeNow() const;
@@ -80,9 +79,7 @@
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
   BootTime last_turn_{0};
-  std::vector<EntryEvent> events_;
-  bool turn_posted_ = false;
-  bool exiting_ = false;
+  TurnQueue<EntryEvent> turns_;
   std::uint64_t next_call_ = 1;
   std::map<CallId, OpenCall> calls_;
 };
--- a/bench/cell_run.cpp
+++ b/bench/cell_run.cpp
@@ -1,9 +1,9 @@
 #include "cell_run.h"
 
 #include <algorithm>
-#include <functional>
 
 #include "support/test_cell.h"
+#include "trace_actions.h"
 
 namespace dottereltrack::bench {
 namespace {
@@ -47,12 +47,6 @@
   return request;
 }
 
-// Does what happens at one time of the trace.
-struct TimedAction {
-  BootTime at{0};
-  std::function<void()> action;
-};
-
 class CellDriver {
  public:
   CellDriver(const Scenario& scenario, const Trace& trace, std::uint64_t seed)
@@ -64,11 +58,11 @@
     cell_.RunFor(kFormation);
     Configure();
     start_ = cell_.now();
-    ScheduleAll();
   }
 
   CellRun Run() {
-    for (const TimedAction& it : actions_) {
+    const TraceHandlers handlers = Handlers();
+    for (const TimedAction& it : ActionsOf(scenario_, trace_, handlers)) {
       cell_.RunUntil(start_ + it.at);
       it.action();
     }
@@ -91,23 +85,13 @@
     cell_.RunFor(seconds{1});
   }
 
-  void ScheduleAll() {
-    const BootTime delay = scenario_.deployment.client_delay;
-    for (std::size_t n = 0; n < trace_.size(); ++n) {
-      actions_.push_back({trace_[n].at + delay, [this, n] { Submit(n); }});
-      if (trace_[n].cancel_at == BootTime{0}) continue;
-      actions_.push_back({trace_[n].cancel_at + delay, [this, n] {
-                            cell_.Cancel(trace_[n].entry, submissions_[n]);
-                          }});
-    }
-    for (const Disturbance& it : scenario_.disturbances) {
-      actions_.push_back({it.at, [this, &it] { Disturb(it); }});
-    }
-    actions_.push_back({scenario_.warm_up, [this] { OpenWindow(); }});
-    actions_.push_back({scenario_.duration, [this] { CloseWindow(); }});
-    std::stable_sort(
-        actions_.begin(), actions_.end(),
-        [](const TimedAction& a, const TimedAction& b) { return a.at < b.at; });
+  TraceHandlers Handlers() {
+    return {[this](std::size_t n) { Submit(n); },
+            [this](std::size_t n) {
+              cell_.Cancel(trace_[n].entry, submissions_[n]);
+            },
+            [this](const Disturbance& it) { Disturb(it); },
+            [this] { OpenWindow(); }, [this] { CloseWindow(); }};
   }
 
   void Submit(std::size_t n) {
@@ -186,7 +170,6 @@
   BootTime start_{0};
   std::vector<CallId> calls_;
   std::vector<SubmissionId> submissions_;
-  std::vector<TimedAction> actions_;
   CellRun run_;
 };
 
--- a/bench/pool_run.cpp
+++ b/bench/pool_run.cpp
@@ -1,11 +1,11 @@
 #include "pool_run.h"
 
 #include <algorithm>
-#include <functional>
 #include <string>
 
 #include "distances.h"
 #include "support/test_pool.h"
+#include "trace_actions.h"
 
 namespace dottereltrack::bench {
 namespace {
@@ -52,12 +52,6 @@
   return spec;
 }
 
-// Does what happens at one time of the trace.
-struct TimedAction {
-  BootTime at{0};
-  std::function<void()> action;
-};
-
 class PoolDriver {
  public:
   PoolDriver(const Scenario& scenario, const Trace& trace, std::uint64_t seed)
@@ -67,11 +61,11 @@
         calls_(trace.size()) {
     pool_.RunFor(kFormation);
     start_ = pool_.now();
-    ScheduleAll();
   }
 
   CellRun Run() {
-    for (const TimedAction& it : actions_) {
+    const TraceHandlers handlers = Handlers();
+    for (const TimedAction& it : ActionsOf(scenario_, trace_, handlers)) {
       pool_.RunUntil(start_ + it.at);
       it.action();
     }
@@ -84,27 +78,15 @@
   }
 
  private:
-  void ScheduleAll() {
-    const BootTime delay = scenario_.deployment.client_delay;
-    for (std::size_t n = 0; n < trace_.size(); ++n) {
-      actions_.push_back({trace_[n].at + delay, [this, n] {
-                            const TraceJob& job = trace_[n];
-                            calls_[n] = pool_.Submit(
-                                job.entry, JobOf(job, n + 1), job.deadline);
-                          }});
-      if (trace_[n].cancel_at == BootTime{0}) continue;
-      actions_.push_back({trace_[n].cancel_at + delay,
-                          [this, n] { pool_.Cancel(trace_[n].entry, n + 1); }});
-    }
-    for (const Disturbance& it : scenario_.disturbances) {
-      actions_.push_back({it.at, [this, &it] { Disturb(it); }});
-    }
-    actions_.push_back(
-        {scenario_.warm_up, [this] { tally_before_ = pool_.tally(); }});
-    actions_.push_back({scenario_.duration, [this] { CloseWindow(); }});
-    std::stable_sort(
-        actions_.begin(), actions_.end(),
-        [](const TimedAction& a, const TimedAction& b) { return a.at < b.at; });
+  TraceHandlers Handlers() {
+    return {
+        [this](std::size_t n) {
+          const TraceJob& job = trace_[n];
+          calls_[n] = pool_.Submit(job.entry, JobOf(job, n + 1), job.deadline);
+        },
+        [this](std::size_t n) { pool_.Cancel(trace_[n].entry, n + 1); },
+        [this](const Disturbance& it) { Disturb(it); },
+        [this] { tally_before_ = pool_.tally(); }, [this] { CloseWindow(); }};
   }
 
   void Disturb(const Disturbance& it) {
@@ -158,7 +140,6 @@
   TestPool pool_;
   BootTime start_{0};
   std::vector<CallId> calls_;
-  std::vector<TimedAction> actions_;
   testing::PoolTally tally_before_;
   CellRun run_;
 };
--- a/include/dottereltrack/runtime.h
+++ b/include/dottereltrack/runtime.h
@@ -10,3 +10,4 @@
 #include "runtime/log/log.h"                  // IWYU pragma: export
 #include "runtime/settings/agent_settings.h"  // IWYU pragma: export
 #include "runtime/settings/entry_settings.h"  // IWYU pragma: export
+#include "runtime/turn_queue.h"               // IWYU pragma: export
--- a/src/api/announcement.cpp
+++ b/src/api/announcement.cpp
@@ -47,7 +47,7 @@
 std::string ReadInstance(const json& value, const std::string& path,
                          std::uint64_t* instance) {
   const auto id = value.is_string()
-                      ? ParseProcessId(value.get_ref<const std::string&>())
+                      ? ParseHexId(value.get_ref<const std::string&>())
                       : std::nullopt;
   if (!id) {
     return WrongValue(path, value,
--- a/src/api/cell_json.cpp
+++ b/src/api/cell_json.cpp
@@ -1,14 +1,10 @@
 #include "api/cell_json.h"
 
-#include <charconv>
-
 namespace dottereltrack {
 namespace {
 
 using nlohmann::json;
 
-constexpr std::size_t kIdDigits = 16;
-
 json ToJson(const Member& member) {
   return {{"entry", ToHex(member.id.value)},
           {"address", member.peer_address.host + ":" +
@@ -59,14 +55,4 @@
           {"lost", ListOf(table.table.lost)}};
 }
 
-std::optional<std::uint64_t> ParseProcessId(std::string_view text) {
-  std::uint64_t id = 0;
-  const auto* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, id, 16);
-  const bool is_valid =
-      text.size() == kIdDigits && result.ec == std::errc() && result.ptr == end;
-  if (!is_valid) return std::nullopt;
-  return id;
-}
-
 }  // namespace dottereltrack
--- a/src/api/operator_json.cpp
+++ b/src/api/operator_json.cpp
@@ -124,7 +124,7 @@
   }
   for (const json& item : value) {
     const auto id = item.is_string()
-                        ? ParseProcessId(item.get_ref<const std::string&>())
+                        ? ParseHexId(item.get_ref<const std::string&>())
                         : std::nullopt;
     if (!id) {
       return WrongValue(path, item,
--- a/src/core/agent/changes.h
+++ b/src/core/agent/changes.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include <type_traits>
-#include <utility>
 #include <variant>
 #include <vector>
 
 #include "core/agent/board.h"
 #include "core/agent/events.h"
+#include "core/change_set.h"
 
 namespace dottereltrack {
 
@@ -71,23 +70,7 @@
                                  DialEntry, CloseEntryLink, ExitAgent>;
 
 // What a controller of the agent wants changed and sent.
-struct AgentChanges {
-  std::vector<AgentRowChange> rows;
-  std::vector<AgentEffect> effects;
-
-  template <typename Change>
-  void Add(Change change) {
-    if constexpr (std::is_constructible_v<AgentRowChange, Change>) {
-      rows.emplace_back(std::move(change));
-    } else {
-      effects.emplace_back(std::move(change));
-    }
-  }
-  void Append(AgentChanges other) {
-    for (auto& row : other.rows) rows.push_back(std::move(row));
-    for (auto& effect : other.effects) effects.push_back(std::move(effect));
-  }
-};
+using AgentChanges = ChangeSet<AgentRowChange, AgentEffect>;
 
 // Applies the row changes in order and keeps the indexes.
 void Apply(AgentBoard* board, const AgentChanges& changes);
--- a/src/core/entry/changes.h
+++ b/src/core/entry/changes.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <cstdint>
-#include <utility>
 #include <variant>
 #include <vector>
 
+#include "core/change_set.h"
 #include "core/entry/board.h"
 #include "core/entry/events.h"
 
@@ -98,23 +98,7 @@
                  WriteConfig, ExitProcess>;
 
 // What a controller wants changed and sent.
-struct EntryChanges {
-  std::vector<EntryRowChange> rows;
-  std::vector<EntryEffect> effects;
-
-  template <typename Change>
-  void Add(Change change) {
-    if constexpr (std::is_constructible_v<EntryRowChange, Change>) {
-      rows.emplace_back(std::move(change));
-    } else {
-      effects.emplace_back(std::move(change));
-    }
-  }
-  void Append(EntryChanges other) {
-    for (auto& row : other.rows) rows.push_back(std::move(row));
-    for (auto& effect : other.effects) effects.push_back(std::move(effect));
-  }
-};
+using EntryChanges = ChangeSet<EntryRowChange, EntryEffect>;
 
 // Applies the row changes in order and keeps the indexes. The effects are left
 // to the caller.
--- a/src/core/ids.cpp
+++ b/src/core/ids.cpp
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 
+#include <charconv>
 #include <cstring>
 
 namespace dottereltrack {
@@ -23,6 +24,7 @@
   return digest;
 }
 
+constexpr std::size_t kHexIdDigits = 16;
 constexpr char kHexDigits[] = "0123456789abcdef";
 
 int HexValue(char c) {
@@ -58,13 +60,23 @@
 }
 
 std::string ToHex(std::uint64_t value) {
-  std::string text(16, '0');
+  std::string text(kHexIdDigits, '0');
   for (std::size_t n = 0; n < text.size(); ++n) {
     text[text.size() - 1 - n] = kHexDigits[(value >> (4 * n)) & 0xf];
   }
   return text;
 }
 
+std::optional<std::uint64_t> ParseHexId(std::string_view text) {
+  std::uint64_t id = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, id, 16);
+  if (text.size() != kHexIdDigits || ec != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return id;
+}
+
 std::optional<SubmissionId> ParseSubmissionId(std::string_view text) {
   SubmissionId id;
   if (text.size() != id.bytes.size() * 2) return std::nullopt;
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -67,6 +67,9 @@
 std::string ToHex(const SubmissionId& id);
 std::string ToHex(std::uint64_t value);
 
+// Parses 16 hexadecimal characters; empty if the text is anything else.
+std::optional<std::uint64_t> ParseHexId(std::string_view text);
+
 // Parses 32 hexadecimal characters; empty if the text is anything else.
 std::optional<SubmissionId> ParseSubmissionId(std::string_view text);
 
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include <type_traits>
-#include <utility>
 #include <variant>
 #include <vector>
 
+#include "core/change_set.h"
 #include "core/pool/decision.h"
 #include "core/pool/entry/board.h"
 
@@ -64,23 +63,7 @@
     std::variant<Reply, SendMessage, DialPeer, AbortLink, Exit, Decision>;
 
 // What a controller of the entry wants changed and sent.
-struct EntryChanges {
-  std::vector<EntryRowChange> rows;
-  std::vector<EntryEffect> effects;
-
-  template <typename Change>
-  void Add(Change change) {
-    if constexpr (std::is_constructible_v<EntryRowChange, Change>) {
-      rows.emplace_back(std::move(change));
-    } else {
-      effects.emplace_back(std::move(change));
-    }
-  }
-  void Append(EntryChanges other) {
-    for (auto& row : other.rows) rows.push_back(std::move(row));
-    for (auto& effect : other.effects) effects.push_back(std::move(effect));
-  }
-};
+using EntryChanges = ChangeSet<EntryRowChange, EntryEffect>;
 
 // Applies the row changes in order.
 void Apply(EntryBoard* board, const EntryChanges& changes);
--- a/src/json/json_fields.cpp
+++ b/src/json/json_fields.cpp
@@ -1,14 +1,13 @@
 #include "json/json_fields.h"
 
-#include <charconv>
 #include <limits>
 #include <utility>
 
+#include "core/ids.h"
+
 namespace dottereltrack {
 namespace {
 
-constexpr std::size_t kHexIdDigits = 16;
-
 void SetError(const JsonCursor& at, JsonErrorKind kind,
               const std::string& problem, const std::string& remedy) {
   if (*at.error) return;
@@ -86,14 +85,12 @@
   std::string text;
   Read(at, &text);
   if (*at.error) return;
-  std::uint64_t value = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, ec] = std::from_chars(text.data(), end, value, 16);
-  if (text.size() != kHexIdDigits || ec != std::errc() || stop != end) {
+  const auto value = ParseHexId(text);
+  if (!value) {
     return SetError(at, JsonErrorKind::kBadValue, "is not an id",
                     "write 16 hexadecimal digits");
   }
-  *out = value;
+  *out = *value;
 }
 
 void ReadArray(const JsonCursor& at, const ReadElement& read) {
--- a/src/runtime/http/http_server.cpp
+++ b/src/runtime/http/http_server.cpp
@@ -243,6 +243,11 @@
   impl_->WhenSent(std::move(done));
 }
 
+void SetRetryAfter(milliseconds wait, HttpResponse* response) {
+  const auto whole = std::chrono::ceil<seconds>(wait);
+  response->headers["Retry-After"] = std::to_string(whole.count());
+}
+
 std::string HeaderOf(const HttpRequest& request, const std::string& name) {
   const auto it = request.headers.find(name);
   return it == request.headers.end() ? std::string() : it->second;
--- a/src/runtime/http/http_server.h
+++ b/src/runtime/http/http_server.h
@@ -65,6 +65,9 @@
       on_body_too_large;
 };
 
+// Tells the client when to come back, in whole seconds, rounded up.
+void SetRetryAfter(milliseconds wait, HttpResponse* response);
+
 // The value of a header, or an empty text. The name is in lower case.
 std::string HeaderOf(const HttpRequest& request, const std::string& name);
 
--- a/tests/cell_store/cell_store_test.cpp
+++ b/tests/cell_store/cell_store_test.cpp
@@ -288,9 +288,12 @@
     CHECK_FALSE(value.has_value());
     ended = true;
   });
-  while (rig.Count("waiting_watches") == 0) rig.Pause();
-  rig.SetFaults(R"({"mode": "down"})");
   const auto end = Clock::now() + kHangLimit;
+  while (rig.Count("waiting_watches") == 0) {
+    REQUIRE(Clock::now() < end);
+    rig.Pause();
+  }
+  rig.SetFaults(R"({"mode": "down"})");
   while (!ended && Clock::now() < end) {
     rig.loop().restart();
     rig.loop().run_one_for(kHangLimit);
--- a/tests/support/fake_minion.cpp
+++ b/tests/support/fake_minion.cpp
@@ -189,7 +189,6 @@
   if (life != life_ || it == runs_.end() || it->second.key != run) return;
   runs_.erase(it);
   ledger_->End(run);
-  if (end == RunEnd::kDone) ++ledger_->ends_as_done[run.task];
   ends_.push_back({++last_end_, run, end});
   for (const auto& wake : std::exchange(end_waiters_, {})) wake();
 }
--- a/tests/support/fake_minion.h
+++ b/tests/support/fake_minion.h
@@ -20,7 +20,6 @@
     std::uint64_t number = 0;
   };
   std::map<pool::TaskKey, LiveRun> live;
-  std::map<pool::TaskKey, int> ends_as_done;
   std::uint64_t starts = 0;
   std::vector<std::string> violations;
 
--- a/tests/support/pool_schedule.cpp
+++ b/tests/support/pool_schedule.cpp
@@ -1,7 +1,6 @@
 #include "support/pool_schedule.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <utility>
 
@@ -120,7 +119,6 @@
   void NoteReply(ClientJob* job) {
     job->ended = true;
     const ReplyKind kind = pool_.ReplyOf(job->call)->kind;
-    ++replies_[kind];
     if (kind == ReplyKind::kGivenUp && job->calls < 3) {
       job->ended = false;
       job->resend_at = pool_.now() + kResendAfter;
@@ -320,7 +318,6 @@
   std::vector<ClientJob> jobs_;
   std::vector<std::pair<int, int>> cuts_;
   std::uint64_t version_ = 1;
-  std::map<ReplyKind, int> replies_;
   std::vector<std::string> violations_;
 };
 
