Keep one odd item from outside from hiding the others or ending a process

Cause: other programs write to the store and to the agents. One item that could not be read (a value that is not base64, a revision of 1e999 or -1, deep nesting, no key) made the whole page unreadable, so that PrefixWatch listed it again for ever. One unreadable row of a minion's run lists made all polls fail until the leases lapsed. A report with a start time far ahead hid all later ones. `{"a":1e999}` let an exception escape from the API's parser. Numbers out of range overflowed sums, times and casts; port 0 passed as an address; keys went unescaped into URLs.

Change: all JSON from outside goes through ParseBoundedJson, a SAX filter on the library's parser that bounds bytes, values and nesting before a tree is built and replaces a value it cannot represent by null. Lists are read item by item. PrefixWatch takes an unreadable item's key as absent, reports it once as store_item_refused, and lists again, at its retry delay, if a change has no readable key. Runs that an unreadable row may stand for are not taken as ended.

--- a/apps/ctl/run.cpp
+++ b/apps/ctl/run.cpp
@@ -7,6 +7,7 @@
 #include "api/job_json.h"
 #include "apps/ctl/config_edit.h"
 #include "apps/ctl/tables.h"
+#include "json/bounded_json.h"
 #include "runtime/clock.h"
 #include "runtime/settings/endpoint_text.h"
 #include "runtime/settings/file.h"
@@ -64,13 +65,14 @@
   if (!key.empty()) call.headers.emplace_back("Idempotency-Key", key);
   const HttpResult result = ctx.call(call);
   if (result.end != HttpEnd::kAnswered) return NoAnswerExit(result);
-  JsonReply reply{result.status, json::parse(result.body, nullptr, false)};
-  if (reply.body.is_discarded()) {
+  auto reply_body = ParseBoundedJson(result.body, JsonComments::kRefused,
+                                     {.max_bytes = kMaxResponseBytes});
+  if (!reply_body) {
     return EarlyExit{kExitNoAnswer,
                      "the reply is not JSON; check that --entry names the HTTP "
                      "address of an entry\n"};
   }
-  return reply;
+  return JsonReply{result.status, std::move(reply_body.value())};
 }
 
 EarlyExit Refused(const Context& ctx, const JsonReply& reply) {
@@ -102,12 +104,12 @@
     return EarlyExit{kExitBadInput,
                      file + ": cannot be read; check the path\n"};
   }
-  json body = json::parse(*text, nullptr, false, /*ignore_comments=*/true);
-  if (!body.is_object()) {
+  auto body = ParseBoundedJson(*text, JsonComments::kIgnored);
+  if (!body || !body.value().is_object()) {
     return EarlyExit{kExitBadInput,
                      file + ": is not one JSON object; correct it\n"};
   }
-  return body;
+  return std::move(body.value());
 }
 
 EarlyExit SetConfig(const Context& ctx) {
--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -75,11 +75,14 @@
            {}}),
       minion_client_(loop, MinionClientLimits()),
       store_(loop, node_settings_.store_address),
-      entry_watch_(loop, store_, log,
-                   {kEntryKeyPrefix, kEntryWatchWait, kEntryWatchRetryDelay},
-                   [this](const auto& values) {
-                     Post(EntriesRegistered{ParseEntryAddresses(values)});
-                   }),
+      entry_watch_(
+          loop, store_, log,
+          {kEntryKeyPrefix, kEntryWatchWait, kEntryWatchRetryDelay,
+           &FindAddressProblem},
+          [this](const auto& values) {
+            Post(EntriesRegistered{ParseEntryAddresses(values)});
+          },
+          [this](const Decision& refusal) { Execute(refusal); }),
       metrics_(loop, MakeGauges(board_),
                [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
@@ -159,8 +162,7 @@
 void PoolAgent::OnFrame(LinkId link, const std::string& frame) {
   auto message = DecodeFrame(frame);
   if (!message) {
-    log_.Write("frame_refused", {{"problem", message.error().message}},
-               LineBudget::kFailure);
+    Execute(MakeRefusal("frame_refused", message.error().message));
     return links_.Abort(link);
   }
   Post(EntryMessage{link, std::move(message.value())});
@@ -179,19 +181,20 @@
   }
   auto report = users_platform::ParseMinionReport(call->instance, request.body);
   if (!report) {
-    log_.Write(
-        "report_refused",
-        {{"minion", call->instance}, {"problem", report.error().message}},
-        LineBudget::kFailure);
+    Decision refusal = MakeRefusal("report_refused", report.error().message);
+    refusal.texts.emplace_back("minion", call->instance);
+    Execute(refusal);
     return users_platform::MalformedReportResponse(report.error());
   }
   if (!node_settings_.service.empty() &&
       report.value().service != node_settings_.service) {
-    log_.Write("report_ignored",
-               {{"minion", call->instance},
-                {"service", report.value().service},
-                {"reason", "another service than this machine's"}},
-               LineBudget::kFailure);
+    Execute(Decision{Severity::kFailure,
+                     "report_ignored",
+                     0,
+                     {{"minion", call->instance},
+                      {"service", report.value().service},
+                      {"reason", "another service than this machine's"}},
+                     {}});
     return users_platform::AcceptedReportResponse();
   }
   Post(MinionReported{std::move(report.value())});
--- a/apps/pool_common/daemon.cpp
+++ b/apps/pool_common/daemon.cpp
@@ -75,6 +75,14 @@
              LineBudgetFor(decision.severity));
 }
 
+Decision MakeRefusal(std::string event, std::string problem) {
+  return {Severity::kFailure,
+          std::move(event),
+          0,
+          {{"problem", std::move(problem)}},
+          {}};
+}
+
 LinkLimits InternalLinkLimits() {
   LinkLimits limits;
   limits.dial_timeout = kDialTimeout;
@@ -110,12 +118,19 @@
   }
   const auto settings = users_platform::ParseNodeSettings(*text);
   if (!settings) return ReportSettingsError(path, settings.error().message);
-  if (options["--check-settings"].asBool()) return kExitOk;
+  const auto& seed_problems = settings.value().seed_problems;
+  if (options["--check-settings"].asBool()) {
+    if (seed_problems.empty()) return kExitOk;
+    return ReportSettingsError(path, seed_problems.front());
+  }
   if (options["--print-settings"].asBool()) {
     std::cout << ToJson(settings.value()).dump(2) << "\n";
     return kExitOk;
   }
   EventLog log(STDOUT_FILENO, settings.value().node_name);
+  for (const std::string& problem : seed_problems) {
+    log.Write("seed_ignored", {{"problem", problem}});
+  }
   return run({path, *text, settings.value()}, log);
 }
 
--- a/apps/pool_common/daemon.h
+++ b/apps/pool_common/daemon.h
@@ -16,6 +16,9 @@
 // decisions and of failures.
 void LogDecision(EventLog* log, const Decision& decision);
 
+// Returns the decision to refuse input from outside, with its problem.
+Decision MakeRefusal(std::string event, std::string problem);
+
 // Limits for the links between the processes of a pool.
 LinkLimits InternalLinkLimits();
 
--- a/apps/pool_common/settings_watch.cpp
+++ b/apps/pool_common/settings_watch.cpp
@@ -86,6 +86,9 @@
     log_.Write("reload_refused", {{"problem", settings.error().message}});
     return;
   }
+  for (const std::string& problem : settings.value().seed_problems) {
+    log_.Write("seed_ignored", {{"problem", problem}});
+  }
   std::vector<std::string> changed =
       ChangedSettings(file_.settings, settings.value());
   const bool has_new_seeds = settings.value().seeds != file_.settings.seeds;
--- a/apps/pool_common/store_watches.cpp
+++ b/apps/pool_common/store_watches.cpp
@@ -7,6 +7,7 @@
 namespace dottereltrack::pool {
 namespace {
 
+using users_platform::StoreItem;
 using users_platform::StoreResult;
 using users_platform::StoreStatus;
 
@@ -18,6 +19,17 @@
 // store's recovery.
 constexpr milliseconds kRegistrationRetryDelay{500};
 
+// Bounds the memory for keys that another program has written.
+constexpr std::size_t kMaxReportedKeys = 1'000;
+constexpr std::size_t kMaxLoggedKeyBytes = 200;
+
+// An address of an entry that other processes can connect to.
+std::optional<Endpoint> ParseEntryAddress(const std::string& value) {
+  const auto endpoint = ParseEndpoint(value);
+  if (!endpoint || endpoint->port == 0) return std::nullopt;
+  return endpoint;
+}
+
 }  // namespace
 
 DependencyLog::DependencyLog(EventLog& log, std::string name)
@@ -37,11 +49,13 @@
 
 PrefixWatch::PrefixWatch(asio::io_context& loop,
                          users_platform::StoreClient& store, EventLog& log,
-                         Settings settings, ChangeCallback on_change)
+                         Settings settings, ChangeCallback on_change,
+                         RefusalCallback on_refusal)
     : store_(store),
       dependency_log_(log, "watch of " + settings.prefix),
       settings_(std::move(settings)),
       on_change_(std::move(on_change)),
+      on_refusal_(std::move(on_refusal)),
       timer_(loop) {}
 
 void PrefixWatch::Start() {
@@ -50,10 +64,11 @@
 }
 
 void PrefixWatch::OnListResponse(const StoreResult& result) {
-  if (result.status != StoreStatus::kOk) return ScheduleRestart(result.message);
-  dependency_log_.RecordResult(true, "");
+  const bool is_available = result.status == StoreStatus::kOk;
+  dependency_log_.RecordResult(is_available, result.message);
+  if (!is_available) return ScheduleRestart();
   values_.clear();
-  for (const auto& item : result.view.items) values_[item.key] = item.value;
+  for (const auto& item : result.view.items) ApplyItem(item);
   as_of_ = result.view.as_of;
   on_change_(values_);
   WatchForChanges();
@@ -65,22 +80,50 @@
 }
 
 void PrefixWatch::OnWatchResponse(const StoreResult& result) {
-  if (result.status != StoreStatus::kOk) return ScheduleRestart(result.message);
-  dependency_log_.RecordResult(true, "");
-  for (const auto& item : result.view.items) {
-    if (item.is_removed) {
-      values_.erase(item.key);
-    } else {
-      values_[item.key] = item.value;
-    }
-  }
+  const bool is_available = result.status == StoreStatus::kOk;
+  dependency_log_.RecordResult(is_available, result.message);
+  if (!is_available) return ScheduleRestart();
+  for (const auto& item : result.view.items) ApplyItem(item);
   if (result.view.as_of > as_of_) as_of_ = result.view.as_of;
   if (!result.view.items.empty()) on_change_(values_);
+  // Which key such a change concerns shows in a new list only.
+  if (users_platform::HasItemWithoutKey(result.view.items)) {
+    return ScheduleRestart();
+  }
   WatchForChanges();
 }
 
-void PrefixWatch::ScheduleRestart(const std::string& problem) {
-  dependency_log_.RecordResult(false, problem);
+void PrefixWatch::ApplyItem(const StoreItem& item) {
+  std::string problem = item.problem;
+  if (problem.empty() && !item.is_removed && settings_.find_problem) {
+    problem = settings_.find_problem(item.value);
+  }
+  if (!problem.empty()) {
+    values_.erase(item.key);
+    return ReportRefusal(item.key, problem);
+  }
+  refused_keys_.erase(item.key);
+  if (item.is_removed) {
+    values_.erase(item.key);
+  } else {
+    values_[item.key] = item.value;
+  }
+}
+
+void PrefixWatch::ReportRefusal(const std::string& key,
+                                const std::string& problem) {
+  if (refused_keys_.size() >= kMaxReportedKeys) return;
+  if (!refused_keys_.insert(key).second) return;
+  on_refusal_({Severity::kFailure,
+               "store_item_refused",
+               0,
+               {{"prefix", settings_.prefix},
+                {"key", key.substr(0, kMaxLoggedKeyBytes)},
+                {"problem", problem}},
+               {}});
+}
+
+void PrefixWatch::ScheduleRestart() {
   timer_.expires_after(settings_.retry_delay);
   timer_.async_wait([this](const std::error_code& ec) {
     if (!ec) Start();
@@ -156,11 +199,17 @@
   if (lease_id_ != 0) store_.EndLease(lease_id_, [](const StoreResult&) {});
 }
 
+std::string FindAddressProblem(const std::string& value) {
+  if (ParseEntryAddress(value)) return {};
+  return "the value is not an address; write IP:PORT with a port from 1 to "
+         "65535";
+}
+
 std::vector<Endpoint> ParseEntryAddresses(
     const std::map<std::string, std::string>& values) {
   std::vector<Endpoint> entries;
   for (const auto& [key, value] : values) {
-    const auto endpoint = ParseEndpoint(value);
+    const auto endpoint = ParseEntryAddress(value);
     if (endpoint) entries.push_back(*endpoint);
   }
   return entries;
--- a/apps/pool_common/store_watches.h
+++ b/apps/pool_common/store_watches.h
@@ -4,10 +4,12 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "core/cell.h"
+#include "core/pool/decision.h"
 #include "platform/metadata_store.h"
 #include "runtime/log/event_log.h"
 
@@ -27,36 +29,50 @@
 };
 
 // Watches the keys with a prefix: lists all of them, then waits for changes,
-// and lists them again after a failure.
+// and lists them again after a failure. A key whose item cannot be read counts
+// as absent; the other keys hold.
 class PrefixWatch {
  public:
   struct Settings {
     std::string prefix;
     // Maximum duration of one long poll.
     milliseconds max_wait{0};
-    // Delay after a failure.
+    // Delay after a failure, and before the keys are listed again because a
+    // change cannot be read.
     milliseconds retry_delay{0};
+    // Returns why a value cannot be used, or an empty string. May be empty.
+    std::function<std::string(const std::string&)> find_problem{};
   };
   // Called with all keys and their values after each change.
   using ChangeCallback =
       std::function<void(const std::map<std::string, std::string>&)>;
 
+  // Called with a decision for the log when an item is refused, once for each
+  // key until a usable item replaces it.
+  using RefusalCallback = std::function<void(const Decision&)>;
+
   PrefixWatch(asio::io_context& loop, users_platform::StoreClient& store,
-              EventLog& log, Settings settings, ChangeCallback on_change);
+              EventLog& log, Settings settings, ChangeCallback on_change,
+              RefusalCallback on_refusal);
   void Start();
 
  private:
   void WatchForChanges();
   void OnListResponse(const users_platform::StoreResult& result);
   void OnWatchResponse(const users_platform::StoreResult& result);
-  void ScheduleRestart(const std::string& problem);
+  void ApplyItem(const users_platform::StoreItem& item);
+  void ReportRefusal(const std::string& key, const std::string& problem);
+  void ScheduleRestart();
 
   users_platform::StoreClient& store_;
   DependencyLog dependency_log_;
   Settings settings_;
   ChangeCallback on_change_;
+  RefusalCallback on_refusal_;
   asio::steady_timer timer_;
   std::map<std::string, std::string> values_;
+  // Keys whose refused items have been reported.
+  std::set<std::string> refused_keys_;
   std::uint64_t as_of_ = 0;
 };
 
@@ -87,6 +103,10 @@
 // Key prefix of the registered entries.
 inline constexpr const char* kEntryKeyPrefix = "dottereltrack/entries/";
 
+// Returns why a value under kEntryKeyPrefix is not the address of an entry, or
+// an empty string if it is.
+std::string FindAddressProblem(const std::string& value);
+
 // Parses the values under kEntryKeyPrefix as addresses. Skips invalid ones.
 std::vector<Endpoint> ParseEntryAddresses(
     const std::map<std::string, std::string>& values);
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -107,18 +107,23 @@
            {}}),
       store_(loop, node_settings_.store_address),
       registration_(loop, store_, log, node_settings_.internal_address),
-      config_watch_(loop, store_, log,
-                    {users_platform::kConfigKey, kConfigWatchWait,
-                     kConfigWatchRetryDelay},
-                    [this](const auto& values) {
-                      const auto it = values.find(users_platform::kConfigKey);
-                      if (it != values.end()) OnConfigText(it->second);
-                    }),
-      entry_watch_(loop, store_, log,
-                   {kEntryKeyPrefix, kEntryWatchWait, kEntryWatchRetryDelay},
-                   [this](const auto& values) {
-                     Post(EntriesListed{ParseEntryAddresses(values)});
-                   }),
+      config_watch_(
+          loop, store_, log,
+          {users_platform::kConfigKey, kConfigWatchWait,
+           kConfigWatchRetryDelay},
+          [this](const auto& values) {
+            const auto it = values.find(users_platform::kConfigKey);
+            if (it != values.end()) OnConfigText(it->second);
+          },
+          [this](const Decision& refusal) { Execute(refusal); }),
+      entry_watch_(
+          loop, store_, log,
+          {kEntryKeyPrefix, kEntryWatchWait, kEntryWatchRetryDelay,
+           &FindAddressProblem},
+          [this](const auto& values) {
+            Post(EntriesListed{ParseEntryAddresses(values)});
+          },
+          [this](const Decision& refusal) { Execute(refusal); }),
       metrics_(loop, MakeGauges(board_),
                [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
@@ -212,8 +217,7 @@
 void PoolEntry::OnFrame(LinkId link, const std::string& frame) {
   auto message = DecodeFrame(frame);
   if (!message) {
-    log_.Write("frame_refused", {{"problem", message.error().message}},
-               LineBudget::kFailure);
+    Execute(MakeRefusal("frame_refused", message.error().message));
     return links_.Abort(link);
   }
   if (const auto* offer = std::get_if<ConfigOffer>(&message.value())) {
@@ -225,8 +229,7 @@
 void PoolEntry::OnConfigText(const std::string& text) {
   auto config = users_platform::ParseConfig(text);
   if (!config) {
-    log_.Write("config_refused", {{"problem", config.error().message}});
-    return;
+    return Execute(MakeRefusal("config_refused", config.error().message));
   }
   Post(ConfigRead{std::move(config.value()), text});
 }
@@ -258,11 +261,10 @@
                        const HttpReplier& reply) {
   auto job = users_platform::ParseJobSpec(call.job, request.body);
   if (!job) {
-    log_.Write("job_malformed",
-               {{"request", call.request_id},
-                {"job", JobIdToText(call.job)},
-                {"problem", job.error().message}},
-               LineBudget::kFailure);
+    Decision refusal = MakeRefusal("job_malformed", job.error().message);
+    refusal.job = call.job;
+    refusal.texts.emplace_back("request", call.request_id);
+    Execute(refusal);
     return reply(users_platform::MalformedJobResponse(job.error()));
   }
   Post(JobSubmitted{AddOpenCall(request, reply), call.request_id, call.host,
--- a/src/api/json_text.cpp
+++ b/src/api/json_text.cpp
@@ -1,6 +1,9 @@
 #include "api/json_text.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "json/bounded_json.h"
 
 namespace dottereltrack {
 namespace {
@@ -22,16 +25,19 @@
 }
 
 ApiResult<json> ParseObject(std::string_view body) {
-  try {
-    json value = json::parse(body);
-    if (value.is_object()) return value;
-    return InvalidRequest(std::string("the body is a JSON ") +
-                          value.type_name() + "; send one JSON object");
-  } catch (const json::parse_error& e) {
+  auto value = ParseBoundedJson(body);
+  if (!value) {
+    const JsonError& error = value.error();
+    if (error.kind != JsonErrorKind::kMalformed) {
+      return InvalidRequest(error.message);
+    }
     return InvalidRequest("the body is not JSON at " +
-                          LineAndColumn(body, e.byte) +
+                          LineAndColumn(body, error.byte) +
                           "; send one JSON object in UTF-8");
   }
+  if (value.value().is_object()) return std::move(value.value());
+  return InvalidRequest(std::string("the body is a JSON ") +
+                        value.value().type_name() + "; send one JSON object");
 }
 
 bool IsUtf8(const std::string& bytes) {
--- a/src/core/pool/agent/events.h
+++ b/src/core/pool/agent/events.h
@@ -87,6 +87,9 @@
   std::uint64_t started_ms = 0;
   std::vector<ListedRun> running;
   std::vector<ListedEnd> ended;
+  // Rows of the lists that cannot be read, and why the first of them cannot.
+  std::uint64_t refused_rows = 0;
+  std::string first_row_problem;
 };
 struct AgentTick {};
 struct AgentStopRequested {};
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -10,6 +10,17 @@
 namespace dottereltrack::pool {
 namespace {
 
+// Differences between the wall clocks of two machines are below this.
+constexpr milliseconds kMaxClockDifference{86'400'000};
+
+// Whether a start time is too far ahead to be a minion's. Reports of an
+// instance with an earlier start than the known one are ignored, so that such a
+// time would hide all real reports.
+bool IsStartTimeImplausible(std::uint64_t started_ms, const Now& now) {
+  const auto latest = (now.wall + kMaxClockDifference).count();
+  return started_ms > static_cast<std::uint64_t>(latest);
+}
+
 bool IsSameInstance(const MinionReport& a, const MinionReport& b) {
   return a.id == b.id && a.started_ms == b.started_ms;
 }
@@ -160,7 +171,9 @@
                              "the minion lists its end", now, &health));
     } else if (const auto it = running.find(key); it != running.end()) {
       UpdateListedRun(run, it->second, now, changes);
-    } else {
+    } else if (e.refused_rows == 0 || run.phase == RunPhase::kStopping) {
+      // A row that cannot be read may stand for this run. If no later poll
+      // lists the run, it ends as stalled.
       UpdateUnlistedRun(board, run, now, &health, changes);
     }
   }
@@ -198,6 +211,18 @@
 
 AgentChanges HandleMinionReport(const AgentBoard& board,
                                 const MinionReport& report, const Now& now) {
+  if (IsStartTimeImplausible(report.started_ms, now)) {
+    AgentChanges changes;
+    changes.Add(
+        Decision{Severity::kFailure,
+                 "report_ignored",
+                 0,
+                 {{"minion", report.id},
+                  {"reason", "the minion's start lies more than a day ahead"}},
+                 {{"started_ms", static_cast<std::int64_t>(report.started_ms)},
+                  {"wall_ms", now.wall.count()}}});
+    return changes;
+  }
   if (!board.minion) return AdoptNewInstance(board, report, now);
   const MinionReport& known = *board.minion;
   if (!IsSameInstance(known, report)) {
@@ -266,7 +291,8 @@
                                 const Now& now) {
   if (!board.poll.in_flight || e.sequence != board.poll.sequence) return {};
   if (e.answer != CallAnswer::kAccepted) return RecordFailedPoll(board, e, now);
-  if (e.started_ms > board.minion->started_ms) {
+  if (e.started_ms > board.minion->started_ms &&
+      !IsStartTimeImplausible(e.started_ms, now)) {
     MinionReport restarted = *board.minion;
     restarted.started_ms = e.started_ms;
     restarted.sequence = 0;
@@ -281,6 +307,17 @@
   poll.in_flight = false;
   poll.failures = 0;
   poll.next_at = now.boot;
+  if (e.refused_rows > 0) {
+    // The minion returns the rows again at once, since they are not
+    // acknowledged.
+    poll.next_at += board.settings.failed_poll_interval;
+    changes.Add(Decision{
+        Severity::kFailure,
+        "run_rows_refused",
+        0,
+        {{"minion", board.minion->id}, {"problem", e.first_row_problem}},
+        {{"rows", static_cast<std::int64_t>(e.refused_rows)}}});
+  }
   poll.has_inventory = true;
   for (const ListedEnd& it : e.ended) {
     poll.last_end_number = std::max(poll.last_end_number, it.number);
--- a/src/json/json_fields.cpp
+++ b/src/json/json_fields.cpp
@@ -28,14 +28,19 @@
   constexpr auto max = std::numeric_limits<T>::max();
   if (!at.value->is_number_integer()) return SetTypeError(at, "a whole number");
   if (!at.value->is_number_unsigned() || at.value->get<std::uint64_t>() > max) {
-    return SetError(at, JsonErrorKind::kBadValue, "is out of range",
-                    "write a number from 0 to " + std::to_string(max));
+    return RefuseValue(at, "is out of range",
+                       "write a number from 0 to " + std::to_string(max));
   }
   *out = at.value->get<T>();
 }
 
 }  // namespace
 
+void RefuseValue(const JsonCursor& at, const std::string& problem,
+                 const std::string& remedy) {
+  SetError(at, JsonErrorKind::kBadValue, problem, remedy);
+}
+
 void Read(const JsonCursor& at, std::string* out) {
   if (*at.error) return;
   if (!at.value->is_string()) return SetTypeError(at, "a string");
@@ -52,8 +57,8 @@
   constexpr auto max = std::numeric_limits<std::int64_t>::max();
   if (at.value->is_number_unsigned() &&
       at.value->get<std::uint64_t>() > static_cast<std::uint64_t>(max)) {
-    return SetError(at, JsonErrorKind::kBadValue, "is out of range",
-                    "write a number up to " + std::to_string(max));
+    return RefuseValue(at, "is out of range",
+                       "write a number up to " + std::to_string(max));
   }
   *out = at.value->get<std::int64_t>();
 }
@@ -70,13 +75,25 @@
   *out = at.value->get<bool>();
 }
 
+void ReadInRange(const JsonCursor& at, std::int64_t min, std::int64_t max,
+                 std::int64_t* out) {
+  std::int64_t value = 0;
+  Read(at, &value);
+  if (*at.error) return;
+  if (value < min || value > max) {
+    return RefuseValue(at, "is out of range",
+                       "write a number from " + std::to_string(min) + " to " +
+                           std::to_string(max));
+  }
+  *out = value;
+}
+
 void ReadPositive(const JsonCursor& at, std::uint32_t* out) {
   std::uint32_t value = 0;
   Read(at, &value);
   if (*at.error) return;
   if (value == 0) {
-    return SetError(at, JsonErrorKind::kBadValue, "is 0",
-                    "write a number of at least 1");
+    return RefuseValue(at, "is 0", "write a number of at least 1");
   }
   *out = value;
 }
@@ -87,8 +104,7 @@
   if (*at.error) return;
   const auto value = ParseHexId(text);
   if (!value) {
-    return SetError(at, JsonErrorKind::kBadValue, "is not an id",
-                    "write 16 hexadecimal digits");
+    return RefuseValue(at, "is not an id", "write 16 hexadecimal digits");
   }
   *out = *value;
 }
@@ -102,6 +118,16 @@
   }
 }
 
+void ReadItems(const JsonCursor& at, const ArrayElementReader& read,
+               const RefusedElementReader& refuse) {
+  ReadArray(at, [&](const JsonCursor& element) {
+    std::optional<JsonError> error;
+    const JsonCursor item{element.value, element.path, &error};
+    read(item);
+    if (error) refuse(element, *error);
+  });
+}
+
 void ReadObject(const JsonCursor& at, const ObjectFieldReader& read) {
   if (*at.error) return;
   if (!at.value->is_object()) return SetTypeError(at, "an object");
--- a/src/json/json_fields.h
+++ b/src/json/json_fields.h
@@ -1,38 +1,18 @@
 #pragma once
 
-#include <boost/outcome/result.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
-namespace dottereltrack {
-
-enum class JsonErrorKind {
-  // The text is not JSON.
-  kMalformed,
-  // A required field is absent.
-  kMissing,
-  kWrongType,
-  // The type is right, but the value is not allowed.
-  kBadValue,
-};
+#include "json/bounded_json.h"
+#include "json/json_error.h"
 
-// Why a JSON text was rejected. The message names the field and the correction.
-struct JsonError {
-  JsonErrorKind kind = JsonErrorKind::kMalformed;
-  // Path of the field, such as "members[1].id"; empty for the whole text.
-  std::string field{};
-  std::string message{};
-  friend bool operator==(const JsonError&, const JsonError&) = default;
-};
-
-template <typename T>
-using JsonResult = BOOST_OUTCOME_V2_NAMESPACE::result<
-    T, JsonError, BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+namespace dottereltrack {
 
 // Whether an absent field is an error or leaves the default in place.
 enum class Presence { kRequired, kOptional };
@@ -50,6 +30,15 @@
 using ObjectFieldReader =
     std::function<void(const std::string&, const JsonCursor&)>;
 
+// Callback for an element in which an error was found.
+using RefusedElementReader =
+    std::function<void(const JsonCursor&, const JsonError&)>;
+
+// Sets the cursor's error to kBadValue with the message "FIELD PROBLEM;
+// REMEDY", unless the cursor has an error already.
+void RefuseValue(const JsonCursor& at, const std::string& problem,
+                 const std::string& remedy);
+
 // Read the value at the cursor. A wrong type sets the cursor's error.
 void Read(const JsonCursor& at, std::string* out);
 void Read(const JsonCursor& at, std::uint64_t* out);
@@ -58,12 +47,23 @@
 void Read(const JsonCursor& at, std::int64_t* out);
 void Read(const JsonCursor& at, double* out);
 void Read(const JsonCursor& at, bool* out);
+// Reads a whole number from `min` to `max`.
+void ReadInRange(const JsonCursor& at, std::int64_t min, std::int64_t max,
+                 std::int64_t* out);
 // Reads a whole number of at least 1.
 void ReadPositive(const JsonCursor& at, std::uint32_t* out);
+// Largest whole number that a JSON parser with double-precision numbers reads
+// exactly (RFC 8259, section 6).
+inline constexpr std::int64_t kMaxExactInteger = std::int64_t{1} << 53;
+
 // Reads a 64-bit id from a string of 16 hexadecimal digits. Ids are not written
 // as numbers because many JSON parsers store numbers as doubles.
 void ReadHexId(const JsonCursor& at, std::uint64_t* out);
 void ReadArray(const JsonCursor& at, const ArrayElementReader& read);
+// Reads an array whose elements come from independent writers: passes an
+// element in which `read` finds an error to `refuse` and goes on.
+void ReadItems(const JsonCursor& at, const ArrayElementReader& read,
+               const RefusedElementReader& refuse);
 void ReadObject(const JsonCursor& at, const ObjectFieldReader& read);
 
 // Returns the cursor of a field of an object; std::nullopt if it is absent.
@@ -79,18 +79,27 @@
   if (const auto field = Field(at, name, presence)) Read(*field, out);
 }
 
-// Parses a text and reads it with `read`.
+// Reads a field of an object, if it is present, as a whole number from `min` to
+// `max`.
+template <typename T>
+void ReadFieldInRange(const JsonCursor& at, const char* name, Presence presence,
+                      std::int64_t min, std::int64_t max, T* out) {
+  const auto field = Field(at, name, presence);
+  if (!field) return;
+  auto value = static_cast<std::int64_t>(*out);
+  ReadInRange(*field, min, max, &value);
+  *out = static_cast<T>(value);
+}
+
+// Parses a text within the default limits and reads it with `read`.
 template <typename T>
 JsonResult<T> ParseJson(std::string_view text,
                         void (*read)(const JsonCursor&, T*)) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
-  if (json.is_discarded()) {
-    return JsonError{JsonErrorKind::kMalformed, "",
-                     "the text is not JSON; write one JSON object"};
-  }
+  const auto json = ParseBoundedJson(text);
+  if (!json) return json.error();
   std::optional<JsonError> error;
   T value;
-  read({&json, "", &error}, &value);
+  read({&json.value(), "", &error}, &value);
   if (error) return *error;
   return value;
 }
--- a/src/runtime/settings/document.cpp
+++ b/src/runtime/settings/document.cpp
@@ -2,6 +2,8 @@
 
 #include <iterator>
 
+#include "json/bounded_json.h"
+
 namespace dottereltrack {
 namespace {
 
@@ -105,8 +107,13 @@
       LineCountingIterator(end, &line), &recorder, json::input_format_t::json,
       /*strict=*/true, /*ignore_comments=*/true);
   if (!is_json) return document;
-  json values = json::parse(text, nullptr, /*allow_exceptions=*/true,
-                            /*ignore_comments=*/true);
+  auto parsed = ParseBoundedJson(text, JsonComments::kIgnored);
+  if (!parsed) {
+    errors->push_back({"", 1, parsed.error().message, "a short JSON object",
+                       "check that this is the settings file"});
+    return document;
+  }
+  json& values = parsed.value();
   if (!values.is_object()) {
     errors->push_back({"", 1, std::string("a JSON ") + values.type_name(),
                        "one JSON object", "put the keys between { and }"});
--- a/tests/pool/agent_minion_test.cpp
+++ b/tests/pool/agent_minion_test.cpp
@@ -197,5 +197,64 @@
   CHECK(agent.board.fencing_token > 10);
 }
 
+TEST_CASE("A run is not lost because a row of the minion's list is unreadable",
+          "[pool][agent][twice]") {
+  // Guards against a second run elsewhere while the unreadable row stands for
+  // the first one, and against polls that follow each other without a pause
+  // because the minion returns the row at once.
+  struct Row {
+    std::uint64_t refused_rows;
+    std::size_t lost_runs;
+    milliseconds pause;
+  };
+  const auto row =
+      GENERATE(values<Row>({{0, 1, milliseconds{0}},
+                            {1, 0, AgentSettings{}.failed_poll_interval},
+                            {3, 0, AgentSettings{}.failed_poll_interval}}));
+  CAPTURE(row.refused_rows);
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  StartAndConfirm(&agent, MakeRunKey(0));
+  agent.now.boot += milliseconds{10};
+  agent.AnswerPoll({{MakeRunKey(0), 5}}, {});
+  agent.now.boot += milliseconds{10};
+  PollAnswered lists;
+  lists.sequence = agent.board.poll.sequence;
+  lists.answer = CallAnswer::kAccepted;
+  lists.clock_ms = 50'000;
+  lists.started_ms = agent.board.minion->started_ms;
+  lists.refused_rows = row.refused_rows;
+  const auto effects = agent.Step({lists});
+  CHECK(SelectMessages<RunEnded>(effects).size() == row.lost_runs);
+  CHECK(agent.board.poll.next_at == agent.now.boot + row.pause);
+}
+
+TEST_CASE("A start time far ahead does not hide the minion's real reports",
+          "[pool][agent][minion]") {
+  // Guards against an agent that follows no minion any more because of one
+  // report from another writer.
+  const bool is_report = GENERATE(false, true);
+  CAPTURE(is_report);
+  AgentFixture agent;
+  agent.now.wall = milliseconds{1'775'110'326'000};
+  const std::uint64_t far_ahead = 1'775'110'326'000 + 2 * 86'400'000;
+  if (is_report) {
+    agent.Step({MinionReported{MakeMinionReport("odd", far_ahead, 1)}});
+  } else {
+    agent.AddEntry(1, 100);
+    StartAndConfirm(&agent, MakeRunKey(0));
+    PollAnswered lists;
+    lists.sequence = agent.board.poll.sequence;
+    lists.answer = CallAnswer::kAccepted;
+    lists.started_ms = far_ahead;
+    lists.running = {{MakeRunKey(0), 5}};
+    agent.Step({lists});
+  }
+  CHECK(agent.board.minion->id == "m1");
+  CHECK(agent.board.minion->started_ms == 1'000);
+  agent.Step({MinionReported{MakeMinionReport("m1", 1'000, 9)}});
+  CHECK(agent.board.minion->sequence == 9);
+}
+
 }  // namespace
 }  // namespace dottereltrack::pool
--- /dev/null
+++ b/tests/process/pool/odd_input.py
@@ -0,0 +1,67 @@
+"""Input that other programs have written and that no process of a pool can use."""
+
+DEEP_ARRAY = "[" * 200_000 + "1" + "]" * 200_000
+DEEP_OBJECT = '{"a":' * 200_000 + "1" + "}" * 200_000
+ENTRY_PREFIX = "dottereltrack/entries/"
+
+# Base64 of "10.0.0.1:70000", of "nowhere" and of "[[[".
+PORT_OUT_OF_RANGE, NO_ADDRESS, BRACKETS = "MTAuMC4wLjE6NzAwMDA=", "bm93aGVyZQ==", "W1tb"
+
+
+def store_items():
+    """Items of the store as JSON texts."""
+    key = f'"key":"{ENTRY_PREFIX}odd"'
+    return [
+        f'{{{key},"value":"{PORT_OUT_OF_RANGE}","revision":5}}',
+        f'{{{key},"value":"{NO_ADDRESS}","revision":5}}',
+        f'{{{key},"value":"{BRACKETS}","revision":5}}',
+        f'{{{key},"value":"no base64!","revision":5}}',
+        f'{{{key},"value":"","revision":1e999}}',
+        f'{{{key},"value":"","revision":-1}}',
+        f'{{{key},"value":{DEEP_ARRAY},"revision":5}}',
+        f'{{{key},"value":{DEEP_OBJECT},"revision":5}}',
+        f'{{"key":"{ENTRY_PREFIX}a&b#c %","value":"{NO_ADDRESS}","revision":5}}',
+        '{"value":"","revision":5}',
+        "17",
+        DEEP_ARRAY,
+    ]
+
+
+def report(**fields):
+    """A minion's report as JSON text; `fields` are JSON texts that replace others."""
+    values = {
+        "service": '"svc"',
+        "address": '"10.0.0.1:8165"',
+        "zone": '"z0"',
+        "state": '"ready"',
+        "capacity": '{"cpu":1000,"task_memory_mb":1000,"gpu":0}',
+        "labels": '["a","r1"]',
+        "clock_ms": "1",
+        "sequence": "1",
+        "born": "1",
+        **fields,
+    }
+    return "{" + ",".join(f'"{k}":{v}' for k, v in values.items()) + "}"
+
+
+def reports():
+    """Reports of minions as JSON texts; none of them names a minion to use."""
+    return [
+        "no json",
+        "[]",
+        DEEP_ARRAY,
+        report(labels=DEEP_ARRAY),
+        report(capacity=DEEP_OBJECT),
+        report(address='"10.0.0.1:70000"'),
+        report(address='"10.0.0.1:0"'),
+        report(sequence="1e999"),
+        report(born="9223372036854775807"),
+        report(born="9007199254740992"),
+        report(capacity='{"cpu":-1}'),
+        report(state='"asleep"'),
+        report(service='"another"'),
+    ]
+
+
+# Rows of a minion's lists of runs.
+RUN_ROWS = [7, "x", [], ["x", 1, "", 0, 0], [None, -1, "", 0, 0]]
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -7,6 +7,9 @@
 import json
 import signal
 
+import odd_input
+from web import call_json
+
 
 async def no_fault(cell):
     await asyncio.sleep(0)
@@ -107,6 +110,33 @@
     await cell.expect_event(daemons[0], "reload_refused")
 
 
+async def write_odd_input(cell):
+    """Another program writes to the store and to the agents while processes run, while
+    they list the store again and while they start."""
+    for text in odd_input.store_items():
+        cell.store.put_odd_item(odd_input.ENTRY_PREFIX, text)
+    cell.store.put_odd_item("op/config", '{"key":7,"value":"","revision":5}')
+    for minion in cell.minions[:2]:
+        minion.odd_rows = odd_input.RUN_ROWS
+        for n, text in enumerate(odd_input.reports()):
+            path = f"/-/instances/odd-{n}/heartbeat"
+            await call_json(minion.agent, "POST", path, text.encode())
+    await asyncio.sleep(0.5)
+    cell.store.discard_history()
+    cell.store.server.abort_connections()
+    await cell.entries[0].kill(0.1)
+    await cell.agents[0].kill(0.1)
+    for daemon in cell.entries + cell.agents:
+        await cell.expect_event(daemon, "store_item_refused")
+        daemon.record_unexpected_exit()
+        cell.run_checker.violations += daemon.unexpected_exits
+    await cell.expect_event(cell.agents[1], "run_rows_refused")
+    await cell.expect_event(cell.agents[1], "report_refused")
+    cell.write_config("q", "more")
+    for daemon in cell.entries:
+        await cell.expect_event(daemon, "config_adopted", version=cell.config_version)
+
+
 SCENARIOS = {
     "calm": (no_fault, 1.0),
     "agent killed": (kill_agent, 0.95),
@@ -123,6 +153,7 @@
     "store silent and entry killed": (silence_store_and_kill_entry, 0.8),
     "history of the store lost": (lose_store_history, 1.0),
     "minion drains": (drain_minion, 1.0),
+    "odd input": (write_odd_input, 0.9),
     "settings reloaded": (reload_all_settings, 1.0),
 }
 
