Bound the links of agents and entries to sixteen entries

Cause: every process links to every entry, so that an entry of a pool of 300 workers has about 250 agents and 46 peers and spends three quarters of its processor on pings and load reports.

Change: rendezvous hashing chooses the entries that a process links to. A pool of up to 16 entries stays a full mesh, so that the standard deployments do not change. The backlog estimate divides a minion among its linked entries.

Ruled out: slower pings on idle links, since a start on a link that died unnoticed waits for the link timeout; subsets chosen by the entries, since only agents know all entries.

--- a/apps/pool_common/table_json.cpp
+++ b/apps/pool_common/table_json.cpp
@@ -9,6 +9,7 @@
           {"registered", entry.registered},
           {"linked", entry.link.has_value()},
           {"dialing", entry.dialing},
+          {"failed_dials", entry.failed_dials},
           {"seen_ms_ago", AgeMs(entry.seen_at, now)}};
 }
 
--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -76,6 +76,7 @@
   }
   void OnEvent(const AgentTick&) {
     ApplyChanges(AbortSilentEntryLinks(*board_, now_));
+    ApplyChanges(CloseSurplusLinks(*board_, now_));
     ApplyChanges(StopStalledRuns(*board_, now_));
     ApplyChanges(PingIdleEntryLinks(*board_, now_));
     ExitWhenIdle();
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -93,6 +93,8 @@
   std::optional<LoadReport> last_report;
   // A start was refused or a run ended since the last report.
   bool report_due = false;
+  // Since when the link is not needed; the entry is told to send no starts.
+  std::optional<BootTime> surplus_since;
 
   const LinkId& Key() const { return id; }
   friend bool operator==(const EntryLinkRow&, const EntryLinkRow&) = default;
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -5,6 +5,7 @@
 
 #include "core/pool/agent/capacity.h"
 #include "core/pool/agent/runs.h"
+#include "core/pool/link_subset.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -34,7 +35,8 @@
 
 LoadReport MakeLoadReport(const AgentBoard& board, const EntryLinkRow& link,
                           const Now& now) {
-  return {link.handled_starts, FreeResources(board), IsAccepting(board, now),
+  const bool accepting = !link.surplus_since && IsAccepting(board, now);
+  return {link.handled_starts, FreeResources(board), accepting,
           IsSettled(board, link), board.health.log_slowness};
 }
 
@@ -59,6 +61,30 @@
   return static_cast<double>(change) >= settings.min_reported_share * capacity;
 }
 
+// Marks the links that have become surplus, or are needed again.
+void UpdateSurplusLinks(const AgentBoard& board,
+                        const std::vector<LinkId>& surplus, const Now& now,
+                        AgentChanges* changes) {
+  for (const auto& [id, link] : board.links) {
+    const bool is_surplus =
+        std::find(surplus.begin(), surplus.end(), id) != surplus.end();
+    if (is_surplus == link.surplus_since.has_value()) continue;
+    EntryLinkRow row = link;
+    row.surplus_since = is_surplus ? std::optional(now.boot) : std::nullopt;
+    changes->Add(Put<EntryLinkRow>{row});
+    changes->Add(Decision{Severity::kStateChange,
+                          is_surplus ? "entry_surplus" : "entry_needed",
+                          0,
+                          {{"address", link.address.host}},
+                          {}});
+  }
+}
+
+bool HasRuns(const AgentBoard& board, LinkId link) {
+  return std::any_of(board.runs.begin(), board.runs.end(),
+                     [&](const auto& it) { return it.second.link == link; });
+}
+
 }  // namespace
 
 AgentChanges AddEntries(const AgentBoard& board,
@@ -73,7 +99,8 @@
 
 AgentChanges DialEntries(const AgentBoard& board, const Now& now) {
   AgentChanges changes;
-  const DialPlan plan = PlanDials(board.entries, now);
+  const DialPlan plan = PlanDials(
+      board.entries, {board.settings.id, board.settings.max_entry_links}, now);
   for (const Endpoint& address : plan.remove) {
     changes.Add(Erase<KnownEntry>{address});
   }
@@ -81,6 +108,18 @@
     changes.Add(Put<KnownEntry>{entry});
     changes.Add(DialEntry{entry.address});
   }
+  UpdateSurplusLinks(board, plan.surplus, now, &changes);
+  return changes;
+}
+
+AgentChanges CloseSurplusLinks(const AgentBoard& board, const Now& now) {
+  AgentChanges changes;
+  for (const auto& [id, link] : board.links) {
+    if (!link.surplus_since || HasRuns(board, id)) continue;
+    const BootTime age = now.boot - *link.surplus_since;
+    if (age < board.settings.link_retirement_delay) continue;
+    changes.Add(AbortEntryLink{id});
+  }
   return changes;
 }
 
--- a/src/core/pool/agent/links.h
+++ b/src/core/pool/agent/links.h
@@ -8,6 +8,7 @@
 AgentChanges AddEntries(const AgentBoard& board,
                         const std::vector<Endpoint>& entries,
                         EntrySource source, const Now& now);
+// Dials the entries of this agent's subset, and marks links outside it.
 AgentChanges DialEntries(const AgentBoard& board, const Now& now);
 AgentChanges HandleEntryDialed(const AgentBoard& board, const EntryDialed& e,
                                const Now& now);
@@ -19,6 +20,8 @@
 AgentChanges RecordEntryLinkActivity(const AgentBoard& board, LinkId link,
                                      const Now& now);
 
+// Closes surplus links once no run depends on them.
+AgentChanges CloseSurplusLinks(const AgentBoard& board, const Now& now);
 AgentChanges AbortSilentEntryLinks(const AgentBoard& board, const Now& now);
 AgentChanges AbortAllEntryLinks(const AgentBoard& board, milliseconds pause);
 AgentChanges PingIdleEntryLinks(const AgentBoard& board, const Now& now);
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -17,6 +18,13 @@
   milliseconds ping_interval{100};
   milliseconds link_timeout{500};
   milliseconds dial_retry_delay{50};
+  // An entry or agent links to this many entries at most; the figure lies above
+  // the number of entries of a pool of 90 workers, so that smaller pools are a
+  // full mesh.
+  std::size_t max_entry_links = 16;
+  // A surplus link is closed when it has had no runs for this long after the
+  // entry was told to send no more starts.
+  milliseconds link_retirement_delay{1'000};
   // A run ends this long after the agent last renewed its lease. Together with
   // link_timeout, a run whose entry and agent have both failed ends within
   // 0.9 s, less than the 1.3 s after which a client submits a job again.
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/pool/link_subset.h"
+
 namespace dottereltrack::pool {
 namespace {
 
@@ -188,7 +190,8 @@
 
 EntryChanges DialPeers(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
-  const DialPlan plan = PlanDials(board.peers, now);
+  const DialPlan plan = PlanDials(
+      board.peers, {board.settings.id, board.settings.max_entry_links}, now);
   for (const Endpoint& address : plan.remove) {
     changes.Add(Erase<KnownEntry>{address});
   }
@@ -196,6 +199,7 @@
     changes.Add(Put<KnownEntry>{peer});
     changes.Add(DialPeer{peer.address});
   }
+  for (const LinkId link : plan.surplus) changes.Add(AbortLink{link});
   return changes;
 }
 
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -41,6 +42,8 @@
   milliseconds outcome_retention{10'000};
   // Delay between two attempts to connect to an entry.
   milliseconds dial_retry_delay{50};
+  // As in AgentSettings.
+  std::size_t max_entry_links = 16;
   // For this long after its start, an entry does not refuse jobs because
   // minions are missing or busy: their agents need up to a report interval
   // of 1.5 s to reconnect.
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -135,12 +135,15 @@
     total_cpu_millis += static_cast<double>(agent.hello->capacity.cpu_millis);
   }
   if (waiting_work == 0 || total_cpu_millis == 0) return milliseconds{0};
-  double entry_count = 1;
+  // Each agent shares its minion among the entries that it links to.
+  std::size_t entry_count = 1;
   for (const auto& [address, peer] : board.peers) {
     if (peer.link) ++entry_count;
   }
+  const auto sharers = static_cast<double>(
+      std::min(entry_count, board.settings.max_entry_links));
   return milliseconds{
-      std::llround(waiting_work / (total_cpu_millis / entry_count))};
+      std::llround(waiting_work / (total_cpu_millis / sharers))};
 }
 
 EntryChanges HandleSubmission(const EntryBoard& board, const JobSubmitted& e,
--- a/src/core/pool/known_entries.cpp
+++ b/src/core/pool/known_entries.cpp
@@ -3,12 +3,6 @@
 #include <algorithm>
 
 namespace dottereltrack::pool {
-namespace {
-
-constexpr milliseconds kRemoveUnlistedAfter{60'000};
-
-}  // namespace
-
 std::vector<KnownEntry> MergeEntries(const Table<KnownEntry>& known,
                                      const std::vector<Endpoint>& entries,
                                      EntrySource source, const Now& now) {
@@ -34,25 +28,12 @@
   return rows;
 }
 
-DialPlan PlanDials(const Table<KnownEntry>& known, const Now& now) {
-  DialPlan plan;
-  for (const auto& [address, entry] : known) {
-    if (entry.link || entry.dialing || now.boot < entry.next_dial_at) continue;
-    if (!entry.registered && now.boot - entry.seen_at > kRemoveUnlistedAfter) {
-      plan.remove.push_back(address);
-      continue;
-    }
-    plan.dial.push_back(entry);
-    plan.dial.back().dialing = true;
-  }
-  return plan;
-}
-
 KnownEntry WithDialResult(KnownEntry entry, std::optional<LinkId> link,
                           milliseconds retry_delay, const Now& now) {
   entry.dialing = false;
   entry.link = link;
   entry.next_dial_at = now.boot + retry_delay;
+  entry.failed_dials = link ? 0 : entry.failed_dials + 1;
   if (link) entry.seen_at = now.boot;
   return entry;
 }
--- a/src/core/pool/known_entries.h
+++ b/src/core/pool/known_entries.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -18,6 +19,8 @@
   bool dialing = false;
   std::optional<LinkId> link;
   BootTime next_dial_at{0};
+  // Connection attempts that have failed since the last link.
+  std::uint32_t failed_dials = 0;
   // When the store or another process last listed it, or a connection to it
   // was last established.
   BootTime seen_at{0};
@@ -39,19 +42,6 @@
                                      const std::vector<Endpoint>& entries,
                                      EntrySource source, const Now& now);
 
-struct DialPlan {
-  // Rows of the entries to be dialed now.
-  std::vector<KnownEntry> dial;
-  // Entries to be removed.
-  std::vector<Endpoint> remove;
-  friend bool operator==(const DialPlan&, const DialPlan&) = default;
-};
-
-// Selects the entries without a link to dial. An entry that the store does not
-// list is removed only a minute after it was last seen, since the store may
-// have been unavailable or the registration may have expired in the meantime.
-DialPlan PlanDials(const Table<KnownEntry>& known, const Now& now);
-
 // Returns the row after a connection attempt; `link` is empty if it failed.
 KnownEntry WithDialResult(KnownEntry entry, std::optional<LinkId> link,
                           milliseconds retry_delay, const Now& now);
--- a/tests/support/test_pool.cpp
+++ b/tests/support/test_pool.cpp
@@ -96,6 +96,7 @@
   it.state = ProcessState::kRunning;
   if (IsAgent(process)) {
     it.agent.settings.id = random_();
+    it.agent.settings.max_entry_links = options_.max_entry_links;
     it.agent.fencing_token = clock_.wall().count();
     const int agent = process - options_.entries;
     const auto wait = static_cast<std::int64_t>(random_() % 1'500);
@@ -104,6 +105,7 @@
     });
   } else {
     it.entry.settings.id = random_();
+    it.entry.settings.max_entry_links = options_.max_entry_links;
     it.entry.settings.address = AddressOf(process);
     it.entry.started_at = clock_.now();
   }
--- a/tests/support/test_pool.h
+++ b/tests/support/test_pool.h
@@ -30,6 +30,8 @@
   // One-way delay between two processes; entries are numbered before agents.
   std::function<BootTime(int process, int other)> delay;
   pool::QueueConfig queue = DefaultQueue();
+  // Number of entries that a process links to.
+  std::size_t max_entry_links = pool::AgentSettings{}.max_entry_links;
   std::uint64_t seed = 1;
 
   static pool::QueueConfig DefaultQueue();
