Report a change of a minion's speed before its runs end

Cause: an agent learned its minion's speed from ended runs only, with a weight of 0.05. A minion that turns eight times as slow was filled by all entries for seconds before its first runs ended.

Change: the load report carries the speed that the progress of the runs at work shows, if at least three of them differ from the average by a factor of two in their mean, in either direction.

--- a/src/core/pool/agent/health.cpp
+++ b/src/core/pool/agent/health.cpp
@@ -12,6 +12,30 @@
 constexpr double kSpeedWeight = 0.05;
 constexpr double kFailureWeight = 0.2;
 
+// The speed counts as changed if this many runs differ from the average by this
+// factor in their mean. Estimates of single runs are off by 40%.
+constexpr int kMinRunsAtWork = 3;
+constexpr double kMinSpeedChange = 2;
+// Progress is given in whole percent, so that early values are inaccurate.
+constexpr int kMinPercent = 5;
+// Steps in which a changed speed is reported, as a logarithm, so that not every
+// poll leads to a load report.
+constexpr double kLogSlownessStep = 0.25;
+
+// Logarithm of the expected duration of a run at work over its estimate;
+// nullopt if its progress does not show it yet.
+std::optional<double> ProjectedLogSlowness(const RunRow& run) {
+  if (run.phase != RunPhase::kRunning || run.percent < kMinPercent) {
+    return std::nullopt;
+  }
+  using Microseconds = std::chrono::duration<double, std::micro>;
+  const double worked_us =
+      Microseconds{run.progress_at - run.started_at}.count();
+  const double estimate_us = Microseconds{run.estimate}.count();
+  if (worked_us <= 0 || estimate_us <= 0) return std::nullopt;
+  return std::log(worked_us * 100 / run.percent / estimate_us);
+}
+
 void Suspend(const AgentBoard& board, const Now& now, MinionHealth* health) {
   const AgentSettings& settings = board.settings;
   const milliseconds duration = std::max(health->next_suspension_duration,
@@ -35,6 +59,22 @@
 
 }  // namespace
 
+double CurrentLogSlowness(const AgentBoard& board) {
+  const double average = board.health.log_slowness;
+  double sum = 0;
+  int count = 0;
+  for (const auto& [key, run] : board.runs) {
+    const auto slowness = ProjectedLogSlowness(run);
+    if (!slowness) continue;
+    sum += *slowness;
+    ++count;
+  }
+  if (count < kMinRunsAtWork) return average;
+  const double at_work = sum / count;
+  if (std::abs(at_work - average) < std::log(kMinSpeedChange)) return average;
+  return std::round(at_work / kLogSlownessStep) * kLogSlownessStep;
+}
+
 HealthUpdate UpdateHealth(const AgentBoard& board, const MinionHealth& before,
                           const RunRow& run, RunEnd end, const Now& now) {
   HealthUpdate update{before, std::nullopt};
--- a/src/core/pool/agent/health.h
+++ b/src/core/pool/agent/health.h
@@ -11,6 +11,11 @@
   std::optional<Decision> decision;
 };
 
+// Returns the logarithm of the minion's slowness as entries should see it: the
+// average over ended runs, unless the progress of the runs at work shows that
+// the speed has changed.
+double CurrentLogSlowness(const AgentBoard& board);
+
 // Updates the speed and the failure share of the minion after the end of a run.
 HealthUpdate UpdateHealth(const AgentBoard& board, const MinionHealth& before,
                           const RunRow& run, RunEnd end, const Now& now);
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "core/pool/agent/capacity.h"
+#include "core/pool/agent/health.h"
 #include "core/pool/agent/runs.h"
 #include "core/pool/link_subset.h"
 
@@ -34,10 +35,10 @@
 }
 
 LoadReport MakeLoadReport(const AgentBoard& board, const EntryLinkRow& link,
-                          const Now& now) {
+                          double log_slowness, const Now& now) {
   const bool accepting = !link.surplus_since && IsAccepting(board, now);
   return {link.handled_starts, FreeResources(board), accepting,
-          IsSettled(board, link), board.health.log_slowness};
+          IsSettled(board, link), log_slowness};
 }
 
 // Whether a load report is due. Each report wakes up the entry, and small
@@ -243,9 +244,10 @@
 
 AgentChanges ReportLoad(const AgentBoard& board, const Now& now) {
   AgentChanges changes;
+  const double log_slowness = CurrentLogSlowness(board);
   for (const auto& [id, link] : board.links) {
     if (link.entry == 0) continue;
-    const LoadReport report = MakeLoadReport(board, link, now);
+    const LoadReport report = MakeLoadReport(board, link, log_slowness, now);
     if (!IsReportDue(board, link, report, now)) continue;
     EntryLinkRow row = link;
     row.last_report = report;
--- a/tests/pool/agent_minion_test.cpp
+++ b/tests/pool/agent_minion_test.cpp
@@ -187,6 +187,45 @@
   CHECK_FALSE(agent.board.health.on_trial);
 }
 
+TEST_CASE("A change of the minion's speed shows before its runs end",
+          "[pool][agent][health]") {
+  // Pattern: minions that turn slow. Guards against entries that fill a slow
+  // minion for as long as its runs take, and against reports that follow the
+  // errors of single estimates.
+  struct Row {
+    const char* name;
+    double average;
+    int runs;
+    int percent;
+    double reported;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"eight times as slow", 0, 3, 12, 2},
+      {"too few runs", 0, 2, 12, 0},
+      {"no progress yet", 0, 4, 4, 0},
+      {"within the error of estimates", 0, 4, 60, 0},
+      {"as fast again", 2, 4, 100, 0},
+      {"still slow", 2, 4, 14, 2},
+  }));
+  CAPTURE(row.name);
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.board.health.log_slowness = row.average;
+  std::vector<ListedRun> running;
+  for (int n = 0; n < row.runs; ++n) {
+    StartAndConfirm(&agent, MakeRunKey(n));
+    running.push_back({MakeRunKey(n), row.percent});
+  }
+  agent.now.boot += agent.board.runs.begin()->second.estimate;
+  const auto reports =
+      SelectMessages<LoadReport>(agent.AnswerPoll(running, {}));
+  const double reported =
+      reports.empty()
+          ? agent.board.links.begin()->second.last_report->log_slowness
+          : reports.back().second.log_slowness;
+  CHECK(reported == Approx(row.reported).margin(0.01));
+}
+
 TEST_CASE("A fenced agent raises its token", "[pool][agent][fencing]") {
   // Guards against an agent whose clock was set back and whose calls are then
   // rejected forever.
