Let a task wait for a minion that can meet its goal

Cause: when the fast minions were full, tasks started on any minion with room, also on one turned eight times as slow, where they were late for certain while places on faster minions became free within some tens of milliseconds.

Change: a task that some minion of its service can finish in time does not start on one that cannot. Late tasks, tasks that have failed, and tasks that no minion can finish in time start anywhere, as before.

--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <tuple>
 
@@ -18,6 +19,9 @@
   // Cannot meet its goal any more; is placed after tasks that still can.
   bool is_late = false;
   BootTime latest_start{0};
+  // Minions that are slower than this would miss the goal; infinite for a task
+  // that is late, and if no minion is fast enough.
+  double max_slowness = std::numeric_limits<double>::infinity();
 };
 
 bool IsMoreUrgent(const WaitingTask& a, const WaitingTask& b) {
@@ -57,6 +61,31 @@
   return candidates;
 }
 
+// Smallest slowness among the minions of a service that accept runs, with or
+// without free resources.
+double FindLowestSlowness(const EntryBoard& board, const std::string& service) {
+  double lowest = std::numeric_limits<double>::infinity();
+  for (const auto& [link, agent] : board.agents) {
+    if (!agent.load.accepting || agent.hello->service != service) continue;
+    lowest = std::min(lowest, std::exp(agent.load.log_slowness));
+  }
+  return lowest;
+}
+
+// Sets the slowness up to which a minion can meet the task's goal. A task that
+// some minion can finish in time does not start on one that cannot: it would
+// be late for certain, while its place on a faster minion may become free.
+void SetMaxSlowness(const Now& now, double lowest_slowness, WaitingTask* it) {
+  if (it->is_late || it->task->estimate.count() <= 0) return;
+  // The fast minions may be those on which the task has failed.
+  if (!it->task->failed_minions.empty()) return;
+  using Microseconds = std::chrono::duration<double, std::micro>;
+  const double remaining_us = Microseconds{it->job->goal_at - now.boot}.count();
+  const double max_slowness =
+      remaining_us / Microseconds{it->task->estimate}.count();
+  if (lowest_slowness <= max_slowness) it->max_slowness = max_slowness;
+}
+
 bool HasFailedOn(const TaskRow& task, const std::string& minion) {
   const auto& failed = task.failed_minions;
   return std::find(failed.begin(), failed.end(), minion) != failed.end();
@@ -68,7 +97,8 @@
   double best_cost = 0;
   for (Candidate& it : *candidates) {
     if (!Fits(waiting.task->needs, it.free) ||
-        it.agent->hello->service != waiting.job->service) {
+        it.agent->hello->service != waiting.job->service ||
+        it.cost > waiting.max_slowness) {
       continue;
     }
     double cost = it.cost;
@@ -124,11 +154,17 @@
 EntryChanges PlaceTasks(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   if (board.waiting_tasks.empty()) return changes;
-  const auto waiting = CollectWaitingTasks(board, now);
+  auto waiting = CollectWaitingTasks(board, now);
   if (waiting.empty()) return changes;
   std::vector<Candidate> candidates = CollectCandidates(board);
   std::map<std::uint64_t, const JobRow*> started_jobs;
-  for (const WaitingTask& it : waiting) {
+  std::map<std::string, double> lowest_slowness;
+  for (WaitingTask& it : waiting) {
+    const std::string& service = it.job->service;
+    if (!lowest_slowness.contains(service)) {
+      lowest_slowness[service] = FindLowestSlowness(board, service);
+    }
+    SetMaxSlowness(now, lowest_slowness[service], &it);
     Candidate* candidate = ChooseCandidate(&candidates, it);
     if (candidate == nullptr) continue;
     PlaceTask(it, candidate, now, &changes);
--- a/tests/pool/entry_links_test.cpp
+++ b/tests/pool/entry_links_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
 
 #include "pool/entry_fixture.h"
 
@@ -54,6 +56,40 @@
             .size() == 1);
 }
 
+TEST_CASE("A task waits for a minion that can meet its goal",
+          "[pool][entry][placement]") {
+  // Pattern: minions that turn slow while the others are full. Guards against
+  // jobs that are late for certain because a slow minion has room, and against
+  // tasks that wait although no minion could meet their goal.
+  struct Row {
+    const char* name;
+    // Ratios of run time to estimate; the first minion is full.
+    double full_minion;
+    double free_minion;
+    milliseconds age;
+    std::size_t starts;
+  };
+  // The goal is 260 ms after the submission, the estimate 100 ms.
+  const auto row = GENERATE(values<Row>({
+      {"fast enough", 1, 2, milliseconds{0}, 1},
+      {"too slow", 1, 8, milliseconds{0}, 0},
+      {"too slow by now", 1, 2, milliseconds{80}, 0},
+      {"no minion is fast enough", 8, 8, milliseconds{0}, 1},
+      {"already late", 1, 8, milliseconds{170}, 1},
+  }));
+  CAPTURE(row.name);
+  EntryFixture entry;
+  entry.AddAgent(1, "full", ResourcesFor(0), std::log(row.full_minion));
+  entry.Submit(1, 1);
+  entry.AdvanceTime(row.age);
+  entry.AddAgent(2, "free", ResourcesFor(1), std::log(row.free_minion));
+  const auto& tasks = entry.board.tasks;
+  const auto started = std::count_if(
+      tasks.begin(), tasks.end(),
+      [](const auto& it) { return it.second.state == TaskState::kPlaced; });
+  CHECK(static_cast<std::size_t>(started) == row.starts);
+}
+
 TEST_CASE("A peer entry is offered each configuration once",
           "[pool][entry][config]") {
   // Guards against entries that the store refuses to serve and that never get a
