--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -85,6 +85,14 @@
         ("changes.Add(SetFencingToken{NextFencingToken(board, now)});\n"
          'changes.Add(MinionDecision(report, "minion_restarted"));',
          'changes.Add(MinionDecision(report, "minion_restarted"));')]),
+    ("pool_unreadable_rows", POOL_AGENT + "polls.cpp", [
+        ("} else if (e.refused_rows == 0 || run.phase == RunPhase::kStopping) {",
+         "} else {")]),
+    ("pool_surplus_links", POOL_AGENT + "links.cpp", [
+        ("if (!link.surplus_since || HasRuns(board, id)) continue;",
+         "if (!link.surplus_since) continue;")]),
+    ("pool_wait_for_a_fast_minion", POOL_ENTRY + "placement.cpp", [
+        ("it.cost > waiting.max_slowness", "it.cost < 0")]),
     ("pool_pause_of_an_agent", POOL_AGENT + "advance.cpp", [
         ("if (paused_) return;", "")]),
     ("pool_true_refusals", POOL_ENTRY + "outcomes.cpp", [
--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -1,11 +1,12 @@
 """Randomized soak test of a pool of real processes: soak.py BUILD SEED [SECONDS].
 
 Injects overlapping faults of all kinds: signals to the processes, faults of the minions
-and of the store, and proxies before the store, the minions and the entries that delay
-traffic, block one or both directions or reset connections. The stand-ins check
-throughout that no task has two runs at once, that no minion exceeds its capacity and
-that no refused job has run. No process may exit by itself, and after the faults all
-jobs must complete. Equal seeds give equal faults; the timing of the processes differs.
+and of the store, input that no process can use, and proxies before the store, the
+minions and the entries that delay traffic, block one or both directions or reset
+connections. The stand-ins check throughout that no task has two runs at once, that no
+minion exceeds its capacity and that no refused job has run. No process may exit by
+itself, and after the faults all jobs must complete. Equal seeds give equal faults; the
+timing of the processes differs.
 """
 
 import asyncio
@@ -14,8 +15,10 @@
 import sys
 import time
 
+import odd_input
 from cell import LoadGenerator, Cell
 from proxy import FROM_TARGET, TO_TARGET
+from web import call_json
 
 # Mean time between the starts of two faults, and the range of their durations.
 FAULT_INTERVAL_S = 0.5
@@ -62,7 +65,10 @@
 
     def minion_fault(self):
         minion = self.random.choice(self.cell.minions)
-        kind = self.random.choice(["crash", "silence", "lose_answers", "drain"])
+        kind = self.random.choice(
+            ["crash", "silence", "lose_answers", "drain", "odd_rows", "odd_report"]
+        )
+        odd_report = self.random.choice(odd_input.reports())
         actions = {
             "crash": lambda: minion.crash(self.random_duration()),
             "silence": lambda: set_temporarily(
@@ -74,12 +80,19 @@
             "drain": lambda: set_temporarily(
                 minion, "draining", True, False, self.random_duration()
             ),
+            "odd_rows": lambda: set_temporarily(
+                minion, "odd_rows", odd_input.RUN_ROWS, [], self.random_duration()
+            ),
+            "odd_report": lambda: send_odd_report(minion, odd_report),
         }
         return f"{kind} of {minion.host}", minion, actions[kind]
 
     def store_fault(self):
         store = self.cell.store
-        kind = self.random.choice(["down", "silent", "leases", "history", "config"])
+        kind = self.random.choice(
+            ["down", "silent", "leases", "history", "config", "odd_item"]
+        )
+        odd_item = self.random.choice(odd_input.store_items())
         actions = {
             "down": lambda: set_temporarily(
                 store, "mode", "down", "up", self.random_duration()
@@ -90,6 +103,7 @@
             "leases": lambda: end_all_leases(store),
             "history": lambda: discard_history(store),
             "config": lambda: add_queue_to_config(self.cell),
+            "odd_item": lambda: put_odd_item(store, odd_item),
         }
         return f"store: {kind}", store, actions[kind]
 
@@ -150,6 +164,15 @@
     store.server.abort_connections()
 
 
+async def put_odd_item(store, text):
+    store.put_odd_item(odd_input.ENTRY_PREFIX, text)
+
+
+async def send_odd_report(minion, text):
+    path = "/-/instances/odd/heartbeat"
+    await call_json(minion.agent, "POST", path, text.encode(), timeout=1.0)
+
+
 async def add_queue_to_config(cell):
     cell.write_config("q", f"more-{cell.config_version}")
 
