Satisfy the linter in the new readers

clang-tidy found a copy that a non-const variable avoids, and two local constants with the names of global ones.

--- a/apps/pool_common/store_watches.cpp
+++ b/apps/pool_common/store_watches.cpp
@@ -25,8 +25,8 @@
 
 // An address of an entry that other processes can connect to.
 std::optional<Endpoint> ParseEntryAddress(const std::string& value) {
-  const auto endpoint = ParseEndpoint(value);
-  if (!endpoint || endpoint->port == 0) return std::nullopt;
+  auto endpoint = ParseEndpoint(value);
+  if (endpoint && endpoint->port == 0) endpoint.reset();
   return endpoint;
 }
 
--- a/src/json/bounded_json.cpp
+++ b/src/json/bounded_json.cpp
@@ -19,6 +19,9 @@
 // Id of the JSON library's error for a number that does not fit a double.
 constexpr int kNumberOverflowErrorId = 406;
 
+constexpr std::string_view kNumberCharacters = "0123456789+-.eE";
+constexpr std::string_view kNull = "null";
+
 JsonError TooLargeError(const std::string& problem) {
   return {JsonErrorKind::kTooLarge, "",
           "the text " + problem + "; send less at a time"};
@@ -157,8 +160,6 @@
 // Replaces numbers that do not fit a double by null. The shortest of them,
 // such as 1e309, has more characters than null.
 std::string ReplaceTooLargeNumbers(std::string text) {
-  constexpr std::string_view kNumberCharacters = "0123456789+-.eE";
-  constexpr std::string_view kNull = "null";
   std::size_t n = 0;
   while (n < text.size()) {
     if (text[n] == '"') {
