Refuse reports without a capacity and with labels of another type

Such a report names no minion to use, but would have replaced the known one.

The test no longer allows an empty capacity; a row for a missing memory and one for a label of another type are new.

--- a/tests/users_platform/odd_input_test.cpp
+++ b/tests/users_platform/odd_input_test.cpp
@@ -103,13 +103,12 @@
   const auto field = GENERATE("service", "address", "zone", "state", "sequence",
                               "clock_ms", "born", "capacity", "labels");
   const auto value = OddValue();
-  const bool is_allowed = (std::string(field) == "labels" && value == "[]") ||
-                          (std::string(field) == "capacity" && value == "{}");
+  const bool is_allowed = std::string(field) == "labels" && value == "[]";
   CAPTURE(field, value.substr(0, 80));
   const std::string body =
       R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"ready",)"
       R"("sequence":4,"clock_ms":1,"born":1700,"labels":["a","r1"],)"
-      R"("capacity":{"cpu":1},")" +
+      R"("capacity":{"cpu":1,"task_memory_mb":1},")" +
       std::string(field) + R"(":)" + value + "}";
   CHECK(ParseMinionReport("i-1", body).has_value() == is_allowed);
 }
@@ -121,23 +120,25 @@
     const char* field;
     const char* value;
   };
-  const auto row =
-      GENERATE(values<Row>({{"address", R"("10.0.0.9:65536")"},
-                            {"address", R"("10.0.0.9:0")"},
-                            {"address", R"("10.0.0.9:-1")"},
-                            {"address", R"("10.0.0.9:99999999999999999999")"},
-                            {"address", R"("10.0.0.9")"},
-                            {"address", R"("[::1:8080")"},
-                            {"sequence", "9007199254740993"},
-                            {"born", "9223372036854775808"},
-                            {"capacity", R"({"cpu":-5})"},
-                            {"capacity", R"({"cpu":9223372036854775807})"},
-                            {"capacity", R"({"task_memory_mb":1e999})"},
-                            {"capacity", R"({"gpu":4294967296000})"}}));
+  const auto row = GENERATE(values<Row>(
+      {{"address", R"("10.0.0.9:65536")"},
+       {"address", R"("10.0.0.9:0")"},
+       {"address", R"("10.0.0.9:-1")"},
+       {"address", R"("10.0.0.9:99999999999999999999")"},
+       {"address", R"("10.0.0.9")"},
+       {"address", R"("[::1:8080")"},
+       {"sequence", "9007199254740993"},
+       {"born", "9223372036854775808"},
+       {"capacity", R"({"cpu":1})"},
+       {"capacity", R"({"cpu":-5,"task_memory_mb":1})"},
+       {"capacity", R"({"cpu":9223372036854775807,"task_memory_mb":1})"},
+       {"capacity", R"({"cpu":1,"task_memory_mb":1e999})"},
+       {"capacity", R"({"cpu":1,"task_memory_mb":1,"gpu":4294967296000})"},
+       {"labels", R"(["a","r1",7])"}}));
   CAPTURE(row.field, row.value);
   const std::string body =
       R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"ready",)"
-      R"("sequence":4,"capacity":{"cpu":1},")" +
+      R"("sequence":4,"capacity":{"cpu":1,"task_memory_mb":1},")" +
       std::string(row.field) + R"(":)" + row.value + "}";
   CHECK_FALSE(ParseMinionReport("i-1", body));
 }
