Log crashes of minions with the runs that were on them

The logs could not tell the hypotheses of the incident apart: no line said that a minion had crashed, which runs it had and how old they were, and the agent's run_ended named no minion.

The agent writes minion_crashed with the evidence, the minion's instance and its runs, when their lease has lapsed after failed polls or when another instance reports; decisions_total counts it.

--- /dev/null
+++ b/src/core/pool/agent/crashes.cpp
@@ -0,0 +1,42 @@
+#include "core/pool/agent/crashes.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+// Bounds the length of a log line.
+constexpr std::size_t kMaxLoggedTasks = 32;
+
+// Returns the tasks at work, each with the age of its run, such as
+// "5c0e7a21d94b36f8.0.1 9 ms, 5c0e7a21d94b36f8.0.2 104 ms".
+std::string DescribeRuns(const AgentBoard& board, const Now& now) {
+  std::string text;
+  std::size_t count = 0;
+  for (const auto& [key, run] : board.runs) {
+    if (++count > kMaxLoggedTasks) break;
+    if (!text.empty()) text += ", ";
+    text += ToText(key.task) + " " +
+            std::to_string(ToMilliseconds(now.boot - run.started_at)) + " ms";
+  }
+  return text;
+}
+
+}  // namespace
+
+AgentChanges RecordCrash(const AgentBoard& board, const std::string& evidence,
+                         const Now& now) {
+  AgentChanges changes;
+  if (!board.minion || board.runs.empty()) return changes;
+  const MinionReport& minion = *board.minion;
+  changes.Add(
+      Decision{Severity::kStateChange,
+               "minion_crashed",
+               0,
+               {{"minion", minion.id},
+                {"reason", evidence},
+                {"tasks", DescribeRuns(board, now)}},
+               {{"started_ms", static_cast<std::int64_t>(minion.started_ms)},
+                {"runs", static_cast<std::int64_t>(board.runs.size())}}});
+  return changes;
+}
+
+}  // namespace dottereltrack::pool
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "core/pool/agent/capacity.h"
+#include "core/pool/agent/crashes.h"
 #include "core/pool/agent/fencing.h"
 #include "core/pool/agent/runs.h"
 
@@ -35,6 +36,12 @@
            {"started_ms", static_cast<std::int64_t>(minion.started_ms)}}};
 }
 
+// Records a crash if the known instance has not announced its end.
+AgentChanges RecordReplacement(const AgentBoard& board, const Now& now) {
+  if (!board.minion || board.minion->draining) return {};
+  return RecordCrash(board, "another instance of the minion has started", now);
+}
+
 // Handles a restart of the minion under the same id. The new process accepts
 // calls that were sent to the previous one, so it may hold some of the runs;
 // the next poll shows which. That poll also carries a higher fencing token, so
@@ -43,7 +50,7 @@
 AgentChanges AdoptRestartedInstance(const AgentBoard& board,
                                     const MinionReport& report,
                                     const Now& now) {
-  AgentChanges changes;
+  AgentChanges changes = RecordReplacement(board, now);
   for (const auto& [key, run] : board.runs) {
     if (run.phase != RunPhase::kRunning) continue;
     RunRow row = run;
@@ -68,8 +75,9 @@
 
 AgentChanges AdoptNewInstance(const AgentBoard& board,
                               const MinionReport& report, const Now& now) {
-  AgentChanges changes = EndAllRunsAsLost(
-      board, "another instance of the minion has started", now);
+  AgentChanges changes = RecordReplacement(board, now);
+  changes.Append(EndAllRunsAsLost(
+      board, "another instance of the minion has started", now));
   PollState poll;
   // Responses to polls of the previous instance are recognised by their
   // sequence number and ignored.
@@ -335,9 +343,16 @@
       now.boot < board.poll.lease_ends_at) {
     return {};
   }
+  AgentChanges changes;
+  // A single failure may be due to a pause of this process. A draining minion
+  // ends on its own.
+  if (board.poll.failures > 1 && !board.minion->draining) {
+    changes = RecordCrash(board, "no answer until the lease lapsed", now);
+  }
   // An unanswered start carries its own lease, which has expired as well.
-  return EndAllRunsAsLost(
-      board, "no answer of the minion until the lease lapsed", now);
+  changes.Append(EndAllRunsAsLost(
+      board, "no answer of the minion until the lease lapsed", now));
+  return changes;
 }
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -258,6 +258,7 @@
       end == RunEnd::kDone ? Severity::kRoutine : Severity::kFailure;
   Decision decision = RunDecision(run.key, severity, "run_ended", reason);
   decision.texts.emplace_back("end", ToString(end));
+  if (board.minion) decision.texts.emplace_back("minion", board.minion->id);
   decision.numbers.emplace_back("duration_ms", duration.count());
   decision.numbers.emplace_back("estimate_ms", run.estimate.count());
   changes.Add(std::move(decision));
