--- a/tests/support/fake_minion.cpp
+++ b/tests/support/fake_minion.cpp
@@ -18,6 +18,13 @@
 constexpr std::int64_t kMaxStopMs = 50;
 constexpr std::int64_t kInitialClockMs = 1'000;
 constexpr milliseconds kFailureDelay{1};
+constexpr milliseconds kCrashDelay{9};
+constexpr milliseconds kRestartDelay{3'000};
+// The platform's rule: a task may crash three minions, and is started less than
+// three times after that.
+constexpr int kMaxCrashes = 3;
+constexpr int kMaxStartsAfterCrashes = 2;
+constexpr const char* kCrashWord = "crash";
 
 struct Work {
   milliseconds duration{0};
@@ -32,6 +39,11 @@
   return {milliseconds{duration_ms}, cpu_millis};
 }
 
+bool CrashesMinion(const pool::TaskKey& task, const std::string& payload) {
+  return task.step == 0 && task.index == 0 &&
+         payload.find(kCrashWord) != std::string::npos;
+}
+
 }  // namespace
 
 void RunLedger::Begin(const RunKey& run, const std::string& minion) {
@@ -45,6 +57,12 @@
         std::to_string(it->second.number) + " on " + it->second.minion);
   }
   live[run.task] = {minion, run.number};
+  const auto crashed = crashes.find(run.task);
+  if (crashed == crashes.end() || crashed->second < kMaxCrashes) return;
+  if (++starts_after_third_crash_[run.task] <= kMaxStartsAfterCrashes) return;
+  violations.push_back("task " + ToText(run.task) + ": started again after " +
+                       std::to_string(crashed->second) +
+                       " minions have crashed under it");
 }
 
 void RunLedger::End(const RunKey& run) {
@@ -151,6 +169,11 @@
   runs_[task] = run;
   ledger_->Begin(call.run, options_.name);
   CheckCapacity();
+  if (CrashesMinion(task, *call.payload)) {
+    clock_->ScheduleAfter(
+        kCrashDelay, [this, task, epoch = epoch_] { CrashUnder(task, epoch); });
+    return CallAnswer::kAccepted;
+  }
   const BootTime ends_after = failing_ ? BootTime{kFailureDelay} : run.duration;
   const RunEnd end = failing_ ? RunEnd::kFailed : RunEnd::kDone;
   clock_->ScheduleAfter(ends_after, [this, key = run.key, end, epoch = epoch_] {
@@ -260,6 +283,15 @@
   clock_->ScheduleAfter(call.wait, answer);
 }
 
+void FakeMinion::CrashUnder(const pool::TaskKey& task, std::uint64_t epoch) {
+  if (epoch != epoch_ || runs_.count(task) == 0) return;
+  ++ledger_->crashes[task];
+  Crash();
+  clock_->ScheduleAfter(kRestartDelay, [this, crashed = epoch_] {
+    if (crashed == epoch_) Recover(false);
+  });
+}
+
 void FakeMinion::Crash() {
   ++epoch_;
   mode_ = MinionMode::kDown;
--- a/tests/support/fake_minion.h
+++ b/tests/support/fake_minion.h
@@ -21,6 +21,8 @@
     std::uint64_t number = 0;
   };
   std::map<pool::TaskKey, LiveRun> live;
+  // Number of minions that each task has crashed.
+  std::map<pool::TaskKey, int> crashes;
   std::uint64_t starts = 0;
   std::vector<std::string> violations;
 
@@ -31,6 +33,7 @@
 
  private:
   std::map<std::uint64_t, int> begun_jobs_;
+  std::map<pool::TaskKey, int> starts_after_third_crash_;
 };
 
 struct FakeMinionOptions {
@@ -103,6 +106,7 @@
   void CheckLease(std::uint64_t epoch);
   void Finish(const pool::RunKey& run, pool::RunEnd end, std::uint64_t epoch);
   void CheckCapacity();
+  void CrashUnder(const pool::TaskKey& task, std::uint64_t epoch);
   pool::CallAnswer DoStart(const pool::CallStart& call);
   pool::CallAnswer DoStop(const pool::CallStop& call);
   pool::PollAnswered ListRuns(const pool::CallPoll& call) const;
--- a/tests/support/pool_schedule.cpp
+++ b/tests/support/pool_schedule.cpp
@@ -21,14 +21,19 @@
 constexpr std::int64_t kTaskCpuMillis = 6'000;
 constexpr int kJobsAfterFaults = 6;
 
-const char* const kStepNames[] = {
-    "submit",       "leave_call",  "kill",         "power_off",
-    "restart",      "freeze",      "thaw",         "stop",
-    "cut",          "cut_one_way", "heal_cuts",    "reset_links",
-    "crash_minion", "recover",     "recover_same", "silence_minion",
-    "wake_minion",  "failing",     "slow",         "drain",
-    "lose_answers", "delay_calls", "store_down",   "store_up",
-    "change_config"};
+const char* const kStepNames[] = {"submit",         "submit_crashing",
+                                  "leave_call",     "kill",
+                                  "power_off",      "restart",
+                                  "freeze",         "thaw",
+                                  "stop",           "cut",
+                                  "cut_one_way",    "heal_cuts",
+                                  "reset_links",    "crash_minion",
+                                  "recover",        "recover_same",
+                                  "silence_minion", "wake_minion",
+                                  "failing",        "slow",
+                                  "drain",          "lose_answers",
+                                  "delay_calls",    "store_down",
+                                  "store_up",       "change_config"};
 static_assert(std::size(kStepNames) == kPoolStepKinds);
 
 bool IsRefusal(ReplyKind kind) {
@@ -141,9 +146,10 @@
     job->call = pool_.Submit(job->entry, job->spec, left);
   }
 
-  void Submit(int entry, std::uint32_t tasks) {
+  void Submit(int entry, std::uint32_t tasks, bool crashes_minions = false) {
+    const auto make_job = crashes_minions ? &MakeCrashingJob : &MakeJob;
     ClientJob job;
-    job.spec = MakeJob(jobs_.size() + 1, tasks, kTaskDuration, kTaskCpuMillis);
+    job.spec = make_job(jobs_.size() + 1, tasks, kTaskDuration, kTaskCpuMillis);
     job.entry = entry;
     job.gives_up_at = pool_.now() + kClientTimeout;
     job.call = pool_.Submit(entry, job.spec, kClientTimeout);
@@ -164,6 +170,9 @@
       case PoolStepKind::kSubmit:
         return Submit(static_cast<int>(step.operand_a % schedule_.entries),
                       1 + step.operand_b % 6);
+      case PoolStepKind::kSubmitCrashing:
+        return Submit(static_cast<int>(step.operand_a % schedule_.entries),
+                      1 + step.operand_b % 6, true);
       case PoolStepKind::kLeaveCall:
         return LeaveCall(step.operand_a);
       case PoolStepKind::kKill:
--- a/tests/support/pool_schedule.h
+++ b/tests/support/pool_schedule.h
@@ -12,6 +12,7 @@
 // Kinds of steps of a schedule: faults, recoveries and client actions.
 enum class PoolStepKind {
   kSubmit,
+  kSubmitCrashing,
   kLeaveCall,
   kKill,
   kPowerOff,
@@ -64,8 +65,9 @@
 
 // Runs the schedule, ends all faults, and checks the guarantees: no concurrent
 // runs of a task, no minion over its capacity, no refused job that has begun,
-// no return to an older configuration, and full service after the faults.
-// Returns the violations; empty if there are none.
+// no task that crashes minion after minion, no return to an older
+// configuration, and full service after the faults. Returns the violations;
+// empty if there are none.
 std::vector<std::string> RunPoolSchedule(const PoolSchedule& schedule);
 
 }  // namespace dottereltrack::testing
--- a/tests/support/test_pool.cpp
+++ b/tests/support/test_pool.cpp
@@ -50,6 +50,13 @@
   return job;
 }
 
+JobSpec MakeCrashingJob(std::uint64_t id, std::uint32_t count,
+                        milliseconds duration, std::int64_t cpu_millis) {
+  JobSpec job = MakeJob(id, count, duration, cpu_millis);
+  job.payload = *job.payload + " crash";
+  return job;
+}
+
 TestPool::TestPool(const PoolOptions& options)
     : options_(options), random_(options.seed) {
   config_ = {1, {options_.queue}};
--- a/tests/support/test_pool.h
+++ b/tests/support/test_pool.h
@@ -206,5 +206,8 @@
 // Creates a job of `count` equal tasks, each with a duration of `length`.
 pool::JobSpec MakeJob(std::uint64_t id, std::uint32_t count,
                       milliseconds duration, std::int64_t cpu_millis);
+// Creates such a job whose first task crashes each minion that starts it.
+pool::JobSpec MakeCrashingJob(std::uint64_t id, std::uint32_t count,
+                              milliseconds duration, std::int64_t cpu_millis);
 
 }  // namespace dottereltrack::testing
