Give up a task after two crashed minions, on all entries

Callers saw most of their jobs refused or timed out for as long as a few jobs crashed the minions that ran them.

Cause: a run that ends with its minion counted as an attempt nowhere. The entry returned its task to the waiting tasks and started it again elsewhere, until the caller's timeout. The class of the fault is a retry without a budget; an outcome whose cause is unknown was taken for the minion's fault.

The agent reports a crash with the tasks that had a run on the minion to its entries before the ends of these runs, entries pass new reports on, and all send the recent ones over new links. An entry fails a job when two minions have crashed under one of its tasks, and answers a further submission of it at once. The count is not kept with the job, since the client of an entry that was killed submits the job to another one. Ruled out: the platform's store, which is away for seconds at a time, and max_attempts, which cover ends that a minion reports.

Open: bystanders of two crashes are failed with the cause.

--- a/apps/pool_entry/state_dump.cpp
+++ b/apps/pool_entry/state_dump.cpp
@@ -77,6 +77,15 @@
           {"unreported_starts", agent.unreported_starts.size()}};
 }
 
+json RowToJson(const MinionCrash& crash, const Now& now) {
+  json tasks = json::array();
+  for (const TaskKey& task : crash.tasks) tasks.push_back(ToText(task));
+  return {{"minion", crash.minion.id},
+          {"started_ms", crash.minion.started_ms},
+          {"crashed_ms_ago", AgeMs(crash.crashed_at, now)},
+          {"tasks", std::move(tasks)}};
+}
+
 }  // namespace
 
 std::string DumpState(const EntryBoard& board, const Now& now) {
@@ -89,6 +98,7 @@
       {"jobs", TableToJson(board.jobs, now, &RowToJson)},
       {"tasks", TableToJson(board.tasks, now, &RowToJson)},
       {"agents", TableToJson(board.agents, now, &RowToJson)},
+      {"crashes", TableToJson(board.crashes, now, &RowToJson)},
       {"links", TableToJson(board.links, now, &RowToJson)},
       {"entries", TableToJson(board.peers, now, &KnownEntryToJson)}};
   return dump.dump() + "\n";
--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/pool/agent/crashes.h"
 #include "core/pool/agent/links.h"
 #include "core/pool/agent/polls.h"
 #include "core/pool/agent/runs.h"
@@ -78,6 +79,7 @@
     ApplyChanges(AbortSilentEntryLinks(*board_, now_));
     ApplyChanges(CloseSurplusLinks(*board_, now_));
     ApplyChanges(StopStalledRuns(*board_, now_));
+    ApplyChanges(ForgetOldCrashes(*board_, now_));
     ApplyChanges(PingIdleEntryLinks(*board_, now_));
     ExitWhenIdle();
   }
--- a/src/core/pool/agent/apply.cpp
+++ b/src/core/pool/agent/apply.cpp
@@ -8,6 +8,12 @@
 
   void operator()(const Put<RunRow>& it) const { board->runs.Put(it.row); }
   void operator()(const Erase<RunRow>& it) const { board->runs.Erase(it.key); }
+  void operator()(const Put<MinionCrash>& it) const {
+    board->crashes.Put(it.row);
+  }
+  void operator()(const Erase<MinionCrash>& it) const {
+    board->crashes.Erase(it.key);
+  }
   void operator()(const Put<EntryLinkRow>& it) const {
     board->links.Put(it.row);
   }
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -143,6 +143,8 @@
   // processes.
   std::uint64_t fencing_token = 0;
   Table<RunRow> runs;
+  // Recent crashes of the minion's instances.
+  Table<MinionCrash> crashes;
   Table<EntryLinkRow> links;
   Table<KnownEntry> entries;
   bool stopping = false;
--- a/src/core/pool/agent/changes.h
+++ b/src/core/pool/agent/changes.h
@@ -30,10 +30,10 @@
 };
 
 using AgentRowChange =
-    std::variant<Put<RunRow>, Erase<RunRow>, Put<EntryLinkRow>,
-                 Erase<EntryLinkRow>, Put<KnownEntry>, Erase<KnownEntry>,
-                 SetMinion, SetClock, SetPollState, SetHealth, SetFencingToken,
-                 SetAgentStopping>;
+    std::variant<Put<RunRow>, Erase<RunRow>, Put<MinionCrash>,
+                 Erase<MinionCrash>, Put<EntryLinkRow>, Erase<EntryLinkRow>,
+                 Put<KnownEntry>, Erase<KnownEntry>, SetMinion, SetClock,
+                 SetPollState, SetHealth, SetFencingToken, SetAgentStopping>;
 
 struct SendToEntry {
   LinkId link;
--- a/src/core/pool/agent/crashes.cpp
+++ b/src/core/pool/agent/crashes.cpp
@@ -1,5 +1,7 @@
 #include "core/pool/agent/crashes.h"
 
+#include "core/pool/agent/links.h"
+
 namespace dottereltrack::pool {
 namespace {
 
@@ -20,6 +22,14 @@
   return text;
 }
 
+// Returns the crash of the current instance with all runs as possible causes.
+MinionCrash MakeCrash(const AgentBoard& board, const Now& now) {
+  const MinionInstance instance{board.minion->id, board.minion->started_ms};
+  CrashReport report{instance, {}, milliseconds{0}};
+  for (const auto& [key, run] : board.runs) report.tasks.push_back(key.task);
+  return MergeCrashReport(board.crashes.Find(instance), report, now);
+}
+
 }  // namespace
 
 AgentChanges RecordCrash(const AgentBoard& board, const std::string& evidence,
@@ -36,6 +46,22 @@
                 {"tasks", DescribeRuns(board, now)}},
                {{"started_ms", static_cast<std::int64_t>(minion.started_ms)},
                 {"runs", static_cast<std::int64_t>(board.runs.size())}}});
+  const MinionCrash crash = MakeCrash(board, now);
+  changes.Add(Put<MinionCrash>{crash});
+  AgentHello hello = MakeHello(board);
+  hello.crashes = {MakeCrashReport(crash, now)};
+  for (const auto& [id, link] : board.links) {
+    changes.Add(SendToEntry{id, hello});
+  }
+  return changes;
+}
+
+AgentChanges ForgetOldCrashes(const AgentBoard& board, const Now& now) {
+  AgentChanges changes;
+  for (const MinionInstance& minion :
+       FindOldCrashes(board.crashes, board.settings.crash_retention, now)) {
+    changes.Add(Erase<MinionCrash>{minion});
+  }
   return changes;
 }
 
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 #include "core/pool/agent/capacity.h"
 #include "core/pool/agent/health.h"
@@ -11,19 +12,6 @@
 namespace dottereltrack::pool {
 namespace {
 
-AgentHello MakeHello(const AgentBoard& board) {
-  AgentHello hello;
-  hello.agent = board.settings.id;
-  if (!board.minion) return hello;
-  const MinionReport& minion = *board.minion;
-  hello.minion = minion.id;
-  hello.service = minion.service;
-  hello.data_centre = minion.data_centre;
-  hello.rack = minion.rack;
-  hello.capacity = minion.capacity;
-  return hello;
-}
-
 bool IsSettled(const AgentBoard& board, const EntryLinkRow& link) {
   if (!board.poll.has_inventory) return false;
   return std::none_of(
@@ -88,6 +76,19 @@
 
 }  // namespace
 
+AgentHello MakeHello(const AgentBoard& board) {
+  AgentHello hello;
+  hello.agent = board.settings.id;
+  if (!board.minion) return hello;
+  const MinionReport& minion = *board.minion;
+  hello.minion = minion.id;
+  hello.service = minion.service;
+  hello.data_centre = minion.data_centre;
+  hello.rack = minion.rack;
+  hello.capacity = minion.capacity;
+  return hello;
+}
+
 AgentChanges AddEntries(const AgentBoard& board,
                         const std::vector<Endpoint>& entries,
                         EntrySource source, const Now& now) {
@@ -141,7 +142,9 @@
   link.last_received_at = now.boot;
   link.last_sent_at = now.boot;
   changes.Add(Put<EntryLinkRow>{link});
-  changes.Add(SendToEntry{*e.link, MakeHello(board)});
+  AgentHello hello = MakeHello(board);
+  hello.crashes = MakeCrashReports(board.crashes, now);
+  changes.Add(SendToEntry{*e.link, std::move(hello)});
   return changes;
 }
 
--- a/src/core/pool/agent/links.h
+++ b/src/core/pool/agent/links.h
@@ -5,6 +5,9 @@
 
 namespace dottereltrack::pool {
 
+// Describes the minion to an entry; without its crashes.
+AgentHello MakeHello(const AgentBoard& board);
+
 AgentChanges AddEntries(const AgentBoard& board,
                         const std::vector<Endpoint>& entries,
                         EntrySource source, const Now& now);
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -61,6 +61,8 @@
   double suspension_failure_share = 0.45;
   milliseconds first_suspension_duration{500};
   milliseconds max_suspension_duration{4'000};
+  // As in EntrySettings.
+  milliseconds crash_retention{60'000};
   // The process exits at the latest this long after a stop request, before the
   // platform's grace period of 6 s expires.
   milliseconds max_shutdown_time{5'500};
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/pool/entry/crashes.h"
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/placement.h"
@@ -22,6 +23,7 @@
   }
 
   void RunControllers() {
+    ApplyChanges(FailCrashingJobs(*board_, now_));
     ApplyChanges(PlaceTasks(*board_, now_));
     ApplyChanges(DialPeers(*board_, now_));
     ApplyChanges(OfferConfig(*board_));
@@ -83,6 +85,7 @@
   void OnEvent(const EntryTick&) {
     ApplyChanges(AbortSilentLinks(*board_, now_));
     ApplyChanges(CheckTimeLimits(*board_, now_));
+    ApplyChanges(ForgetOldCrashes(*board_, now_));
     ApplyChanges(PingIdleLinks(*board_, now_));
     ExitWhenIdle();
   }
@@ -103,6 +106,7 @@
 
   void OnMessage(LinkId link, const AgentHello& message) {
     ApplyChanges(HandleAgentHello(*board_, link, message, now_));
+    ApplyChanges(HandleCrashReports(*board_, message.crashes, now_));
   }
   void OnMessage(LinkId link, const LoadReport& message) {
     ApplyChanges(HandleLoadReport(*board_, link, message, now_));
@@ -116,6 +120,7 @@
   void OnMessage(LinkId, const EntryHello& message) {
     ApplyChanges(
         AddPeers(*board_, message.known_entries, EntrySource::kHint, now_));
+    ApplyChanges(HandleCrashReports(*board_, message.crashes, now_));
   }
   void OnMessage(LinkId, const KnownEntries& message) {
     ApplyChanges(AddPeers(*board_, message.entries, EntrySource::kHint, now_));
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -27,6 +27,15 @@
   }
 }
 
+void RemoveFromCrashCounts(EntryBoard* board, const MinionInstance& minion) {
+  const MinionCrash* crash = board->crashes.Find(minion);
+  if (crash == nullptr) return;
+  for (const TaskKey& task : crash->tasks) {
+    const auto it = board->crash_counts.find(task);
+    if (--it->second == 0) board->crash_counts.erase(it);
+  }
+}
+
 struct Applier {
   EntryBoard* board;
 
@@ -63,6 +72,15 @@
   void operator()(const Erase<KnownEntry>& it) const {
     board->peers.Erase(it.key);
   }
+  void operator()(const Put<MinionCrash>& it) const {
+    RemoveFromCrashCounts(board, it.row.minion);
+    for (const TaskKey& task : it.row.tasks) ++board->crash_counts[task];
+    board->crashes.Put(it.row);
+  }
+  void operator()(const Erase<MinionCrash>& it) const {
+    RemoveFromCrashCounts(board, it.key);
+    board->crashes.Erase(it.key);
+  }
   void operator()(const SetConfig& it) const {
     board->config = it.config;
     board->config_text = it.text;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -128,11 +129,15 @@
   Table<LinkRow> links;
   // The other entries.
   Table<KnownEntry> peers;
+  // Recent crashes of minions, also those with runs of other entries.
+  Table<MinionCrash> crashes;
   // Indexes that `Apply` derives from the tables.
   std::set<std::uint64_t> active_jobs;
   std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
   std::set<TaskKey> waiting_tasks;
   std::set<TaskKey> lost_tasks;
+  // Number of crashes that a run of the task may have caused.
+  std::map<TaskKey, int> crash_counts;
   BootTime started_at{0};
   bool stopping = false;
   BootTime stopping_since{0};
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -20,8 +20,8 @@
 using EntryRowChange =
     std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
                  Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
-                 Put<KnownEntry>, Erase<KnownEntry>, SetConfig,
-                 SetEntryStopping>;
+                 Put<KnownEntry>, Erase<KnownEntry>, Put<MinionCrash>,
+                 Erase<MinionCrash>, SetConfig, SetEntryStopping>;
 
 // Kind of the reply to a client.
 enum class ReplyKind {
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/entry/links.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/pool/link_subset.h"
 
@@ -14,7 +15,7 @@
 }
 
 EntryHello MakeHello(const EntryBoard& board) {
-  return {board.settings.id, KnownEntriesOf(board)};
+  return {board.settings.id, KnownEntriesOf(board), {}};
 }
 
 // Returns the tasks whose runs were lost with an earlier link of the minion to
@@ -61,7 +62,10 @@
   AgentRow agent = known == nullptr ? AgentRow{} : *known;
   agent.link = link;
   if (agent.hello->minion != message.minion) agent.load = LoadReport{};
-  agent.hello = message;
+  AgentHello hello = message;
+  hello.crashes.clear();
+  agent.hello = std::move(hello);
+  if (known != nullptr && agent == *known) return changes;
   changes.Add(Put<AgentRow>{agent});
   if (known == nullptr) changes.Add(SendMessage{link, MakeHello(board)});
   changes.Add(AgentDecision(agent, "agent_known"));
@@ -139,7 +143,9 @@
       WithDialResult(*known, e.link, board.settings.dial_retry_delay, now)});
   if (!e.link) return changes;
   changes.Add(Put<LinkRow>{{*e.link, e.address, now.boot, now.boot, 0}});
-  changes.Add(SendMessage{*e.link, MakeHello(board)});
+  EntryHello hello = MakeHello(board);
+  hello.crashes = MakeCrashReports(board.crashes, now);
+  changes.Add(SendMessage{*e.link, std::move(hello)});
   changes.Add(Decision{Severity::kStateChange,
                        "entry_known",
                        0,
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -1,6 +1,9 @@
 #include "core/pool/entry/outcomes.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "core/pool/entry/crashes.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -132,10 +135,9 @@
   const JobRow* job = board.jobs.Find(task.key.job);
   if (job == nullptr || job->state != JobState::kActive) return;
   if (!counts_as_failure || !HasExhaustedAttempts(failed, *job)) return;
-  changes->Add(JobDecision(
-      *job, Severity::kFailure, "job_failed",
+  changes->Append(FailJob(
+      board, *job,
       "a task failed on " + std::to_string(minions.size()) + " minions", now));
-  EndJob(board, *job, JobState::kFailed, ReplyKind::kFailed, now, changes);
 }
 
 void ReturnToWaiting(const TaskRow& task, EntryChanges* changes) {
@@ -178,7 +180,11 @@
     CompleteTask(board, *task, now, &changes);
     return changes;
   }
-  changes.Add(RunDecision(*task, "run_ended", ToString(message.end), now));
+  Decision decision =
+      RunDecision(*task, "run_ended", ToString(message.end), now);
+  const int crashes = CountCrashes(board, task->key);
+  if (crashes > 0) decision.numbers.emplace_back("crashes", crashes);
+  changes.Add(std::move(decision));
   const bool failed = message.end == RunEnd::kFailed;
   if (failed || message.end == RunEnd::kStalled) {
     RecordFailedRun(board, *task, failed, now, &changes);
@@ -223,6 +229,14 @@
   return changes;
 }
 
+EntryChanges FailJob(const EntryBoard& board, const JobRow& job,
+                     const std::string& reason, const Now& now) {
+  EntryChanges changes;
+  changes.Add(JobDecision(job, Severity::kFailure, "job_failed", reason, now));
+  EndJob(board, job, JobState::kFailed, ReplyKind::kFailed, now, &changes);
+  return changes;
+}
+
 EntryChanges HandleCallerDisconnected(const EntryBoard& board, CallId call,
                                       const Now& now) {
   for (const std::uint64_t id : board.active_jobs) {
--- a/src/core/pool/entry/outcomes.h
+++ b/src/core/pool/entry/outcomes.h
@@ -17,6 +17,11 @@
                         ReplyKind reply, const std::string& reason,
                         const Now& now);
 
+// Replies to the job's callers that it has failed and stops its runs. `reason`
+// is for the log.
+EntryChanges FailJob(const EntryBoard& board, const JobRow& job,
+                     const std::string& reason, const Now& now);
+
 // Handle a caller that closed its connection or cancels its job.
 EntryChanges HandleCallerDisconnected(const EntryBoard& board, CallId call,
                                       const Now& now);
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -40,6 +40,11 @@
   milliseconds max_shutdown_time{5'600};
   // Outcomes of ended jobs are kept this long for repeated submissions.
   milliseconds outcome_retention{10'000};
+  // A job fails when this many minions have crashed with a run of one of its
+  // tasks. A single crash may have another cause.
+  int max_crashes_of_a_task = 2;
+  // Crashes are kept this long. A client submits a job again within seconds.
+  milliseconds crash_retention{60'000};
   // Delay between two attempts to connect to an entry.
   milliseconds dial_retry_delay{50};
   // As in AgentSettings.
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/pool/entry/crashes.h"
 #include "core/pool/entry/outcomes.h"
 
 namespace dottereltrack::pool {
@@ -25,6 +26,20 @@
   return changes;
 }
 
+// Replies to a job that another entry may have run that it has failed.
+EntryChanges FailAtOnce(const JobSubmitted& e, const QueueConfig& queue) {
+  EntryChanges changes;
+  changes.Add(Reply{e.call, ReplyKind::kFailed});
+  changes.Add(Decision{Severity::kFailure,
+                       "job_failed",
+                       e.job.id,
+                       {{"reason", "minions have crashed under a task before"},
+                        {"queue", queue.name},
+                        {"request", e.request_id}},
+                       {}});
+  return changes;
+}
+
 milliseconds LongestEstimate(const JobSpec& job) {
   milliseconds longest{0};
   for (const StepSpec& step : job.steps) {
@@ -167,6 +182,7 @@
   if (known != nullptr && known->state != JobState::kAbandoned) {
     return HandleRepeatedSubmission(*known, e, now);
   }
+  if (IsCrashingJob(board, e.job.id)) return FailAtOnce(e, *queue);
   if (board.stopping && !CanEndBeforeExit(board, e.job, now)) {
     return RefuseJob(e, ReplyKind::kStopping, kRetryAfter,
                      {.texts = {{"reason", "this process is stopping"}}});
--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/cell.h"
+#include "core/pool/minion_crash.h"
 #include "core/pool/task.h"
 
 namespace dottereltrack::pool {
@@ -13,11 +14,14 @@
 // Messages between the processes of a pool. Every message also
 // counts as a heartbeat of its sender.
 
-// First message of an entry on each link.
+// First message of an entry on each link; sent again to other entries when it
+// learns of a crash.
 struct EntryHello {
   // Random id of the entry process.
   std::uint64_t entry = 0;
   std::vector<Endpoint> known_entries;
+  // Recent crashes of minions; sent to entries only.
+  std::vector<CrashReport> crashes{};
   friend bool operator==(const EntryHello&, const EntryHello&) = default;
 };
 
@@ -56,7 +60,8 @@
   friend bool operator==(const KnownEntries&, const KnownEntries&) = default;
 };
 
-// First message of an agent on each link; sent again when its minion changes.
+// First message of an agent on each link; sent again when its minion changes or
+// has crashed.
 struct AgentHello {
   // Random id of the agent process.
   std::uint64_t agent = 0;
@@ -66,6 +71,8 @@
   std::string data_centre;
   std::string rack;
   Resources capacity;
+  // Recent crashes of the minion's instances.
+  std::vector<CrashReport> crashes{};
   friend bool operator==(const AgentHello&, const AgentHello&) = default;
 };
 
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -23,6 +23,14 @@
   return {{run.job(), run.step(), run.index()}, run.number()};
 }
 
+wire::TaskKey ToWire(const TaskKey& task) {
+  return {task.job, task.step, task.index};
+}
+
+TaskKey FromWire(const wire::TaskKey& task) {
+  return {task.job(), task.step(), task.index()};
+}
+
 wire::Resources ToWire(const Resources& it) {
   return {it.cpu_millis, it.memory_mb, it.accelerators};
 }
@@ -58,6 +66,43 @@
   return endpoints;
 }
 
+using CrashReportVector =
+    flatbuffers::Vector<flatbuffers::Offset<wire::CrashReport>>;
+
+flatbuffers::Offset<CrashReportVector> WriteCrashReports(
+    Builder* builder, const std::vector<CrashReport>& reports) {
+  std::vector<flatbuffers::Offset<wire::CrashReport>> offsets;
+  offsets.reserve(reports.size());
+  for (const CrashReport& it : reports) {
+    std::vector<wire::TaskKey> tasks;
+    tasks.reserve(it.tasks.size());
+    for (const TaskKey& task : it.tasks) tasks.push_back(ToWire(task));
+    const auto minion = builder->CreateString(it.minion.id);
+    const auto task_vector = builder->CreateVectorOfStructs(tasks);
+    offsets.push_back(wire::CreateCrashReport(
+        *builder, minion, it.minion.started_ms, task_vector, it.age.count()));
+  }
+  return builder->CreateVector(offsets);
+}
+
+std::vector<CrashReport> FromWire(const CrashReportVector* offsets) {
+  std::vector<CrashReport> reports;
+  if (offsets == nullptr) return reports;
+  reports.reserve(offsets->size());
+  for (const wire::CrashReport* it : *offsets) {
+    CrashReport report{{FromWire(it->minion()), it->started_ms()},
+                       {},
+                       milliseconds{it->age_ms()}};
+    if (it->tasks() != nullptr) {
+      for (const wire::TaskKey* task : *it->tasks()) {
+        report.tasks.push_back(FromWire(*task));
+      }
+    }
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
 // Union type and offset of a serialized message body.
 struct Body {
   wire::Body kind;
@@ -66,8 +111,9 @@
 
 Body Write(Builder* builder, const EntryHello& it) {
   const auto known = WriteEndpoints(builder, it.known_entries);
+  const auto crashes = WriteCrashReports(builder, it.crashes);
   return {wire::Body::EntryHello,
-          wire::CreateEntryHello(*builder, it.entry, known).Union()};
+          wire::CreateEntryHello(*builder, it.entry, known, crashes).Union()};
 }
 
 Body Write(Builder* builder, const StartRun& it) {
@@ -107,9 +153,10 @@
   const auto data_centre = builder->CreateString(it.data_centre);
   const auto rack = builder->CreateString(it.rack);
   const auto capacity = ToWire(it.capacity);
+  const auto crashes = WriteCrashReports(builder, it.crashes);
   return {wire::Body::AgentHello,
           wire::CreateAgentHello(*builder, it.agent, minion, service,
-                                 data_centre, rack, &capacity)
+                                 data_centre, rack, &capacity, crashes)
               .Union()};
 }
 
@@ -139,7 +186,8 @@
 }
 
 Message Read(const wire::EntryHello& it) {
-  return EntryHello{it.entry(), FromWire(it.known_entries())};
+  return EntryHello{it.entry(), FromWire(it.known_entries()),
+                    FromWire(it.crashes())};
 }
 
 Message Read(const wire::StartRun& it) {
@@ -165,7 +213,8 @@
                     FromWire(it.service()),
                     FromWire(it.data_centre()),
                     FromWire(it.rack()),
-                    FromWire(*it.capacity())};
+                    FromWire(*it.capacity()),
+                    FromWire(it.crashes())};
 }
 
 Message Read(const wire::LoadReport& it) {
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -100,6 +100,14 @@
          "ReplyKind::kOverloaded;")]),
     ("pool_monotonic_configuration", POOL_ENTRY + "advance.cpp", [
         ("if (e.config.version <= board_->config.version) return;", "")]),
+    ("pool_crashes_of_a_task", POOL_ENTRY + "crashes.cpp", [
+        ("if (crashes < board.settings.max_crashes_of_a_task) continue;",
+         "if (crashes < 9999) continue;")]),
+    ("pool_crashes_at_other_entries", POOL_ENTRY + "submission.cpp", [
+        ("if (IsCrashingJob(board, e.job.id)) return FailAtOnce(e, *queue);",
+         "")]),
+    ("pool_crash_reports", POOL_AGENT + "crashes.cpp", [
+        ("hello.crashes = {MakeCrashReport(crash, now)};", "")]),
     ("stale_pending_table", ENTRY + "table_store.cpp", [
         ("changes.Add(DropPendingTable{});", "")]),
 ]
--- /dev/null
+++ b/tests/pool/agent_crashes_test.cpp
@@ -0,0 +1,137 @@
+#include <catch2/catch.hpp>
+
+#include "pool/agent_fixture.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+constexpr std::uint64_t kLink = 1;
+
+// Crashes that the effects report to entries, with the link.
+std::vector<std::pair<std::uint64_t, CrashReport>> ReportedCrashes(
+    const std::vector<AgentEffect>& effects) {
+  std::vector<std::pair<std::uint64_t, CrashReport>> found;
+  for (const auto& [link, hello] : SelectMessages<AgentHello>(effects)) {
+    for (const CrashReport& it : hello.crashes) found.emplace_back(link, it);
+  }
+  return found;
+}
+
+void StartAndConfirm(AgentFixture* agent, const RunKey& run) {
+  agent->Start(kLink, run);
+  agent->Step({StartAnswered{run, CallAnswer::kAccepted}});
+}
+
+// Lets the lease of the runs lapse while polls fail.
+std::vector<AgentEffect> LapseLease(AgentFixture* agent, int failed_polls) {
+  for (int n = 0; n < failed_polls; ++n) {
+    if (!agent->board.poll.in_flight) {
+      agent->now.boot = agent->board.poll.next_at;
+      agent->Step({AgentTick{}});
+    }
+    agent->FailPoll(CallAnswer::kNotConnected);
+  }
+  agent->now.boot = agent->board.poll.lease_ends_at;
+  return agent->Step({});
+}
+
+}  // namespace
+
+TEST_CASE(
+    "The end of a minion's process with runs on it is reported as a crash",
+    "[pool][agent][crash]") {
+  // Guards against crashes that no entry learns of, and against blaming tasks
+  // for a planned end, a pause of this process or a delayed report.
+  struct Row {
+    const char* name;
+    std::vector<AgentEffect> (*act)(AgentFixture*);
+    bool is_crash;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"no connection until the lease lapsed",
+       [](AgentFixture* agent) { return LapseLease(agent, 2); }, true},
+      {"a single lost answer and a pause of the agent",
+       [](AgentFixture* agent) { return LapseLease(agent, 1); }, false},
+      {"no connection to a draining minion",
+       [](AgentFixture* agent) {
+         MinionReport report = MakeMinionReport("m1", 1'000, 2);
+         report.draining = true;
+         agent->Step({MinionReported{report}});
+         return LapseLease(agent, 2);
+       },
+       false},
+      {"another instance",
+       [](AgentFixture* agent) {
+         return agent->Step({MinionReported{MakeMinionReport("m2", 2'000, 1)}});
+       },
+       true},
+      {"another instance under the same id",
+       [](AgentFixture* agent) {
+         return agent->Step({MinionReported{MakeMinionReport("m1", 2'000, 1)}});
+       },
+       true},
+      {"a report of a former instance",
+       [](AgentFixture* agent) {
+         return agent->Step({MinionReported{MakeMinionReport("m0", 500, 1)}});
+       },
+       false},
+      {"a planned end",
+       [](AgentFixture* agent) { return agent->Step({MinionLeft{"m1"}}); },
+       false},
+  }));
+  CAPTURE(row.name);
+  AgentFixture agent;
+  agent.AddEntry(kLink, 100);
+  StartAndConfirm(&agent, MakeRunKey(0));
+  StartAndConfirm(&agent, MakeRunKey(3));
+  const auto crashes = ReportedCrashes(row.act(&agent));
+  REQUIRE(crashes.size() == (row.is_crash ? 1U : 0U));
+  if (!row.is_crash) return;
+  CHECK(crashes[0].first == kLink);
+  CHECK(crashes[0].second.minion == MinionInstance{"m1", 1'000});
+  CHECK(crashes[0].second.tasks ==
+        std::vector{MakeRunKey(0).task, MakeRunKey(3).task});
+}
+
+TEST_CASE("An entry learns of a crash before the ends of its runs",
+          "[pool][agent][crash]") {
+  // Guards against a task that is started again before its entry knows that it
+  // may have crashed its minion.
+  AgentFixture agent;
+  agent.AddEntry(kLink, 100);
+  StartAndConfirm(&agent, MakeRunKey(0));
+  const auto effects = LapseLease(&agent, 2);
+  const auto sent = SelectEffects<SendToEntry>(effects);
+  REQUIRE(sent.size() >= 2);
+  CHECK(std::holds_alternative<AgentHello>(sent[0].message));
+  CHECK(std::holds_alternative<RunEnded>(sent[1].message));
+}
+
+TEST_CASE("A new link is told of recent crashes with their age",
+          "[pool][agent][crash]") {
+  // Guards against an entry that has started since a crash and starts the task
+  // again as if it were new.
+  struct Row {
+    milliseconds age;
+    std::size_t reports;
+  };
+  const milliseconds retention = AgentSettings{}.crash_retention;
+  const auto row =
+      GENERATE_COPY(values<Row>({{milliseconds{700}, 1}, {retention, 0}}));
+  CAPTURE(row.age.count());
+  AgentFixture agent;
+  agent.AddEntry(kLink, 100);
+  StartAndConfirm(&agent, MakeRunKey(0));
+  LapseLease(&agent, 2);
+  agent.AdvanceTime(row.age);
+  const Endpoint address{"10.0.0.77", 7720};
+  agent.Step({EntriesRegistered{{address}}});
+  const auto crashes =
+      ReportedCrashes(agent.Step({EntryDialed{address, LinkId{9}}}));
+  REQUIRE(crashes.size() == row.reports);
+  if (crashes.empty()) return;
+  CHECK(crashes[0].first == 9);
+  CHECK(crashes[0].second.age == row.age);
+}
+
+}  // namespace dottereltrack::pool
--- a/tests/pool/codec_test.cpp
+++ b/tests/pool/codec_test.cpp
@@ -7,10 +7,16 @@
 
 constexpr RunKey kRun{{0x5c0e7a21d94b36f8, 1, 17}, 1'775'110'326'000};
 
+std::vector<CrashReport> SampleCrashes() {
+  return {{{"m1", 1'775'110'320'000}, {kRun.task, {3, 0, 1}}, milliseconds{9}},
+          {{"m2", 0}, {}, milliseconds{0}}};
+}
+
 Message SampleMessage(std::size_t kind) {
   switch (kind) {
     case 0:
-      return EntryHello{7, {{"10.0.0.1", 7000}, {"10.0.0.2", 7001}}};
+      return EntryHello{
+          7, {{"10.0.0.1", 7000}, {"10.0.0.2", 7001}}, SampleCrashes()};
     case 1:
       return StartRun{
           3, kRun, std::string("payload"), {6'200, 64, 1}, milliseconds{99}};
@@ -23,7 +29,8 @@
     case 5:
       return KnownEntries{{{"10.0.0.1", 7000}}};
     case 6:
-      return AgentHello{5, "m1", "menus", "north", "r1", {64'000, 1'024, 0}};
+      return AgentHello{
+          5, "m1", "menus", "north", "r1", {64'000, 1'024, 0}, SampleCrashes()};
     case 7:
       return LoadReport{4, {1, 2, 3}, true, true, 0.25};
     case 8:
--- /dev/null
+++ b/tests/pool/entry_crashes_test.cpp
@@ -0,0 +1,175 @@
+#include <catch2/catch.hpp>
+
+#include "core/pool/entry/crashes.h"
+#include "pool/entry_fixture.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+constexpr std::uint64_t kJob = 0x5c0e7a21d94b36f8;
+constexpr TaskKey kTask{kJob, 0, 0};
+constexpr int kMinions = 4;
+
+CrashReport MakeReport(const std::string& minion, const TaskKey& task,
+                       milliseconds age = milliseconds{0}) {
+  return {{minion, 1'000}, {task}, age};
+}
+
+// A crash as the agent of a minion reports it over its link.
+EntryEvent AgentReport(std::uint64_t link, const CrashReport& report) {
+  const AgentHello hello{link, report.minion.id, "menus", "north",
+                         "r1", ResourcesFor(4),  {report}};
+  return MessageReceived{{link}, hello};
+}
+
+// A crash as another entry reports it.
+EntryEvent PeerReport(const CrashReport& report) {
+  return MessageReceived{{90}, EntryHello{9, {}, {report}}};
+}
+
+void AddAgents(EntryFixture* entry) {
+  for (std::uint64_t n = 1; n <= kMinions; ++n) {
+    entry->AddAgent(n, "m" + std::to_string(n), ResourcesFor(4));
+  }
+}
+
+// Lets the minion of a start crash; returns the effects of the run's end.
+std::vector<EntryEffect> CrashMinion(EntryFixture* entry, std::uint64_t link,
+                                     const StartRun& start) {
+  const std::string minion = "m" + std::to_string(link);
+  return entry->Step(
+      {AgentReport(link, MakeReport(minion, start.run.task)),
+       MessageReceived{{link}, RunEnded{start.run, RunEnd::kLost, {}}}});
+}
+
+std::vector<ReplyKind> RepliesOf(const std::vector<EntryEffect>& effects) {
+  std::vector<ReplyKind> kinds;
+  for (const Reply& it : SelectEffects<Reply>(effects))
+    kinds.push_back(it.kind);
+  return kinds;
+}
+
+}  // namespace
+
+TEST_CASE("A job fails when two minions have crashed under one of its tasks",
+          "[pool][entry][crash]") {
+  // Guards against a task that is started on minion after minion because runs
+  // that end with their minion do not count as attempts.
+  EntryFixture entry;
+  AddAgents(&entry);
+  auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 1));
+  REQUIRE(starts.size() == 1);
+  const auto first = CrashMinion(&entry, starts[0].first, starts[0].second);
+  CHECK(RepliesOf(first).empty());
+  starts = SelectMessages<StartRun>(first);
+  REQUIRE(starts.size() == 1);
+  const auto second = CrashMinion(&entry, starts[0].first, starts[0].second);
+  CHECK(RepliesOf(second) == std::vector{ReplyKind::kFailed});
+  CHECK(SelectMessages<StartRun>(second).empty());
+  CHECK(RepliesOf(entry.Submit(kJob, 1)) == std::vector{ReplyKind::kFailed});
+}
+
+TEST_CASE("Crashes count once for each instance of a minion",
+          "[pool][entry][crash]") {
+  // Guards against a job that fails because one crash was reported twice, and
+  // against crashes that count for other tasks or forever.
+  struct Row {
+    const char* name;
+    std::vector<CrashReport> reports;
+    int crashes;
+  };
+  const TaskKey other{kJob, 0, 1};
+  const auto row = GENERATE_COPY(values<Row>({
+      {"none", {}, 0},
+      {"one", {MakeReport("m1", kTask)}, 1},
+      {"the same from two senders",
+       {MakeReport("m1", kTask), MakeReport("m1", kTask, milliseconds{40})},
+       1},
+      {"two minions", {MakeReport("m1", kTask), MakeReport("m2", kTask)}, 2},
+      {"two instances under one id",
+       {MakeReport("m1", kTask), {{"m1", 2'000}, {kTask}, {}}},
+       2},
+      {"another task", {MakeReport("m1", kTask), MakeReport("m2", other)}, 1},
+      {"the rest of the tasks comes later",
+       {MakeReport("m1", other), MakeReport("m1", kTask)},
+       1},
+      {"older than the retention period",
+       {MakeReport("m1", kTask, EntrySettings{}.crash_retention)},
+       0},
+  }));
+  CAPTURE(row.name);
+  EntryFixture entry;
+  for (const CrashReport& it : row.reports) entry.Step({PeerReport(it)});
+  CHECK(CountCrashes(entry.board, kTask) == row.crashes);
+  entry.AdvanceTime(entry.board.settings.crash_retention);
+  CHECK(CountCrashes(entry.board, kTask) == 0);
+  CHECK(entry.board.crash_counts.empty());
+}
+
+TEST_CASE("A job that has crashed two minions of another entry is not started",
+          "[pool][entry][crash]") {
+  // Guards against a task that gets its attempts anew when its client submits
+  // it to another entry.
+  struct Row {
+    int crashes;
+    std::size_t starts;
+    std::vector<ReplyKind> replies;
+  };
+  const auto row = GENERATE(
+      values<Row>({{0, 2, {}}, {1, 2, {}}, {2, 0, {ReplyKind::kFailed}}}));
+  CAPTURE(row.crashes);
+  EntryFixture entry;
+  AddAgents(&entry);
+  for (int n = 1; n <= row.crashes; ++n) {
+    entry.Step({PeerReport(MakeReport("old" + std::to_string(n), kTask))});
+  }
+  const auto effects = entry.Submit(kJob, 2);
+  CHECK(SelectMessages<StartRun>(effects).size() == row.starts);
+  CHECK(RepliesOf(effects) == row.replies);
+}
+
+TEST_CASE("A run in progress is not stopped by an earlier crash of its task",
+          "[pool][entry][crash]") {
+  // Guards against failing a job whose task was only near two crashes and may
+  // still be done.
+  EntryFixture entry;
+  AddAgents(&entry);
+  const auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 1));
+  REQUIRE(starts.size() == 1);
+  const auto reported = entry.Step({PeerReport(MakeReport("old1", kTask)),
+                                    PeerReport(MakeReport("old2", kTask))});
+  CHECK(RepliesOf(reported).empty());
+  CHECK(SelectMessages<StopRun>(reported).empty());
+  const auto done = entry.Step({MessageReceived{
+      {starts[0].first}, RunEnded{starts[0].second.run, RunEnd::kDone, {}}}});
+  CHECK(RepliesOf(done) == std::vector{ReplyKind::kCompleted});
+}
+
+TEST_CASE("A crash is passed on to the other entries once",
+          "[pool][entry][crash]") {
+  // Guards against entries that do not know of crashes under a job that comes
+  // to them next, and against reports that circulate among entries.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", ResourcesFor(4));
+  const Endpoint peer{"10.0.0.2", 7000};
+  entry.Step({EntriesListed{{peer}}});
+  entry.Step({PeerDialed{peer, LinkId{50}}});
+  const CrashReport report = MakeReport("m1", kTask);
+  const auto passed_on =
+      SelectMessages<EntryHello>(entry.Step({AgentReport(1, report)}));
+  REQUIRE(passed_on.size() == 1);
+  CHECK(passed_on[0].first == 50);
+  CHECK(passed_on[0].second.crashes == std::vector{report});
+  CHECK(SelectMessages<EntryHello>(entry.Step({PeerReport(report)})).empty());
+  // An entry that starts later learns of the crash with its age.
+  const Endpoint late_peer{"10.0.0.3", 7000};
+  entry.AdvanceTime(milliseconds{200});
+  entry.Step({EntriesListed{{peer, late_peer}}});
+  const auto hellos = SelectMessages<EntryHello>(
+      entry.Step({PeerDialed{late_peer, LinkId{51}}}));
+  REQUIRE(hellos.size() == 1);
+  CHECK(hellos[0].second.crashes ==
+        std::vector{MakeReport("m1", kTask, milliseconds{200})});
+}
+
+}  // namespace dottereltrack::pool
