Keep tasks that were on a crashed minion apart from each other

Callers of harmless jobs got 'failed': their tasks had been on a crashed minion, were started again together with the task that had crashed it, often on the same next minion, and ended with that one, too.

Cause: all tasks of a crashed minion became waiting in the same turn and went to the best minion together. After that minion's crash they could not be told from the cause.

A task with a crash is now a suspect. Suspects are placed after all others, on the least used minion, and an agent accepts one at a time, also from different entries; the load report says whether there is one. They are left out of the backlog that decides about new jobs.

--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -62,6 +62,8 @@
   std::uint64_t entry = 0;
   Resources needs;
   milliseconds estimate{0};
+  // See StartRun.
+  bool is_suspect = false;
   RunPhase phase = RunPhase::kStarting;
   BootTime started_at{0};
   // When the run became kUnconfirmed or kRunning.
--- a/src/core/pool/agent/capacity.cpp
+++ b/src/core/pool/agent/capacity.cpp
@@ -11,6 +11,11 @@
   return free;
 }
 
+bool HasSuspect(const AgentBoard& board) {
+  return std::any_of(board.runs.begin(), board.runs.end(),
+                     [](const auto& it) { return it.second.is_suspect; });
+}
+
 bool IsAccepting(const AgentBoard& board, const Now& now) {
   if (!board.minion || board.minion->draining || board.stopping) return false;
   if (!board.poll.has_inventory || board.poll.failures > 0) return false;
--- a/src/core/pool/agent/capacity.h
+++ b/src/core/pool/agent/capacity.h
@@ -7,6 +7,9 @@
 // The minion's capacity minus the needs of all runs whose end is not known.
 Resources FreeResources(const AgentBoard& board);
 
+// Whether a run of a suspect task is in progress.
+bool HasSuspect(const AgentBoard& board);
+
 // Whether the minion accepts new runs.
 bool IsAccepting(const AgentBoard& board, const Now& now);
 
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -25,8 +25,8 @@
 LoadReport MakeLoadReport(const AgentBoard& board, const EntryLinkRow& link,
                           double log_slowness, const Now& now) {
   const bool accepting = !link.surplus_since && IsAccepting(board, now);
-  return {link.handled_starts, FreeResources(board), accepting,
-          IsSettled(board, link), log_slowness};
+  return {link.handled_starts,    FreeResources(board), accepting,
+          IsSettled(board, link), log_slowness,         HasSuspect(board)};
 }
 
 // Whether a load report is due. Each report wakes up the entry, and small
@@ -36,7 +36,8 @@
   if (link.report_due || !link.last_report) return true;
   const LoadReport& last = *link.last_report;
   if (report == last) return false;
-  if (report.accepting != last.accepting || report.settled != last.settled) {
+  if (report.accepting != last.accepting || report.settled != last.settled ||
+      report.has_suspect != last.has_suspect) {
     return true;
   }
   const AgentSettings& settings = board.settings;
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -58,6 +58,9 @@
   if (HasRunOfTask(board, start.run.task)) {
     return "another run of the task has not ended";
   }
+  if (start.is_suspect && HasSuspect(board)) {
+    return "a run of another suspect task has not ended";
+  }
   return nullptr;
 }
 
@@ -105,6 +108,7 @@
   started.entry = row.entry;
   started.needs = message.needs;
   started.estimate = message.estimate;
+  started.is_suspect = message.is_suspect;
   started.started_at = now.boot;
   started.progress_at = now.boot;
   changes.Add(Put<RunRow>{started});
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -87,6 +87,7 @@
 struct UnreportedStart {
   std::uint64_t sequence = 0;
   Resources needs;
+  bool is_suspect = false;
   friend bool operator==(const UnreportedStart&,
                          const UnreportedStart&) = default;
 };
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <tuple>
 
+#include "core/pool/entry/crashes.h"
+
 namespace dottereltrack::pool {
 namespace {
 
@@ -16,6 +18,10 @@
 struct WaitingTask {
   const TaskRow* task = nullptr;
   const JobRow* job = nullptr;
+  // A minion has crashed with a run of the task. Most suspect tasks are not the
+  // cause, but those that are cost the runs beside them, so they are placed
+  // after all others.
+  bool is_suspect = false;
   // Cannot meet its goal any more; is placed after tasks that still can.
   bool is_late = false;
   BootTime latest_start{0};
@@ -25,8 +31,8 @@
 };
 
 bool IsMoreUrgent(const WaitingTask& a, const WaitingTask& b) {
-  return std::tuple(a.is_late, a.latest_start, a.task->key) <
-         std::tuple(b.is_late, b.latest_start, b.task->key);
+  return std::tuple(a.is_suspect, a.is_late, a.latest_start, a.task->key) <
+         std::tuple(b.is_suspect, b.is_late, b.latest_start, b.task->key);
 }
 
 std::vector<WaitingTask> CollectWaitingTasks(const EntryBoard& board,
@@ -37,7 +43,8 @@
     if (job == nullptr || job->state != JobState::kActive) continue;
     const TaskRow* task = board.tasks.Find(key);
     const BootTime latest_start = job->goal_at - task->estimate;
-    waiting.push_back({task, job, latest_start < now.boot, latest_start});
+    waiting.push_back({task, job, CountCrashes(board, key) > 0,
+                       latest_start < now.boot, latest_start});
   }
   std::sort(waiting.begin(), waiting.end(), &IsMoreUrgent);
   return waiting;
@@ -48,15 +55,35 @@
   const AgentRow* agent = nullptr;
   Resources free;
   double cost = 0;
-  std::vector<Resources> starts;
+  // The minion has a run of a suspect task, or a start of one is on its way.
+  bool has_suspect = false;
+  std::vector<UnreportedStart> starts;
 };
 
+bool HasSuspect(const AgentRow& agent) {
+  const auto& starts = agent.unreported_starts;
+  return agent.load.has_suspect ||
+         std::any_of(starts.begin(), starts.end(),
+                     [](const auto& it) { return it.is_suspect; });
+}
+
+// Share of the minion's processors that is in use.
+double UsedShare(const Candidate& candidate) {
+  const auto total =
+      static_cast<double>(candidate.agent->hello->capacity.cpu_millis);
+  if (total <= 0) return 1;
+  return 1 - static_cast<double>(candidate.free.cpu_millis) / total;
+}
+
 std::vector<Candidate> CollectCandidates(const EntryBoard& board) {
   std::vector<Candidate> candidates;
   for (const auto& [link, agent] : board.agents) {
     if (!agent.load.accepting || agent.free.cpu_millis <= 0) continue;
-    candidates.push_back(
-        {&agent, agent.free, std::exp(agent.load.log_slowness), {}});
+    candidates.push_back({&agent,
+                          agent.free,
+                          std::exp(agent.load.log_slowness),
+                          HasSuspect(agent),
+                          {}});
   }
   return candidates;
 }
@@ -76,7 +103,7 @@
 // some minion can finish in time does not start on one that cannot: it would
 // be late for certain, while its place on a faster minion may become free.
 void SetMaxSlowness(const Now& now, double lowest_slowness, WaitingTask* it) {
-  if (it->is_late || it->task->estimate.count() <= 0) return;
+  if (it->is_late || it->is_suspect || it->task->estimate.count() <= 0) return;
   // The fast minions may be those on which the task has failed.
   if (!it->task->failed_minions.empty()) return;
   using Microseconds = std::chrono::duration<double, std::micro>;
@@ -101,7 +128,9 @@
         it.cost > waiting.max_slowness) {
       continue;
     }
-    double cost = it.cost;
+    // Two suspect tasks on one minion could not be told apart after a crash.
+    if (waiting.is_suspect && it.has_suspect) continue;
+    double cost = waiting.is_suspect ? 1 + UsedShare(it) : it.cost;
     if (HasFailedOn(*waiting.task, it.agent->hello->minion)) {
       cost *= kFailedBeforeCostFactor;
     }
@@ -128,13 +157,16 @@
   task.minion = agent.hello->minion;
   task.placed_at = now.boot;
   candidate->free -= task.needs;
-  candidate->starts.push_back(task.needs);
-  const std::uint64_t sequence = agent.starts_sent + candidate->starts.size();
+  candidate->has_suspect = candidate->has_suspect || waiting.is_suspect;
+  const std::uint64_t sequence =
+      agent.starts_sent + candidate->starts.size() + 1;
+  candidate->starts.push_back({sequence, task.needs, waiting.is_suspect});
   changes->Add(SendMessage{agent.link, StartRun{sequence,
                                                 {task.key, task.run_number},
                                                 waiting.job->payload,
                                                 task.needs,
-                                                task.estimate}});
+                                                task.estimate,
+                                                waiting.is_suspect}});
   changes->Add(Put<TaskRow>{task});
 }
 
@@ -142,10 +174,10 @@
 AgentRow MakeUpdatedRow(const Candidate& candidate) {
   AgentRow row = *candidate.agent;
   row.free = candidate.free;
-  for (const Resources& needs : candidate.starts) {
-    ++row.starts_sent;
-    row.unreported_starts.push_back({row.starts_sent, needs});
-  }
+  row.starts_sent += candidate.starts.size();
+  row.unreported_starts.insert(row.unreported_starts.end(),
+                               candidate.starts.begin(),
+                               candidate.starts.end());
   return row;
 }
 
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -141,6 +141,8 @@
     const JobRow* job = board.jobs.Find(key.job);
     if (job == nullptr || job->state != JobState::kActive) continue;
     if (job->service != service) continue;
+    // Suspect tasks are placed after all others.
+    if (CountCrashes(board, key) > 0) continue;
     waiting_work += static_cast<double>(task.needs.cpu_millis) *
                     static_cast<double>(task.estimate.count());
   }
--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -34,6 +34,9 @@
   Bytes payload;
   Resources needs;
   milliseconds estimate{0};
+  // A minion has crashed with an earlier run of the task. An agent accepts one
+  // such run at a time.
+  bool is_suspect = false;
   friend bool operator==(const StartRun&, const StartRun&) = default;
 };
 
@@ -86,6 +89,8 @@
   bool settled = false;
   // Mean logarithm of the ratio of run duration to estimate on the minion.
   double log_slowness = 0;
+  // Whether the minion has a run of a suspect task.
+  bool has_suspect = false;
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
 
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -122,7 +122,7 @@
   const auto needs = ToWire(it.needs);
   return {wire::Body::StartRun,
           wire::CreateStartRun(*builder, it.sequence, &run, payload, &needs,
-                               it.estimate.count())
+                               it.estimate.count(), it.is_suspect)
               .Union()};
 }
 
@@ -162,10 +162,11 @@
 
 Body Write(Builder* builder, const LoadReport& it) {
   const auto free = ToWire(it.free);
-  return {wire::Body::LoadReport,
-          wire::CreateLoadReport(*builder, it.handled_starts, &free,
-                                 it.accepting, it.settled, it.log_slowness)
-              .Union()};
+  return {
+      wire::Body::LoadReport,
+      wire::CreateLoadReport(*builder, it.handled_starts, &free, it.accepting,
+                             it.settled, it.log_slowness, it.has_suspect)
+          .Union()};
 }
 
 Body Write(Builder* builder, const StartRefused& it) {
@@ -191,8 +192,12 @@
 }
 
 Message Read(const wire::StartRun& it) {
-  return StartRun{it.sequence(), FromWire(*it.run()), FromWire(it.payload()),
-                  FromWire(*it.needs()), milliseconds{it.estimate_ms()}};
+  return StartRun{it.sequence(),
+                  FromWire(*it.run()),
+                  FromWire(it.payload()),
+                  FromWire(*it.needs()),
+                  milliseconds{it.estimate_ms()},
+                  it.is_suspect()};
 }
 
 Message Read(const wire::StopRun& it) { return StopRun{FromWire(*it.run())}; }
@@ -218,8 +223,9 @@
 }
 
 Message Read(const wire::LoadReport& it) {
-  return LoadReport{it.handled_starts(), FromWire(*it.free()), it.accepting(),
-                    it.settled(), it.log_slowness()};
+  return LoadReport{it.handled_starts(), FromWire(*it.free()),
+                    it.accepting(),      it.settled(),
+                    it.log_slowness(),   it.has_suspect()};
 }
 
 Message Read(const wire::StartRefused& it) {
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -106,6 +106,8 @@
     ("pool_crashes_at_other_entries", POOL_ENTRY + "submission.cpp", [
         ("if (IsCrashingJob(board, e.job.id)) return FailAtOnce(e, *queue);",
          "")]),
+    ("pool_one_suspect_at_a_time", POOL_AGENT + "runs.cpp", [
+        ("if (start.is_suspect && HasSuspect(board)) {", "if (false) {")]),
     ("pool_crash_reports", POOL_AGENT + "crashes.cpp", [
         ("hello.crashes = {MakeCrashReport(crash, now)};", "")]),
     ("stale_pending_table", ENTRY + "table_store.cpp", [
--- a/tests/pool/agent_crashes_test.cpp
+++ b/tests/pool/agent_crashes_test.cpp
@@ -107,6 +107,37 @@
   CHECK(std::holds_alternative<RunEnded>(sent[1].message));
 }
 
+TEST_CASE("An agent accepts one run of a suspect task at a time",
+          "[pool][agent][crash]") {
+  // Guards against two suspects on one minion when several entries place tasks
+  // on it at once.
+  struct Row {
+    bool first_is_suspect;
+    bool second_is_suspect;
+    std::size_t refused;
+  };
+  const auto row = GENERATE(values<Row>({{false, false, 0},
+                                         {true, false, 0},
+                                         {false, true, 0},
+                                         {true, true, 1}}));
+  CAPTURE(row.first_is_suspect, row.second_is_suspect);
+  AgentFixture agent;
+  agent.AddEntry(kLink, 100);
+  StartRun start{1, MakeRunKey(0), std::string("payload"), kTaskNeeds,
+                 milliseconds{100}};
+  start.is_suspect = row.first_is_suspect;
+  agent.Step({EntryMessage{{kLink}, start}});
+  start.sequence = 2;
+  start.run = MakeRunKey(1);
+  start.is_suspect = row.second_is_suspect;
+  const auto effects = agent.Step({EntryMessage{{kLink}, start}});
+  CHECK(SelectMessages<StartRefused>(effects).size() == row.refused);
+  const auto reports = SelectMessages<LoadReport>(effects);
+  if (row.refused == 0) return;
+  REQUIRE(reports.size() == 1);
+  CHECK(reports[0].second.has_suspect);
+}
+
 TEST_CASE("A new link is told of recent crashes with their age",
           "[pool][agent][crash]") {
   // Guards against an entry that has started since a crash and starts the task
--- a/tests/pool/codec_test.cpp
+++ b/tests/pool/codec_test.cpp
@@ -19,7 +19,8 @@
           7, {{"10.0.0.1", 7000}, {"10.0.0.2", 7001}}, SampleCrashes()};
     case 1:
       return StartRun{
-          3, kRun, std::string("payload"), {6'200, 64, 1}, milliseconds{99}};
+          3,   kRun, std::string("payload"), {6'200, 64, 1}, milliseconds{99},
+          true};
     case 2:
       return StopRun{kRun};
     case 3:
@@ -32,7 +33,7 @@
       return AgentHello{
           5, "m1", "menus", "north", "r1", {64'000, 1'024, 0}, SampleCrashes()};
     case 7:
-      return LoadReport{4, {1, 2, 3}, true, true, 0.25};
+      return LoadReport{4, {1, 2, 3}, true, true, 0.25, true};
     case 8:
       return StartRefused{kRun, StartRefusal::kOldNumber};
     default:
--- a/tests/pool/entry_crashes_test.cpp
+++ b/tests/pool/entry_crashes_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/pool/entry/crashes.h"
+#include "core/pool/entry/submission.h"
 #include "pool/entry_fixture.h"
 
 namespace dottereltrack::pool {
@@ -145,6 +146,65 @@
   CHECK(RepliesOf(done) == std::vector{ReplyKind::kCompleted});
 }
 
+TEST_CASE("A minion gets one suspect task at a time, the least used one first",
+          "[pool][entry][crash]") {
+  // Guards against blaming a task for a crash that another suspect on the same
+  // minion has caused, and against suspects that crash a minion full of others.
+  struct Row {
+    const char* name;
+    // Whether each agent reports a suspect task, and its free room in tasks.
+    std::vector<std::pair<bool, int>> agents;
+    std::vector<std::uint64_t> links;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"two free minions for three suspects", {{false, 4}, {false, 4}}, {1, 2}},
+      {"one has a suspect", {{true, 4}, {false, 4}}, {2}},
+      {"both have a suspect", {{true, 4}, {true, 4}}, {}},
+      {"the least used first", {{false, 1}, {false, 3}, {false, 2}}, {2, 3, 1}},
+  }));
+  CAPTURE(row.name);
+  EntryFixture entry;
+  std::uint64_t link = 0;
+  for (const auto& [has_suspect, room] : row.agents) {
+    ++link;
+    entry.AddAgent(link, "m" + std::to_string(link), ResourcesFor(4));
+    const LoadReport load{0, ResourcesFor(room), true, true, 0, has_suspect};
+    entry.Step({MessageReceived{{link}, load}});
+  }
+  CrashReport report = MakeReport("old", kTask);
+  report.tasks = {{kJob, 0, 0}, {kJob, 0, 1}, {kJob, 0, 2}};
+  entry.Step({PeerReport(report)});
+  std::vector<std::uint64_t> links;
+  for (const auto& [to, start] :
+       SelectMessages<StartRun>(entry.Submit(kJob, 3))) {
+    CHECK(start.is_suspect);
+    links.push_back(to);
+  }
+  CHECK(links == row.links);
+}
+
+TEST_CASE("Suspect tasks are placed after all others and delay no new job",
+          "[pool][entry][crash]") {
+  // Guards against tasks that may crash a minion taking the room of those that
+  // do not, and against refusing new jobs because suspects wait.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", ResourcesFor(1));
+  const LoadReport full{0, ResourcesFor(0), true, true, 0};
+  entry.Step({MessageReceived{{1}, full}});
+  entry.Step({PeerReport(MakeReport("old", kTask))});
+  entry.Submit(kJob, 1);
+  CHECK(EstimateBacklogDelay(entry.board, "menus") == milliseconds{0});
+  entry.Submit(kJob + 1, 1);
+  CHECK(EstimateBacklogDelay(entry.board, "menus") > milliseconds{0});
+  const LoadReport idle{0, ResourcesFor(1), true, true, 0};
+  entry.Step({MessageReceived{{1}, idle}});
+  std::vector<std::uint64_t> placed;
+  for (const auto& [key, task] : entry.board.tasks) {
+    if (task.state == TaskState::kPlaced) placed.push_back(key.job);
+  }
+  CHECK(placed == std::vector<std::uint64_t>{kJob + 1});
+}
+
 TEST_CASE("A crash is passed on to the other entries once",
           "[pool][entry][crash]") {
   // Guards against entries that do not know of crashes under a job that comes
--- a/tests/pool_properties/crash_test.cpp
+++ b/tests/pool_properties/crash_test.cpp
@@ -23,10 +23,11 @@
 // outcome, submits it again to the next entry.
 class PersistentClient {
  public:
-  PersistentClient(TestPool* pool, pool::JobSpec job)
+  PersistentClient(TestPool* pool, pool::JobSpec job, int entry = 0)
       : pool_(pool),
         job_(std::move(job)),
-        gives_up_at_(pool->now() + kClientTimeout) {
+        gives_up_at_(pool->now() + kClientTimeout),
+        entry_(entry) {
     Submit();
   }
 
@@ -64,7 +65,7 @@
   pool::JobSpec job_;
   BootTime gives_up_at_;
   int entry_ = 0;
-  CallId call_;
+  CallId call_{};
   std::optional<BootTime> resend_at_;
   std::optional<pool::ReplyKind> outcome_;
 };
@@ -126,4 +127,43 @@
   CHECK(other.outcome() == pool::ReplyKind::kCompleted);
 }
 
+// Guards against jobs that fail because their tasks were started again beside
+// the task that had crashed their minion, and ended with its next minion, too.
+TEST_CASE("jobs beside tasks that crash minions are completed",
+          "[pool][crash]") {
+  constexpr int kOtherJobs = 24;
+  constexpr int kCrashingJobs = 3;
+  const auto seed = GENERATE(range<std::uint64_t>(1, 9));
+  CAPTURE(seed);
+  PoolOptions options;
+  options.entries = 3;
+  options.agents = 8;
+  options.seed = seed;
+  TestPool pool(options);
+  pool.RunFor(seconds{2});
+  std::vector<PersistentClient> crashing;
+  std::vector<PersistentClient> others;
+  std::uint64_t id = 0;
+  for (int n = 0; n < kOtherJobs; ++n) {
+    others.emplace_back(&pool, MakeJob(++id, 1, kTaskDuration, kTaskCpuMillis),
+                        n % 3);
+    if (n % (kOtherJobs / kCrashingJobs) != 0) continue;
+    crashing.emplace_back(
+        &pool, MakeCrashingJob(++id, 1, kTaskDuration, kTaskCpuMillis), n % 3);
+  }
+  const BootTime end = pool.now() + kClientTimeout;
+  while (pool.now() < end) {
+    pool.RunFor(kStep);
+    for (PersistentClient& it : crashing) it.Update();
+    for (PersistentClient& it : others) it.Update();
+  }
+  CHECK(pool.ledger().violations == std::vector<std::string>{});
+  for (const PersistentClient& it : crashing) {
+    CHECK(it.outcome() == pool::ReplyKind::kFailed);
+  }
+  for (const PersistentClient& it : others) {
+    CHECK(it.outcome() == pool::ReplyKind::kCompleted);
+  }
+}
+
 }  // namespace dottereltrack::testing
