Log a change of a minion's capacity and test starts against it

The users' pages say that a capacity may shrink and grow while a minion runs. What was missing is the log: minion_state_changed now also says that the capacity has changed.

--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -242,7 +242,7 @@
   AgentChanges changes;
   if (report.sequence <= known.sequence) return changes;
   changes.Add(SetMinion{report});
-  if (report.draining != known.draining) {
+  if (report.draining != known.draining || report.capacity != known.capacity) {
     changes.Add(MinionDecision(report, "minion_state_changed"));
   }
   return changes;
--- a/tests/pool/agent_minion_test.cpp
+++ b/tests/pool/agent_minion_test.cpp
@@ -40,6 +40,49 @@
   CHECK(IsAccepting(agent.board, agent.now) == row.accepting);
 }
 
+TEST_CASE("Starts follow the capacity that the minion last reported",
+          "[pool][agent][limit]") {
+  // Guards against starts that exceed a capacity that has shrunk while runs go
+  // on, and against capacity that stays unused after it has grown again. A run
+  // that is being stopped still counts.
+  struct Row {
+    const char* name;
+    std::vector<int> capacities;
+    int runs;
+    bool stops_one;
+    bool accepted;
+    int free;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"unchanged", {4}, 3, false, true, 0},
+      {"below the use", {2}, 3, false, false, -1},
+      {"equal to the use", {3}, 3, false, false, 0},
+      {"equal to the use, one is stopping", {3}, 3, true, false, 0},
+      {"above the use", {3}, 2, false, true, 0},
+      {"shrunk and grown", {1, 4}, 3, false, true, 0},
+  }));
+  CAPTURE(row.name);
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  for (int n = 0; n < row.runs; ++n) StartAndConfirm(&agent, MakeRunKey(n));
+  std::uint64_t sequence = 1;
+  for (const int tasks : row.capacities) {
+    MinionReport report = MakeMinionReport("m1", 1'000, ++sequence);
+    report.capacity = {tasks * kTaskNeeds.cpu_millis,
+                       tasks * kTaskNeeds.memory_mb, 0};
+    agent.Step({MinionReported{report}});
+  }
+  if (row.stops_one) {
+    agent.Step({EntryMessage{{1}, StopRun{MakeRunKey(0)}}});
+  }
+  const auto effects = agent.Start(1, MakeRunKey(9));
+  CHECK(SelectEffects<CallStart>(effects).size() == (row.accepted ? 1U : 0U));
+  CHECK(SelectMessages<StartRefused>(effects).size() ==
+        (row.accepted ? 0U : 1U));
+  CHECK(FreeResources(agent.board).cpu_millis ==
+        row.free * kTaskNeeds.cpu_millis);
+}
+
 TEST_CASE("A new instance accepts runs after the first poll",
           "[pool][agent][minion]") {
   // Guards against starts while runs of an earlier agent process still exist.
