--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -62,6 +62,8 @@
   std::uint64_t entry = 0;
   Resources needs;
   milliseconds estimate{0};
+  // See StartRun.
+  bool is_suspect = false;
   RunPhase phase = RunPhase::kStarting;
   BootTime started_at{0};
   // When the run became kUnconfirmed or kRunning.
@@ -143,6 +145,8 @@
   // processes.
   std::uint64_t fencing_token = 0;
   Table<RunRow> runs;
+  // Recent crashes of the minion's instances.
+  Table<MinionCrash> crashes;
   Table<EntryLinkRow> links;
   Table<KnownEntry> entries;
   bool stopping = false;
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 #include "core/pool/agent/capacity.h"
 #include "core/pool/agent/health.h"
@@ -11,19 +12,6 @@
 namespace dottereltrack::pool {
 namespace {
 
-AgentHello MakeHello(const AgentBoard& board) {
-  AgentHello hello;
-  hello.agent = board.settings.id;
-  if (!board.minion) return hello;
-  const MinionReport& minion = *board.minion;
-  hello.minion = minion.id;
-  hello.service = minion.service;
-  hello.data_centre = minion.data_centre;
-  hello.rack = minion.rack;
-  hello.capacity = minion.capacity;
-  return hello;
-}
-
 bool IsSettled(const AgentBoard& board, const EntryLinkRow& link) {
   if (!board.poll.has_inventory) return false;
   return std::none_of(
@@ -37,8 +25,8 @@
 LoadReport MakeLoadReport(const AgentBoard& board, const EntryLinkRow& link,
                           double log_slowness, const Now& now) {
   const bool accepting = !link.surplus_since && IsAccepting(board, now);
-  return {link.handled_starts, FreeResources(board), accepting,
-          IsSettled(board, link), log_slowness};
+  return {link.handled_starts,    FreeResources(board), accepting,
+          IsSettled(board, link), log_slowness,         HasSuspect(board)};
 }
 
 // Whether a load report is due. Each report wakes up the entry, and small
@@ -48,7 +36,8 @@
   if (link.report_due || !link.last_report) return true;
   const LoadReport& last = *link.last_report;
   if (report == last) return false;
-  if (report.accepting != last.accepting || report.settled != last.settled) {
+  if (report.accepting != last.accepting || report.settled != last.settled ||
+      report.has_suspect != last.has_suspect) {
     return true;
   }
   const AgentSettings& settings = board.settings;
@@ -88,6 +77,19 @@
 
 }  // namespace
 
+AgentHello MakeHello(const AgentBoard& board) {
+  AgentHello hello;
+  hello.agent = board.settings.id;
+  if (!board.minion) return hello;
+  const MinionReport& minion = *board.minion;
+  hello.minion = minion.id;
+  hello.service = minion.service;
+  hello.data_centre = minion.data_centre;
+  hello.rack = minion.rack;
+  hello.capacity = minion.capacity;
+  return hello;
+}
+
 AgentChanges AddEntries(const AgentBoard& board,
                         const std::vector<Endpoint>& entries,
                         EntrySource source, const Now& now) {
@@ -141,7 +143,9 @@
   link.last_received_at = now.boot;
   link.last_sent_at = now.boot;
   changes.Add(Put<EntryLinkRow>{link});
-  changes.Add(SendToEntry{*e.link, MakeHello(board)});
+  AgentHello hello = MakeHello(board);
+  hello.crashes = MakeCrashReports(board.crashes, now);
+  changes.Add(SendToEntry{*e.link, std::move(hello)});
   return changes;
 }
 
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -58,6 +58,9 @@
   if (HasRunOfTask(board, start.run.task)) {
     return "another run of the task has not ended";
   }
+  if (start.is_suspect && HasSuspect(board)) {
+    return "a run of another suspect task has not ended";
+  }
   return nullptr;
 }
 
@@ -105,6 +108,7 @@
   started.entry = row.entry;
   started.needs = message.needs;
   started.estimate = message.estimate;
+  started.is_suspect = message.is_suspect;
   started.started_at = now.boot;
   started.progress_at = now.boot;
   changes.Add(Put<RunRow>{started});
@@ -258,6 +262,7 @@
       end == RunEnd::kDone ? Severity::kRoutine : Severity::kFailure;
   Decision decision = RunDecision(run.key, severity, "run_ended", reason);
   decision.texts.emplace_back("end", ToString(end));
+  if (board.minion) decision.texts.emplace_back("minion", board.minion->id);
   decision.numbers.emplace_back("duration_ms", duration.count());
   decision.numbers.emplace_back("estimate_ms", run.estimate.count());
   changes.Add(std::move(decision));
