Let a task crash minions in a scenario and in the soak of real processes

The stand-in minions crashed by schedule only, so no process test could see a task that crashes its minions. Now a job may crash each minion that starts its first task; the stand-ins record a violation when such a task is started the third time after three crashes. A scenario kills the job's entry after the first crash; the soak submits such jobs among its faults.

--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -8,6 +8,7 @@
 import signal
 
 import odd_input
+from cell import LoadGenerator
 from web import call_json
 
 
@@ -137,6 +138,34 @@
         await cell.expect_event(daemon, "config_adopted", version=cell.config_version)
 
 
+async def crash_minions_by_a_task(cell):
+    """A task crashes each minion that starts it. Its entry is killed after the first
+    crash, so that its client submits the job to another one."""
+    client = LoadGenerator(cell, seed=7, tasks_per_job=2, task_outcome="crash")
+    submission = asyncio.create_task(client.submit(0, timeout_s=8.0))
+    crashes = cell.run_checker.crashes
+    while not crashes and not submission.done():
+        await asyncio.sleep(0.01)
+    job = next(iter(crashes)).split(".")[0]
+    for daemon in cell.entries:
+        if await has_lost_run(daemon, job):
+            await daemon.kill(0.5)
+    await submission
+    state = client.outcomes[0][2]
+    if state != "failed":
+        cell.run_checker.violations.append(f"the job that crashes minions is {state}")
+
+
+async def has_lost_run(daemon, job):
+    """Whether a run of the job was lost at this entry within the next second."""
+    for _ in range(10):
+        await asyncio.sleep(0.05)
+        for line in daemon.read_events():
+            if line["event"] == "run_ended" and line["job"] == job:
+                return True
+    return False
+
+
 SCENARIOS = {
     "calm": (no_fault, 1.0),
     "agent killed": (kill_agent, 0.95),
@@ -155,6 +184,7 @@
     "minion drains": (drain_minion, 1.0),
     "odd input": (write_odd_input, 0.9),
     "settings reloaded": (reload_all_settings, 1.0),
+    "task crashes minions": (crash_minions_by_a_task, 0.8),
 }
 
 if __name__ == "__main__":
--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -4,7 +4,8 @@
 and of the store, input that no process can use, and proxies before the store, the
 minions and the entries that delay traffic, block one or both directions or reset
 connections. The stand-ins check throughout that no task has two runs at once, that no
-minion exceeds its capacity and that no refused job has run. No process may exit by
+minion exceeds its capacity, that no refused job has run and that no task crashes minion
+after minion. No process may exit by
 itself, and after the faults all jobs must complete. Equal seeds give equal faults; the
 timing of the processes differs.
 """
@@ -123,6 +124,13 @@
         }
         return f"network {kind} before {proxy.target}", proxy, actions[kind]
 
+    def crashing_job(self):
+        seed = self.random.getrandbits(32)
+        client = LoadGenerator(
+            self.cell, seed, tasks_per_job=2, task_outcome="crash"
+        )
+        return "job that crashes minions", client, lambda: client.submit(0)
+
     async def run(self, seconds):
         begin = time.monotonic()
         running = []
@@ -133,6 +141,7 @@
                     self.minion_fault,
                     self.store_fault,
                     self.network_fault,
+                    self.crashing_job,
                 ]
             )
             name, target, action = make_fault()
--- a/tests/process/pool/standins.py
+++ b/tests/process/pool/standins.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import base64
+import collections
 import itertools
 import json
 import random
@@ -12,6 +13,13 @@
 
 MAX_LEASE_EXTENSION_S = 1.0
 STOP_DURATION_S = 0.03
+FIRST_TASK = ".0.0.0"
+CRASH_DELAY_S = 0.01
+CRASH_DOWNTIME_S = 1.0
+# The platform's rule: a task that has crashed three minions is started less than three
+# times more.
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
 
 
 class Store:
@@ -167,10 +175,13 @@
 
 
 class RunChecker:
-    """Records the runs of all minions and detects two simultaneous runs of a task."""
+    """Records the runs of all minions and detects two simultaneous runs of a task, and
+    tasks that are started three times after they have crashed three minions."""
 
     def __init__(self):
         self.active_runs = {}
+        self.crashes = collections.Counter()
+        self.starts_after_crashes = collections.Counter()
         self.violations = []
         self.starts = 0
         self.started_jobs = set()
@@ -185,6 +196,14 @@
                 f"run {other[1]} on {other[0]}"
             )
         self.active_runs[task] = (minion, run)
+        if self.crashes[task] < MAX_CRASHES:
+            return
+        self.starts_after_crashes[task] += 1
+        if self.starts_after_crashes[task] == MAX_STARTS_AFTER_CRASHES:
+            self.violations.append(
+                f"task {task} was started again after {self.crashes[task]} minions "
+                "have crashed under it"
+            )
 
     def record_end(self, task, run):
         if self.active_runs.get(task, (None, None))[1] == run:
@@ -208,7 +227,8 @@
 
 class Minion:
     """The minion of one agent. The payload of a task gives its duration, cpu and
-    outcome: "SECONDS CPU OUTCOME"."""
+    outcome: "SECONDS CPU OUTCOME". With the outcome "crash", the first task of the job
+    crashes the minion."""
 
     instance_numbers = itertools.count(1)
 
@@ -228,6 +248,8 @@
         self.random = random.Random(host)
         self.server = Server(self.handle)
         self.background_tasks = []
+        self.crash_tasks = set()
+        self.is_down = False
         self.reset()
 
     def reset(self):
@@ -259,12 +281,24 @@
 
     async def crash(self, downtime_s):
         """Ends all runs; a new instance starts after `downtime_s`."""
+        if self.is_down:
+            return
+        self.is_down = True
         await self.stop()
         for run in list(self.runs.values()):
             self.run_checker.record_end(run.task, run.number)
         self.reset()
         await asyncio.sleep(downtime_s)
         await self.start()
+        self.is_down = False
+
+    async def crash_under(self, task):
+        instance = self.id
+        await asyncio.sleep(CRASH_DELAY_S)
+        if self.id != instance or task not in self.runs:
+            return
+        self.run_checker.crashes[task] += 1
+        await self.crash(CRASH_DOWNTIME_S)
 
     async def send_report(self):
         self.sequence += 1
@@ -354,6 +388,10 @@
         self.runs[task] = run
         self.highest_run_number[task] = number
         self.run_checker.record_start(self.id, task, number)
+        if outcome == "crash" and task.endswith(FIRST_TASK):
+            crash = asyncio.create_task(self.crash_under(task))
+            self.crash_tasks.add(crash)
+            crash.add_done_callback(self.crash_tasks.discard)
         used = sum(r.cpu_millis for r in self.runs.values())
         if used > self.cpu_millis:
             self.run_checker.violations.append(
