Forget failed jobs after the retention period

Nobody saw it yet: an entry kept each job whose task had failed on three minions, with its task rows, until the link to the last minion closed.

Cause: failing the job requests a stop of all runs that the board lists as placed, among them the run whose end is being handled. Its row became 'stopping', no further end comes for it, and a job with a live run is kept. Found by reading the code around FailJob.

The row of the ended run is put after the job's.

--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -131,13 +131,17 @@
   if (std::find(minions.begin(), minions.end(), task.minion) == minions.end()) {
     minions.push_back(task.minion);
   }
-  changes->Add(Put<TaskRow>{failed});
   const JobRow* job = board.jobs.Find(task.key.job);
-  if (job == nullptr || job->state != JobState::kActive) return;
-  if (!counts_as_failure || !HasExhaustedAttempts(failed, *job)) return;
-  changes->Append(FailJob(
-      board, *job,
-      "a task failed on " + std::to_string(minions.size()) + " minions", now));
+  const bool is_active = job != nullptr && job->state == JobState::kActive;
+  if (is_active && counts_as_failure && HasExhaustedAttempts(failed, *job)) {
+    changes->Append(FailJob(
+        board, *job,
+        "a task failed on " + std::to_string(minions.size()) + " minions",
+        now));
+  }
+  // FailJob also marks this run as being stopped, since the board still has it;
+  // without this row, the job would wait for its end for ever.
+  changes->Add(Put<TaskRow>{failed});
 }
 
 void ReturnToWaiting(const TaskRow& task, EntryChanges* changes) {
--- a/tests/pool/entry_outcomes_test.cpp
+++ b/tests/pool/entry_outcomes_test.cpp
@@ -97,6 +97,28 @@
   CHECK(OnlyReply(effects).kind == ReplyKind::kFailed);
 }
 
+TEST_CASE("A job that has ended is forgotten after the retention period",
+          "[pool][entry]") {
+  // Guards against rows of ended jobs that are kept for ever because a task
+  // counts as being stopped although its run has ended.
+  const auto end = GENERATE(values({RunEnd::kDone, RunEnd::kFailed}));
+  CAPTURE(ToString(end));
+  EntryFixture entry;
+  for (std::uint64_t link = 1; link <= 4; ++link) {
+    entry.AddAgent(link, "m" + std::to_string(link), ResourcesFor(4));
+  }
+  auto starts = SelectMessages<StartRun>(entry.Submit(kJob, 1));
+  while (!starts.empty()) {
+    starts = SelectMessages<StartRun>(entry.Step({MessageReceived{
+        {starts[0].first},
+        RunEnded{starts[0].second.run, end, milliseconds{5}}}}));
+  }
+  REQUIRE(entry.board.active_jobs.empty());
+  entry.AdvanceTime(entry.board.settings.outcome_retention);
+  CHECK(entry.board.jobs.empty());
+  CHECK(entry.board.tasks.empty());
+}
+
 TEST_CASE(
     "The task of a lost run is not started again before the run has ended",
     "[pool][entry][twice]") {
