Fail a job only for crashes that its task has certainly been in

Cause: the agent blamed every run that it had for the minion. In the traces of two of the jobs, one of the two starts was sent on an open connection while the minion crashed, had no answer, and never ran. A lapsed lease without any answer is no proof of a crash either, since the minion may only be out of reach.

A run is now a certain suspect only if its start was answered or a poll has listed it, and the connection was refused at once or a later instance reports. All others are possible suspects. Two certain crashes fail the job; four, certain or possible, end it without an outcome, so that the bound on crashes also holds without evidence.

--- a/apps/pool_entry/state_dump.cpp
+++ b/apps/pool_entry/state_dump.cpp
@@ -1,5 +1,7 @@
 #include "apps/pool_entry/state_dump.h"
 
+#include <vector>
+
 #include "apps/pool_common/table_json.h"
 
 namespace dottereltrack::pool {
@@ -77,13 +79,18 @@
           {"unreported_starts", agent.unreported_starts.size()}};
 }
 
+json TasksToJson(const std::vector<TaskKey>& tasks) {
+  json names = json::array();
+  for (const TaskKey& task : tasks) names.push_back(ToText(task));
+  return names;
+}
+
 json RowToJson(const MinionCrash& crash, const Now& now) {
-  json tasks = json::array();
-  for (const TaskKey& task : crash.tasks) tasks.push_back(ToText(task));
   return {{"minion", crash.minion.id},
           {"started_ms", crash.minion.started_ms},
           {"crashed_ms_ago", AgeMs(crash.crashed_at, now)},
-          {"tasks", std::move(tasks)}};
+          {"suspects", TasksToJson(crash.suspects.certain)},
+          {"possible_suspects", TasksToJson(crash.suspects.possible)}};
 }
 
 }  // namespace
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -65,6 +65,8 @@
   // See StartRun.
   bool is_suspect = false;
   RunPhase phase = RunPhase::kStarting;
+  // The minion has accepted the start or listed the run.
+  bool has_begun = false;
   BootTime started_at{0};
   // When the run became kUnconfirmed or kRunning.
   BootTime phase_started_at{0};
@@ -110,6 +112,9 @@
   BootTime sent_at{0};
   BootTime next_at{0};
   int failures = 0;
+  // The last failed poll was refused at once, so no process listens at the
+  // minion's address.
+  bool connection_refused = false;
   // Number of the last run end that has been processed.
   std::uint64_t last_end_number = 0;
   // Whether a poll has listed the runs that the minion already had when this
--- a/src/core/pool/agent/crashes.cpp
+++ b/src/core/pool/agent/crashes.cpp
@@ -22,31 +22,51 @@
   return text;
 }
 
-// Returns the crash of the current instance with all runs as possible causes.
-MinionCrash MakeCrash(const AgentBoard& board, const Now& now) {
+const char* ToString(CrashEvidence evidence) {
+  switch (evidence) {
+    case CrashEvidence::kOtherInstance:
+      return "another instance of the minion has started";
+    case CrashEvidence::kConnectionRefused:
+      return "connections were refused until the lease lapsed";
+    case CrashEvidence::kNoAnswer:
+      return "no answer until the lease lapsed";
+  }
+  return "unknown";
+}
+
+// Returns the crash of the current instance with all runs as suspects.
+MinionCrash MakeCrash(const AgentBoard& board, CrashEvidence evidence,
+                      const Now& now) {
   const MinionInstance instance{board.minion->id, board.minion->started_ms};
   CrashReport report{instance, {}, milliseconds{0}};
-  for (const auto& [key, run] : board.runs) report.tasks.push_back(key.task);
+  for (const auto& [key, run] : board.runs) {
+    const bool is_certain =
+        evidence != CrashEvidence::kNoAnswer && run.has_begun;
+    auto& list =
+        is_certain ? report.suspects.certain : report.suspects.possible;
+    list.push_back(key.task);
+  }
   return MergeCrashReport(board.crashes.Find(instance), report, now);
 }
 
 }  // namespace
 
-AgentChanges RecordCrash(const AgentBoard& board, const std::string& evidence,
+AgentChanges RecordCrash(const AgentBoard& board, CrashEvidence evidence,
                          const Now& now) {
   AgentChanges changes;
   if (!board.minion || board.runs.empty()) return changes;
   const MinionReport& minion = *board.minion;
-  changes.Add(
-      Decision{Severity::kStateChange,
-               "minion_crashed",
-               0,
-               {{"minion", minion.id},
-                {"reason", evidence},
-                {"tasks", DescribeRuns(board, now)}},
-               {{"started_ms", static_cast<std::int64_t>(minion.started_ms)},
-                {"runs", static_cast<std::int64_t>(board.runs.size())}}});
-  const MinionCrash crash = MakeCrash(board, now);
+  const MinionCrash crash = MakeCrash(board, evidence, now);
+  changes.Add(Decision{
+      Severity::kStateChange,
+      "minion_crashed",
+      0,
+      {{"minion", minion.id},
+       {"reason", ToString(evidence)},
+       {"tasks", DescribeRuns(board, now)}},
+      {{"started_ms", static_cast<std::int64_t>(minion.started_ms)},
+       {"runs", static_cast<std::int64_t>(board.runs.size())},
+       {"certain", static_cast<std::int64_t>(crash.suspects.certain.size())}}});
   changes.Add(Put<MinionCrash>{crash});
   AgentHello hello = MakeHello(board);
   hello.crashes = {MakeCrashReport(crash, now)};
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -39,7 +39,7 @@
 // Records a crash if the known instance has not announced its end.
 AgentChanges RecordReplacement(const AgentBoard& board, const Now& now) {
   if (!board.minion || board.minion->draining) return {};
-  return RecordCrash(board, "another instance of the minion has started", now);
+  return RecordCrash(board, CrashEvidence::kOtherInstance, now);
 }
 
 // Handles a restart of the minion under the same id. The new process accepts
@@ -99,6 +99,7 @@
     RunRow found;
     found.key = listed.run;
     found.phase = RunPhase::kStopping;
+    found.has_begun = true;
     found.started_at = now.boot;
     found.next_stop_at = now.boot;
     changes->Add(Put<RunRow>{found});
@@ -113,6 +114,7 @@
 void UpdateListedRun(const RunRow& run, int percent, const Now& now,
                      AgentChanges* changes) {
   RunRow row = run;
+  row.has_begun = true;
   if (run.phase == RunPhase::kStarting || run.phase == RunPhase::kUnconfirmed) {
     row.phase = RunPhase::kRunning;
     row.phase_started_at = now.boot;
@@ -194,6 +196,10 @@
   PollState poll = board.poll;
   poll.in_flight = false;
   ++poll.failures;
+  // A connection attempt without an answer fails only after its timeout.
+  poll.connection_refused =
+      e.answer == CallAnswer::kNotConnected &&
+      now.boot - poll.sent_at < board.settings.poll_timeout_margin;
   poll.next_at = poll.failures == 1
                      ? now.boot
                      : now.boot + board.settings.failed_poll_interval;
@@ -347,7 +353,11 @@
   // A single failure may be due to a pause of this process. A draining minion
   // ends on its own.
   if (board.poll.failures > 1 && !board.minion->draining) {
-    changes = RecordCrash(board, "no answer until the lease lapsed", now);
+    changes = RecordCrash(board,
+                          board.poll.connection_refused
+                              ? CrashEvidence::kConnectionRefused
+                              : CrashEvidence::kNoAnswer,
+                          now);
   }
   // An unanswered start carries its own lease, which has expired as well.
   changes.Append(EndAllRunsAsLost(
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -141,6 +141,7 @@
     case CallAnswer::kAccepted: {
       RunRow running = *run;
       running.phase = RunPhase::kRunning;
+      running.has_begun = true;
       running.phase_started_at = now.boot;
       changes.Add(Put<RunRow>{running});
       return changes;
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -23,7 +23,7 @@
   }
 
   void RunControllers() {
-    ApplyChanges(FailCrashingJobs(*board_, now_));
+    ApplyChanges(EndCrashingJobs(*board_, now_));
     ApplyChanges(PlaceTasks(*board_, now_));
     ApplyChanges(DialPeers(*board_, now_));
     ApplyChanges(OfferConfig(*board_));
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -27,13 +27,18 @@
   }
 }
 
+// Adds `n` to the counts of a crash's suspects.
+void AddToCrashCounts(EntryBoard* board, const CrashSuspects& suspects, int n) {
+  auto& counts = board->crash_counts;
+  for (const TaskKey& task : suspects.certain) counts[task].certain += n;
+  for (const TaskKey& task : suspects.possible) counts[task].possible += n;
+  if (n > 0) return;
+  std::erase_if(counts, [](const auto& it) { return it.second.Total() == 0; });
+}
+
 void RemoveFromCrashCounts(EntryBoard* board, const MinionInstance& minion) {
   const MinionCrash* crash = board->crashes.Find(minion);
-  if (crash == nullptr) return;
-  for (const TaskKey& task : crash->tasks) {
-    const auto it = board->crash_counts.find(task);
-    if (--it->second == 0) board->crash_counts.erase(it);
-  }
+  if (crash != nullptr) AddToCrashCounts(board, crash->suspects, -1);
 }
 
 struct Applier {
@@ -74,7 +79,7 @@
   }
   void operator()(const Put<MinionCrash>& it) const {
     RemoveFromCrashCounts(board, it.row.minion);
-    for (const TaskKey& task : it.row.tasks) ++board->crash_counts[task];
+    AddToCrashCounts(board, it.row.suspects, 1);
     board->crashes.Put(it.row);
   }
   void operator()(const Erase<MinionCrash>& it) const {
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -106,6 +106,14 @@
   friend bool operator==(const AgentRow&, const AgentRow&) = default;
 };
 
+// Number of crashes that the runs of a task may have caused.
+struct CrashCount {
+  int certain = 0;
+  int possible = 0;
+  int Total() const { return certain + possible; }
+  friend bool operator==(const CrashCount&, const CrashCount&) = default;
+};
+
 // A link of this entry to an agent or another entry.
 struct LinkRow {
   LinkId id;
@@ -137,8 +145,7 @@
   std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
   std::set<TaskKey> waiting_tasks;
   std::set<TaskKey> lost_tasks;
-  // Number of crashes that a run of the task may have caused.
-  std::map<TaskKey, int> crash_counts;
+  std::map<TaskKey, CrashCount> crash_counts;
   BootTime started_at{0};
   bool stopping = false;
   BootTime stopping_since{0};
--- a/src/core/pool/entry/crashes.cpp
+++ b/src/core/pool/entry/crashes.cpp
@@ -21,16 +21,20 @@
 
 }  // namespace
 
-int CountCrashes(const EntryBoard& board, const TaskKey& task) {
+CrashCount CountCrashes(const EntryBoard& board, const TaskKey& task) {
   const auto it = board.crash_counts.find(task);
-  return it == board.crash_counts.end() ? 0 : it->second;
+  return it == board.crash_counts.end() ? CrashCount{} : it->second;
+}
+
+bool IsSuspect(const EntryBoard& board, const TaskKey& task) {
+  return CountCrashes(board, task).Total() > 0;
 }
 
 bool IsCrashingJob(const EntryBoard& board, std::uint64_t job) {
   const auto begin = board.crash_counts.lower_bound({job, 0, 0});
   const auto end = board.crash_counts.lower_bound({job + 1, 0, 0});
   return std::any_of(begin, end, [&](const auto& it) {
-    return it.second >= board.settings.max_crashes_of_a_task;
+    return it.second.certain >= board.settings.max_crashes_of_a_task;
   });
 }
 
@@ -51,7 +55,8 @@
         0,
         {{"minion", report.minion.id}},
         {{"started_ms", static_cast<std::int64_t>(report.minion.started_ms)},
-         {"tasks", static_cast<std::int64_t>(crash.tasks.size())},
+         {"tasks", static_cast<std::int64_t>(crash.suspects.certain.size() +
+                                             crash.suspects.possible.size())},
          {"age_ms", report.age.count()}}});
     changes.Add(Put<MinionCrash>{crash});
   }
@@ -59,19 +64,32 @@
   return changes;
 }
 
-EntryChanges FailCrashingJobs(const EntryBoard& board, const Now& now) {
+EntryChanges EndCrashingJobs(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   if (board.crash_counts.empty()) return changes;
-  std::set<std::uint64_t> failed;
+  const EntrySettings& settings = board.settings;
+  std::set<std::uint64_t> ended;
   for (const TaskKey& key : board.waiting_tasks) {
-    const int crashes = CountCrashes(board, key);
-    if (crashes < board.settings.max_crashes_of_a_task) continue;
+    const CrashCount crashes = CountCrashes(board, key);
+    const bool has_failed = crashes.certain >= settings.max_crashes_of_a_task;
+    if (!has_failed &&
+        crashes.Total() < settings.max_possible_crashes_of_a_task) {
+      continue;
+    }
     const JobRow* job = board.jobs.Find(key.job);
     if (job == nullptr || job->state != JobState::kActive) continue;
-    if (!failed.insert(key.job).second) continue;
-    changes.Append(FailJob(
-        board, *job,
-        std::to_string(crashes) + " minions have crashed under a task", now));
+    if (!ended.insert(key.job).second) continue;
+    if (has_failed) {
+      changes.Append(FailJob(board, *job,
+                             std::to_string(crashes.certain) +
+                                 " minions have crashed under a task",
+                             now));
+    } else {
+      changes.Append(AbandonJob(board, *job, ReplyKind::kGivenUp,
+                                std::to_string(crashes.Total()) +
+                                    " minions may have crashed under a task",
+                                now));
+    }
   }
   return changes;
 }
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -186,7 +186,7 @@
   }
   Decision decision =
       RunDecision(*task, "run_ended", ToString(message.end), now);
-  const int crashes = CountCrashes(board, task->key);
+  const int crashes = CountCrashes(board, task->key).Total();
   if (crashes > 0) decision.numbers.emplace_back("crashes", crashes);
   changes.Add(std::move(decision));
   const bool failed = message.end == RunEnd::kFailed;
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -43,7 +43,7 @@
     if (job == nullptr || job->state != JobState::kActive) continue;
     const TaskRow* task = board.tasks.Find(key);
     const BootTime latest_start = job->goal_at - task->estimate;
-    waiting.push_back({task, job, CountCrashes(board, key) > 0,
+    waiting.push_back({task, job, IsSuspect(board, key),
                        latest_start < now.boot, latest_start});
   }
   std::sort(waiting.begin(), waiting.end(), &IsMoreUrgent);
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -40,9 +40,12 @@
   milliseconds max_shutdown_time{5'600};
   // Outcomes of ended jobs are kept this long for repeated submissions.
   milliseconds outcome_retention{10'000};
-  // A job fails when this many minions have crashed with a run of one of its
-  // tasks. A single crash may have another cause.
+  // A job fails when this many minions have certainly crashed with a run of one
+  // of its tasks. A single crash may have another cause.
   int max_crashes_of_a_task = 2;
+  // A job is given up, without an outcome, when one of its tasks has this many
+  // crashes, certain or possible. The platform allows five.
+  int max_possible_crashes_of_a_task = 4;
   // Crashes are kept this long. A client submits a job again within seconds.
   milliseconds crash_retention{60'000};
   // Delay between two attempts to connect to an entry.
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -142,7 +142,7 @@
     if (job == nullptr || job->state != JobState::kActive) continue;
     if (job->service != service) continue;
     // Suspect tasks are placed after all others.
-    if (CountCrashes(board, key) > 0) continue;
+    if (IsSuspect(board, key)) continue;
     waiting_work += static_cast<double>(task.needs.cpu_millis) *
                     static_cast<double>(task.estimate.count());
   }
--- a/src/core/pool/minion_crash.cpp
+++ b/src/core/pool/minion_crash.cpp
@@ -1,13 +1,25 @@
 #include "core/pool/minion_crash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace dottereltrack::pool {
+namespace {
+
+// Returns the tasks of both lists in ascending order, without duplicates.
+std::vector<TaskKey> Union(const std::vector<TaskKey>& a,
+                           const std::vector<TaskKey>& b) {
+  std::set<TaskKey> tasks(a.begin(), a.end());
+  tasks.insert(b.begin(), b.end());
+  return {tasks.begin(), tasks.end()};
+}
+
+}  // namespace
 
 CrashReport MakeCrashReport(const MinionCrash& crash, const Now& now) {
   const auto age =
       std::chrono::duration_cast<milliseconds>(now.boot - crash.crashed_at);
-  return {crash.minion, crash.tasks, age};
+  return {crash.minion, crash.suspects, age};
 }
 
 std::vector<CrashReport> MakeCrashReports(const Table<MinionCrash>& crashes,
@@ -33,15 +45,18 @@
 MinionCrash MergeCrashReport(const MinionCrash* known,
                              const CrashReport& report, const Now& now) {
   const milliseconds age = std::max(report.age, milliseconds{0});
-  MinionCrash crash{report.minion, report.tasks, now.boot - age};
+  MinionCrash crash{report.minion, {}, now.boot - age};
+  CrashSuspects before;
   if (known != nullptr) {
     crash.crashed_at = known->crashed_at;
-    crash.tasks.insert(crash.tasks.end(), known->tasks.begin(),
-                       known->tasks.end());
+    before = known->suspects;
+  }
+  crash.suspects.certain = Union(before.certain, report.suspects.certain);
+  for (const TaskKey& task : Union(before.possible, report.suspects.possible)) {
+    const auto& certain = crash.suspects.certain;
+    if (std::binary_search(certain.begin(), certain.end(), task)) continue;
+    crash.suspects.possible.push_back(task);
   }
-  std::sort(crash.tasks.begin(), crash.tasks.end());
-  crash.tasks.erase(std::unique(crash.tasks.begin(), crash.tasks.end()),
-                    crash.tasks.end());
   return crash;
 }
 
--- a/src/core/pool/minion_crash.h
+++ b/src/core/pool/minion_crash.h
@@ -20,12 +20,19 @@
                           const MinionInstance&) = default;
 };
 
-// An unannounced end of a minion's process. Each of the tasks that had a run on
-// it may be the cause.
+// Tasks that may have caused a crash, each list in ascending order.
+struct CrashSuspects {
+  // Had a run on a minion that has certainly crashed.
+  std::vector<TaskKey> certain;
+  // The run may not have begun, or the minion may only have been unreachable.
+  std::vector<TaskKey> possible;
+  friend bool operator==(const CrashSuspects&, const CrashSuspects&) = default;
+};
+
+// An unannounced end of a minion's process, or a loss that may have been one.
 struct MinionCrash {
   MinionInstance minion;
-  // Without duplicates, in ascending order.
-  std::vector<TaskKey> tasks;
+  CrashSuspects suspects;
   BootTime crashed_at{0};
 
   const MinionInstance& Key() const { return minion; }
@@ -35,7 +42,7 @@
 // A crash as the processes of a pool report it to each other.
 struct CrashReport {
   MinionInstance minion;
-  std::vector<TaskKey> tasks;
+  CrashSuspects suspects;
   // Time since the crash. Clocks of different processes cannot be compared.
   milliseconds age{0};
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
@@ -45,8 +52,8 @@
 std::vector<CrashReport> MakeCrashReports(const Table<MinionCrash>& crashes,
                                           const Now& now);
 
-// Returns the crash that a report describes, together with the tasks that are
-// already known of it; `known` may be null.
+// Returns the crash that a report describes, together with the suspects that
+// are already known of it; `known` may be null.
 MinionCrash MergeCrashReport(const MinionCrash* known,
                              const CrashReport& report, const Now& now);
 
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -66,6 +66,24 @@
   return endpoints;
 }
 
+using TaskVector = flatbuffers::Vector<const wire::TaskKey*>;
+
+flatbuffers::Offset<TaskVector> WriteTasks(Builder* builder,
+                                           const std::vector<TaskKey>& tasks) {
+  std::vector<wire::TaskKey> rows;
+  rows.reserve(tasks.size());
+  for (const TaskKey& task : tasks) rows.push_back(ToWire(task));
+  return builder->CreateVectorOfStructs(rows);
+}
+
+std::vector<TaskKey> FromWire(const TaskVector* rows) {
+  std::vector<TaskKey> tasks;
+  if (rows == nullptr) return tasks;
+  tasks.reserve(rows->size());
+  for (const wire::TaskKey* task : *rows) tasks.push_back(FromWire(*task));
+  return tasks;
+}
+
 using CrashReportVector =
     flatbuffers::Vector<flatbuffers::Offset<wire::CrashReport>>;
 
@@ -74,13 +92,12 @@
   std::vector<flatbuffers::Offset<wire::CrashReport>> offsets;
   offsets.reserve(reports.size());
   for (const CrashReport& it : reports) {
-    std::vector<wire::TaskKey> tasks;
-    tasks.reserve(it.tasks.size());
-    for (const TaskKey& task : it.tasks) tasks.push_back(ToWire(task));
     const auto minion = builder->CreateString(it.minion.id);
-    const auto task_vector = builder->CreateVectorOfStructs(tasks);
-    offsets.push_back(wire::CreateCrashReport(
-        *builder, minion, it.minion.started_ms, task_vector, it.age.count()));
+    const auto suspects = WriteTasks(builder, it.suspects.certain);
+    const auto possible = WriteTasks(builder, it.suspects.possible);
+    offsets.push_back(wire::CreateCrashReport(*builder, minion,
+                                              it.minion.started_ms, suspects,
+                                              it.age.count(), possible));
   }
   return builder->CreateVector(offsets);
 }
@@ -90,15 +107,10 @@
   if (offsets == nullptr) return reports;
   reports.reserve(offsets->size());
   for (const wire::CrashReport* it : *offsets) {
-    CrashReport report{{FromWire(it->minion()), it->started_ms()},
-                       {},
-                       milliseconds{it->age_ms()}};
-    if (it->tasks() != nullptr) {
-      for (const wire::TaskKey* task : *it->tasks()) {
-        report.tasks.push_back(FromWire(*task));
-      }
-    }
-    reports.push_back(std::move(report));
+    reports.push_back(
+        {{FromWire(it->minion()), it->started_ms()},
+         {FromWire(it->suspects()), FromWire(it->possible_suspects())},
+         milliseconds{it->age_ms()}});
   }
   return reports;
 }
