Follow the crash rules in the mutation tests

The build of the mutations stopped: a quoted line had changed with the certain and possible crashes. The mutation removes the same check as before; a further one treats all evidence as certain.

--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -101,8 +101,11 @@
     ("pool_monotonic_configuration", POOL_ENTRY + "advance.cpp", [
         ("if (e.config.version <= board_->config.version) return;", "")]),
     ("pool_crashes_of_a_task", POOL_ENTRY + "crashes.cpp", [
-        ("if (crashes < board.settings.max_crashes_of_a_task) continue;",
-         "if (crashes < 9999) continue;")]),
+        ("const bool has_failed = "
+         "crashes.certain >= settings.max_crashes_of_a_task;",
+         "const bool has_failed = false;")]),
+    ("pool_certain_crashes", POOL_AGENT + "crashes.cpp", [
+        ("evidence != CrashEvidence::kNoAnswer && run.has_begun;", "true;")]),
     ("pool_crashes_at_other_entries", POOL_ENTRY + "submission.cpp", [
         ("if (IsCrashingJob(board, e.job.id)) return FailAtOnce(e, *queue);",
          "")]),
