Test that a job failed elsewhere is not refused

The check matters where the job would be refused before: an entry that is stopping sent the client on to the next one.

--- a/tests/pool/entry_crashes_test.cpp
+++ b/tests/pool/entry_crashes_test.cpp
@@ -155,6 +155,18 @@
   CHECK(RepliesOf(effects) == row.replies);
 }
 
+TEST_CASE("A job that has failed elsewhere is not refused",
+          "[pool][entry][crash]") {
+  // Guards against an entry that is stopping and sends the client of a job that
+  // has crashed two minions on to the next entry.
+  EntryFixture entry;
+  entry.Step({PeerReport(MakeReport("old1", kTask)),
+              PeerReport(MakeReport("old2", kTask))});
+  entry.Step({EntryStopRequested{}});
+  entry.now.boot += entry.board.settings.max_shutdown_time;
+  CHECK(RepliesOf(entry.Submit(kJob, 1)) == std::vector{ReplyKind::kFailed});
+}
+
 TEST_CASE("A run in progress is not stopped by an earlier crash of its task",
           "[pool][entry][crash]") {
   // Guards against failing a job whose task was only near two crashes and may
