End the range of a job's tasks at its greatest possible key

Cause: TasksOf and IsCrashingJob took the tasks of a job as the rows below {job + 1, 0, 0}. For the highest id the sum is 0, so the range ended at the first row of the table and an iteration circled for ever.

Fix: a range runs from the least to the greatest key that a task of the job may have and ends after it, so that no id needs a successor.

--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -153,8 +153,8 @@
 
 // The tasks of a job as a range [begin, end) of the table.
 inline auto TasksOf(const EntryBoard& board, std::uint64_t job) {
-  return std::pair(board.tasks.LowerBound({job, 0, 0}),
-                   board.tasks.LowerBound({job + 1, 0, 0}));
+  return std::pair(board.tasks.LowerBound(FirstTaskOf(job)),
+                   board.tasks.UpperBound(LastTaskOf(job)));
 }
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/crashes.cpp
+++ b/src/core/pool/entry/crashes.cpp
@@ -31,8 +31,8 @@
 }
 
 bool IsCrashingJob(const EntryBoard& board, std::uint64_t job) {
-  const auto begin = board.crash_counts.lower_bound({job, 0, 0});
-  const auto end = board.crash_counts.lower_bound({job + 1, 0, 0});
+  const auto begin = board.crash_counts.lower_bound(FirstTaskOf(job));
+  const auto end = board.crash_counts.upper_bound(LastTaskOf(job));
   return std::any_of(begin, end, [&](const auto& it) {
     return it.second.certain >= board.settings.max_crashes_of_a_task;
   });
--- a/src/core/pool/task.h
+++ b/src/core/pool/task.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,15 @@
   friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
 };
 
+// The least and the greatest key that a task of the job may have. A range of
+// the job's tasks ends at the greatest one, since the highest job id has no
+// successor.
+constexpr TaskKey FirstTaskOf(std::uint64_t job) { return {job, 0, 0}; }
+constexpr TaskKey LastTaskOf(std::uint64_t job) {
+  constexpr auto kMax = std::numeric_limits<std::uint32_t>::max();
+  return {job, kMax, kMax};
+}
+
 // Identifies a run of a task. Later runs of the same task have higher numbers,
 // also if another entry starts them.
 struct RunKey {
--- a/src/core/table.h
+++ b/src/core/table.h
@@ -26,6 +26,8 @@
   auto end() const { return rows_.end(); }
   // First row whose key is not less than the given one.
   auto LowerBound(const Key& key) const { return rows_.lower_bound(key); }
+  // First row whose key is greater than the given one.
+  auto UpperBound(const Key& key) const { return rows_.upper_bound(key); }
 
   void Put(Row row) {
     const Key key = row.Key();
