--- a/tests/process/pool/odd_input.py
+++ b/tests/process/pool/odd_input.py
@@ -1,5 +1,7 @@
 """Input that other programs have written and that no process of a pool can use."""
 
+import time
+
 DEEP_ARRAY = "[" * 200_000 + "1" + "]" * 200_000
 DEEP_OBJECT = '{"a":' * 200_000 + "1" + "}" * 200_000
 ENTRY_PREFIX = "dottereltrack/entries/"
@@ -33,7 +35,10 @@
         "service": '"svc"',
         "address": '"10.0.0.1:8165"',
         "zone": '"z0"',
+        "version": '"v1"',
+        "slots": "8",
         "state": '"ready"',
+        "cold_remaining_ms": "0",
         "capacity": '{"cpu":1000,"task_memory_mb":1000,"gpu":0}',
         "labels": '["a","r1"]',
         "clock_ms": "1",
@@ -41,12 +46,26 @@
         "born": "1",
         **fields,
     }
-    return "{" + ",".join(f'"{k}":{v}' for k, v in values.items()) + "}"
+    return "{" + ",".join(f'"{k}":{v}' for k, v in values.items() if v) + "}"
+
+
+# Fields that each report of a minion has.
+REPORT_FIELDS = [
+    "service", "address", "zone", "version", "slots", "state", "cold_remaining_ms",
+    "capacity", "labels", "clock_ms", "sequence",
+]
+
+
+def incomplete_reports():
+    """Reports that lack one field each and whose sender would have started just now, so
+    that it would replace the minion of the machine."""
+    born = str(int(time.time() * 1000))
+    return [report(born=born, **{field: ""}) for field in REPORT_FIELDS]
 
 
 def reports():
     """Reports of minions as JSON texts; none of them names a minion to use."""
-    return [
+    return incomplete_reports() + [
         "no json",
         "[]",
         DEEP_ARRAY,
--- a/tests/users_platform/minion_test.cpp
+++ b/tests/users_platform/minion_test.cpp
@@ -49,6 +49,10 @@
                                          {"sequence", "four"},
                                          {"capacity", json::array()},
                                          {"labels", "a"},
+                                         {"version", 1},
+                                         {"slots", "8"},
+                                         {"cold_remaining_ms", nullptr},
+                                         {"drain_remaining_ms", "soon"},
                                          {"born", 1.5}}));
   CAPTURE(row.field, row.value.dump());
   json body = json::parse(kReport);
@@ -56,6 +60,44 @@
   CHECK_FALSE(ParseMinionReport("i-7f", body.dump()));
 }
 
+TEST_CASE("A report without a field of the protocol is rejected",
+          "[platform][minion]") {
+  // Guards against an incomplete report of another writer that takes the place
+  // of the real minion, whose tasks are then started again elsewhere.
+  struct Row {
+    const char* field;
+    bool is_accepted;
+  };
+  const auto row = GENERATE(values<Row>({{"service", false},
+                                         {"address", false},
+                                         {"zone", false},
+                                         {"version", false},
+                                         {"slots", false},
+                                         {"state", false},
+                                         {"cold_remaining_ms", false},
+                                         {"capacity", false},
+                                         {"labels", false},
+                                         {"clock_ms", false},
+                                         {"sequence", false},
+                                         {"born", true},
+                                         {"drain_remaining_ms", true}}));
+  CAPTURE(row.field);
+  json body = json::parse(kReport);
+  body.erase(row.field);
+  CHECK(ParseMinionReport("i-7f", body.dump()).has_value() == row.is_accepted);
+}
+
+TEST_CASE("A capacity without one of its resources is rejected",
+          "[platform][minion]") {
+  // Guards against the same, and against starts on resources that the minion
+  // does not have.
+  const auto field = GENERATE("cpu", "task_memory_mb", "gpu");
+  CAPTURE(field);
+  json body = json::parse(kReport);
+  body["capacity"].erase(field);
+  CHECK_FALSE(ParseMinionReport("i-7f", body.dump()));
+}
+
 TEST_CASE("The path of a minion's call names the instance",
           "[platform][minion]") {
   // Guards against reports that are parsed as departures.
--- a/tests/users_platform/odd_input_test.cpp
+++ b/tests/users_platform/odd_input_test.cpp
@@ -35,6 +35,17 @@
   return {HttpEnd::kAnswered, 200, body, ""};
 }
 
+// A minion's report that is complete but for one field, which has the given
+// value.
+std::string ReportWith(const std::string& field, const std::string& value) {
+  // The last value of a repeated field counts.
+  return R"({"service":"s","address":"10.0.0.9:8080","zone":"a",)"
+         R"("version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,)"
+         R"("sequence":4,"clock_ms":1,"born":1700,"labels":["a","r1"],)"
+         R"("capacity":{"cpu":1,"task_memory_mb":1,"gpu":0},")" +
+         field + R"(":)" + value + "}";
+}
+
 // A value that no field of the platform's messages takes.
 std::string OddValue() {
   return GENERATE(as<std::string>(), "null", "[]", "{}", "1e999", "-1e999",
@@ -100,17 +111,15 @@
 TEST_CASE("A report with an odd value is refused", "[platform][minion]") {
   // Guards against processes that end, or adopt a minion that does not exist,
   // because of a report from another writer.
-  const auto field = GENERATE("service", "address", "zone", "state", "sequence",
-                              "clock_ms", "born", "capacity", "labels");
+  const auto field =
+      GENERATE("service", "address", "zone", "version", "slots", "state",
+               "cold_remaining_ms", "sequence", "clock_ms", "born", "capacity",
+               "labels", "drain_remaining_ms");
   const auto value = OddValue();
   const bool is_allowed = std::string(field) == "labels" && value == "[]";
   CAPTURE(field, value.substr(0, 80));
-  const std::string body =
-      R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"ready",)"
-      R"("sequence":4,"clock_ms":1,"born":1700,"labels":["a","r1"],)"
-      R"("capacity":{"cpu":1,"task_memory_mb":1},")" +
-      std::string(field) + R"(":)" + value + "}";
-  CHECK(ParseMinionReport("i-1", body).has_value() == is_allowed);
+  CHECK(ParseMinionReport("i-1", ReportWith(field, value)).has_value() ==
+        is_allowed);
 }
 
 TEST_CASE("A report with a value out of range is refused",
@@ -129,18 +138,15 @@
        {"address", R"("[::1:8080")"},
        {"sequence", "9007199254740993"},
        {"born", "9223372036854775808"},
-       {"capacity", R"({"cpu":1})"},
-       {"capacity", R"({"cpu":-5,"task_memory_mb":1})"},
-       {"capacity", R"({"cpu":9223372036854775807,"task_memory_mb":1})"},
-       {"capacity", R"({"cpu":1,"task_memory_mb":1e999})"},
+       {"capacity", R"({"cpu":1,"gpu":0})"},
+       {"capacity", R"({"cpu":-5,"task_memory_mb":1,"gpu":0})"},
+       {"capacity",
+        R"({"cpu":9223372036854775807,"task_memory_mb":1,"gpu":0})"},
+       {"capacity", R"({"cpu":1,"task_memory_mb":1e999,"gpu":0})"},
        {"capacity", R"({"cpu":1,"task_memory_mb":1,"gpu":4294967296000})"},
        {"labels", R"(["a","r1",7])"}}));
   CAPTURE(row.field, row.value);
-  const std::string body =
-      R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"ready",)"
-      R"("sequence":4,"capacity":{"cpu":1,"task_memory_mb":1},")" +
-      std::string(row.field) + R"(":)" + row.value + "}";
-  CHECK_FALSE(ParseMinionReport("i-1", body));
+  CHECK_FALSE(ParseMinionReport("i-1", ReportWith(row.field, row.value)));
 }
 
 TEST_CASE("An odd row of a run list costs only itself", "[platform][minion]") {
