Keep the runs of a minion that is said to have ended until their lease lapses

Fix: only the minion's own list or a lapsed lease ends a run. A leave marks the minion as draining. A report of another instance waits as the successor until the known instance has not answered until the lease lapsed, and is dropped if it answers a poll. After a failed poll the lease of such a minion is not renewed. An instance that has never answered a poll gives way to an earlier one, so that the real minion is not ignored for ever.

--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/pool/agent/crashes.h"
+#include "core/pool/agent/instances.h"
 #include "core/pool/agent/links.h"
 #include "core/pool/agent/polls.h"
 #include "core/pool/agent/runs.h"
@@ -23,6 +24,7 @@
 
   void RunControllers() {
     ApplyChanges(EndRunsWithExpiredLease(*board_, now_));
+    ApplyChanges(AdoptSuccessor(*board_, now_));
     ApplyChanges(SendStops(*board_, now_));
     ApplyChanges(PollMinion(*board_, now_));
     ApplyChanges(AnnounceMinion(*board_, minion_before_));
--- a/src/core/pool/agent/apply.cpp
+++ b/src/core/pool/agent/apply.cpp
@@ -26,7 +26,13 @@
   void operator()(const Erase<KnownEntry>& it) const {
     board->entries.Erase(it.key);
   }
-  void operator()(const SetMinion& it) const { board->minion = it.minion; }
+  void operator()(const SetMinion& it) const {
+    board->minion = it.minion;
+    board->minion_has_left = it.has_left;
+  }
+  void operator()(const SetSuccessor& it) const {
+    board->successor = it.successor;
+  }
   void operator()(const SetClock& it) const { board->clock = it.clock; }
   void operator()(const SetPollState& it) const { board->poll = it.poll; }
   void operator()(const SetHealth& it) const { board->health = it.health; }
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -143,6 +143,12 @@
 struct AgentBoard {
   AgentSettings settings;
   std::optional<MinionReport> minion;
+  // The minion has announced its end.
+  bool minion_has_left = false;
+  // Another instance that has reported while runs may be at work on `minion`.
+  // It replaces `minion` when they have ended or their lease has lapsed, unless
+  // `minion` answers a poll before.
+  std::optional<MinionReport> successor;
   ClockReading clock;
   PollState poll;
   MinionHealth health;
--- a/src/core/pool/agent/capacity.cpp
+++ b/src/core/pool/agent/capacity.cpp
@@ -18,6 +18,7 @@
 
 bool IsAccepting(const AgentBoard& board, const Now& now) {
   if (!board.minion || board.minion->draining || board.stopping) return false;
+  if (board.successor) return false;
   if (!board.poll.has_inventory || board.poll.failures > 0) return false;
   const MinionHealth& health = board.health;
   if (now.boot < health.suspended_until) return false;
--- a/src/core/pool/agent/changes.h
+++ b/src/core/pool/agent/changes.h
@@ -12,6 +12,10 @@
 
 struct SetMinion {
   std::optional<MinionReport> minion;
+  bool has_left = false;
+};
+struct SetSuccessor {
+  std::optional<MinionReport> successor;
 };
 struct SetClock {
   ClockReading clock;
@@ -32,8 +36,9 @@
 using AgentRowChange =
     std::variant<Put<RunRow>, Erase<RunRow>, Put<MinionCrash>,
                  Erase<MinionCrash>, Put<EntryLinkRow>, Erase<EntryLinkRow>,
-                 Put<KnownEntry>, Erase<KnownEntry>, SetMinion, SetClock,
-                 SetPollState, SetHealth, SetFencingToken, SetAgentStopping>;
+                 Put<KnownEntry>, Erase<KnownEntry>, SetMinion, SetSuccessor,
+                 SetClock, SetPollState, SetHealth, SetFencingToken,
+                 SetAgentStopping>;
 
 struct SendToEntry {
   LinkId link;
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -6,91 +6,12 @@
 #include "core/pool/agent/capacity.h"
 #include "core/pool/agent/crashes.h"
 #include "core/pool/agent/fencing.h"
+#include "core/pool/agent/instances.h"
 #include "core/pool/agent/runs.h"
 
 namespace dottereltrack::pool {
 namespace {
 
-// Differences between the wall clocks of two machines are below this.
-constexpr milliseconds kMaxClockDifference{86'400'000};
-
-// Whether a start time is too far ahead to be a minion's. Reports of an
-// instance with an earlier start than the known one are ignored, so that such a
-// time would hide all real reports.
-bool IsStartTimeImplausible(std::uint64_t started_ms, const Now& now) {
-  const auto latest = (now.wall + kMaxClockDifference).count();
-  return started_ms > static_cast<std::uint64_t>(latest);
-}
-
-bool IsSameInstance(const MinionReport& a, const MinionReport& b) {
-  return a.id == b.id && a.started_ms == b.started_ms;
-}
-
-Decision MinionDecision(const MinionReport& minion, std::string event) {
-  return {Severity::kStateChange,
-          std::move(event),
-          0,
-          {{"minion", minion.id}, {"service", minion.service}},
-          {{"cpu_millis", minion.capacity.cpu_millis},
-           {"draining", minion.draining ? 1 : 0},
-           {"started_ms", static_cast<std::int64_t>(minion.started_ms)}}};
-}
-
-// Records a crash if the known instance has not announced its end.
-AgentChanges RecordReplacement(const AgentBoard& board, const Now& now) {
-  if (!board.minion || board.minion->draining) return {};
-  return RecordCrash(board, CrashEvidence::kOtherInstance, now);
-}
-
-// Handles a restart of the minion under the same id. The new process accepts
-// calls that were sent to the previous one, so it may hold some of the runs;
-// the next poll shows which. That poll also carries a higher fencing token, so
-// that the minion rejects starts that arrive even later: their leases were
-// computed for the previous clock and may seem valid on the new one.
-AgentChanges AdoptRestartedInstance(const AgentBoard& board,
-                                    const MinionReport& report,
-                                    const Now& now) {
-  AgentChanges changes = RecordReplacement(board, now);
-  for (const auto& [key, run] : board.runs) {
-    if (run.phase != RunPhase::kRunning) continue;
-    RunRow row = run;
-    row.phase = RunPhase::kUnconfirmed;
-    row.phase_started_at = now.boot;
-    changes.Add(Put<RunRow>{row});
-  }
-  PollState poll = board.poll;
-  ++poll.sequence;
-  poll.in_flight = false;
-  poll.last_end_number = 0;
-  poll.next_at = now.boot;
-  poll.has_inventory = false;
-  changes.Add(SetPollState{poll});
-  changes.Add(SetMinion{report});
-  changes.Add(SetClock{{report.clock_ms, now.boot}});
-  changes.Add(SetHealth{});
-  changes.Add(SetFencingToken{NextFencingToken(board, now)});
-  changes.Add(MinionDecision(report, "minion_restarted"));
-  return changes;
-}
-
-AgentChanges AdoptNewInstance(const AgentBoard& board,
-                              const MinionReport& report, const Now& now) {
-  AgentChanges changes = RecordReplacement(board, now);
-  changes.Append(EndAllRunsAsLost(
-      board, "another instance of the minion has started", now));
-  PollState poll;
-  // Responses to polls of the previous instance are recognised by their
-  // sequence number and ignored.
-  poll.sequence = board.poll.sequence + 1;
-  poll.lease_ends_at = board.poll.lease_ends_at;
-  changes.Add(SetMinion{report});
-  changes.Add(SetClock{{report.clock_ms, now.boot}});
-  changes.Add(SetPollState{poll});
-  changes.Add(SetHealth{});
-  changes.Add(MinionDecision(report, "minion_known"));
-  return changes;
-}
-
 // Stops runs that an earlier agent process has left on the minion.
 void StopUnknownRuns(const AgentBoard& board, const PollAnswered& e,
                      const Now& now, AgentChanges* changes) {
@@ -221,52 +142,21 @@
   return changes;
 }
 
-}  // namespace
-
-AgentChanges HandleMinionReport(const AgentBoard& board,
-                                const MinionReport& report, const Now& now) {
-  if (IsStartTimeImplausible(report.started_ms, now)) {
-    AgentChanges changes;
-    changes.Add(
-        Decision{Severity::kFailure,
-                 "report_ignored",
-                 0,
-                 {{"minion", report.id},
-                  {"reason", "the minion's start lies more than a day ahead"}},
-                 {{"started_ms", static_cast<std::int64_t>(report.started_ms)},
-                  {"wall_ms", now.wall.count()}}});
-    return changes;
-  }
-  if (!board.minion) return AdoptNewInstance(board, report, now);
-  const MinionReport& known = *board.minion;
-  if (!IsSameInstance(known, report)) {
-    // A delayed report of an instance that has been replaced.
-    if (report.started_ms < known.started_ms) return {};
-    return report.id == known.id ? AdoptRestartedInstance(board, report, now)
-                                 : AdoptNewInstance(board, report, now);
-  }
-  AgentChanges changes;
-  if (report.sequence <= known.sequence) return changes;
-  changes.Add(SetMinion{report});
-  if (report.draining != known.draining || report.capacity != known.capacity) {
-    changes.Add(MinionDecision(report, "minion_state_changed"));
-  }
-  return changes;
+// Whether the next poll renews the lease of the runs. A minion that is expected
+// to end and does not answer gets no renewal, so that its lease lapses.
+bool RenewsLease(const AgentBoard& board) {
+  if (board.runs.empty()) return false;
+  return board.poll.failures == 0 || !IsExpectedToEnd(board);
 }
 
-AgentChanges HandleMinionLeft(const AgentBoard& board, const MinionLeft& e,
-                              const Now& now) {
-  if (!board.minion || board.minion->id != e.id) return {};
-  AgentChanges changes = EndAllRunsAsLost(board, "the minion has left", now);
-  MinionReport left = *board.minion;
-  // The report is kept as draining, so that a delayed report does not make the
-  // instance available again.
-  left.draining = true;
-  changes.Add(SetMinion{left});
-  changes.Add(MinionDecision(left, "minion_left"));
-  return changes;
+CrashEvidence FindCrashEvidence(const AgentBoard& board) {
+  if (board.successor) return CrashEvidence::kOtherInstance;
+  return board.poll.connection_refused ? CrashEvidence::kConnectionRefused
+                                       : CrashEvidence::kNoAnswer;
 }
 
+}  // namespace
+
 AgentChanges PollMinion(const AgentBoard& board, const Now& now) {
   AgentChanges changes;
   const PollState& known = board.poll;
@@ -291,7 +181,7 @@
                 {}};
   call.timeout = call.wait + settings.poll_timeout_margin;
   poll.previous_lease_ends_at = poll.lease_ends_at;
-  if (has_runs) {
+  if (RenewsLease(board)) {
     call.lease_ends_ms =
         EstimateMinionClockMs(board, now) + settings.lease.count();
     poll.lease_ends_at = now.boot + settings.max_lease_duration;
@@ -313,7 +203,7 @@
     restarted.clock_ms = e.clock_ms;
     return AdoptRestartedInstance(board, restarted, now);
   }
-  AgentChanges changes;
+  AgentChanges changes = RejectSuccessor(board);
   const bool was_unreachable = board.poll.failures > 1;
   ReconcileRuns(board, e, now, &changes);
   StopUnknownRuns(board, e, now, &changes);
@@ -352,12 +242,9 @@
   AgentChanges changes;
   // A single failure may be due to a pause of this process. A draining minion
   // ends on its own.
-  if (board.poll.failures > 1 && !board.minion->draining) {
-    changes = RecordCrash(board,
-                          board.poll.connection_refused
-                              ? CrashEvidence::kConnectionRefused
-                              : CrashEvidence::kNoAnswer,
-                          now);
+  const bool has_ended = board.poll.failures > 1 || board.successor;
+  if (has_ended && !board.minion->draining) {
+    changes = RecordCrash(board, FindCrashEvidence(board), now);
   }
   // An unanswered start carries its own lease, which has expired as well.
   changes.Append(EndAllRunsAsLost(
--- a/src/core/pool/agent/polls.h
+++ b/src/core/pool/agent/polls.h
@@ -5,13 +5,6 @@
 
 namespace dottereltrack::pool {
 
-// Processes a report of the minion. If an instance with another id reports, the
-// runs of the previous one end as lost.
-AgentChanges HandleMinionReport(const AgentBoard& board,
-                                const MinionReport& report, const Now& now);
-AgentChanges HandleMinionLeft(const AgentBoard& board, const MinionLeft& e,
-                              const Now& now);
-
 // Polls the minion while it has runs, its runs are not known yet, or it does
 // not respond.
 AgentChanges PollMinion(const AgentBoard& board, const Now& now);
--- /dev/null
+++ b/tests/pool/agent_instances_test.cpp
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+
+#include "core/pool/agent/capacity.h"
+#include "pool/agent_fixture.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+// The word that the known instance "m1" has ended.
+enum class EndNotice { kLeave, kReportOfAnother };
+
+AgentEvent MakeEvent(EndNotice notice) {
+  if (notice == EndNotice::kLeave) return MinionLeft{"m1"};
+  return MinionReported{MakeMinionReport("m2", 2'000, 1)};
+}
+
+// An agent whose minion has a run.
+AgentFixture MakeAgentWithRun() {
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.Start(1, MakeRunKey(0));
+  agent.Step({StartAnswered{MakeRunKey(0), CallAnswer::kAccepted}});
+  return agent;
+}
+
+std::vector<RunEnd> ReportedEnds(const std::vector<AgentEffect>& effects) {
+  std::vector<RunEnd> ends;
+  for (const auto& [link, message] : SelectMessages<RunEnded>(effects)) {
+    ends.push_back(message.end);
+  }
+  return ends;
+}
+
+// Lets all polls up to `until` fail; returns the ends reported on the way.
+std::vector<RunEnd> FailPollsUntil(AgentFixture* agent, CallAnswer answer,
+                                   BootTime until) {
+  std::vector<RunEnd> ends;
+  while (agent->now.boot < until) {
+    auto effects = agent->board.poll.in_flight ? agent->FailPoll(answer)
+                                               : std::vector<AgentEffect>{};
+    for (const RunEnd end : ReportedEnds(effects)) ends.push_back(end);
+    agent->now.boot =
+        std::min<BootTime>(until, agent->now.boot + milliseconds{10});
+    effects = agent->Step({AgentTick{}});
+    for (const RunEnd end : ReportedEnds(effects)) ends.push_back(end);
+  }
+  return ends;
+}
+
+TEST_CASE(
+    "The runs of a minion that is said to have ended are lost when their lease "
+    "has lapsed, and not before",
+    "[pool][agent][twice]") {
+  // Guards against a second run elsewhere while the first is at work, because
+  // the call came from another writer or the minion outlives its leave, and
+  // against callers that wait for runs of an instance that has ended.
+  struct Row {
+    EndNotice notice;
+    CallAnswer answer;
+  };
+  const auto row = GENERATE(
+      values<Row>({{EndNotice::kLeave, CallAnswer::kNotConnected},
+                   {EndNotice::kLeave, CallAnswer::kUnanswered},
+                   {EndNotice::kReportOfAnother, CallAnswer::kNotConnected},
+                   {EndNotice::kReportOfAnother, CallAnswer::kUnanswered},
+                   {EndNotice::kReportOfAnother, CallAnswer::kOtherInstance}}));
+  CAPTURE(static_cast<int>(row.notice), static_cast<int>(row.answer));
+  AgentFixture agent = MakeAgentWithRun();
+  const BootTime lease_ends_at = agent.board.poll.lease_ends_at;
+  CHECK(ReportedEnds(agent.Step({MakeEvent(row.notice)})).empty());
+  CHECK_FALSE(IsAccepting(agent.board, agent.now));
+  CHECK(FailPollsUntil(&agent, row.answer, lease_ends_at - milliseconds{1})
+            .empty());
+  CHECK(FailPollsUntil(&agent, row.answer, lease_ends_at) ==
+        std::vector{RunEnd::kLost});
+  const bool is_replaced = row.notice == EndNotice::kReportOfAnother;
+  CHECK(agent.board.minion->id == (is_replaced ? "m2" : "m1"));
+  agent.AnswerPoll({}, {});
+  CHECK(IsAccepting(agent.board, agent.now) == is_replaced);
+}
+
+TEST_CASE("Runs go on while their minion answers polls",
+          "[pool][agent][twice]") {
+  // Guards against work that is lost, and started again elsewhere, because of a
+  // report of another writer or a leave whose sender has not ended.
+  const auto notice =
+      GENERATE(values({EndNotice::kLeave, EndNotice::kReportOfAnother}));
+  CAPTURE(static_cast<int>(notice));
+  AgentFixture agent = MakeAgentWithRun();
+  agent.Step({MakeEvent(notice)});
+  agent.now.boot += milliseconds{50};
+  const auto polls =
+      SelectEffects<CallPoll>(agent.AnswerPoll({{MakeRunKey(0), 50}}, {}));
+  REQUIRE(polls.size() == 1);
+  CHECK(polls[0].lease_ends_ms.has_value());
+  const auto effects =
+      agent.AnswerPoll({}, {{1, MakeRunKey(0), RunEnd::kDone}});
+  CHECK(ReportedEnds(effects) == std::vector{RunEnd::kDone});
+  CHECK(agent.board.minion->id == "m1");
+  const bool has_left = notice == EndNotice::kLeave;
+  CHECK(IsAccepting(agent.board, agent.now) == !has_left);
+}
+
+TEST_CASE("An instance that answers no poll gives way to an earlier one",
+          "[pool][agent][minion]") {
+  // Guards against a minion that gets no tasks any more, because a report of
+  // another writer named a later start.
+  struct Row {
+    const char* name;
+    bool has_answered;
+    int failed_polls;
+    std::string known;
+  };
+  const auto row = GENERATE(values<Row>({{"never answered", false, 2, "m1"},
+                                         {"not polled yet", false, 0, "m2"},
+                                         {"answered before", true, 2, "m2"}}));
+  CAPTURE(row.name);
+  AgentFixture agent;
+  agent.Step({MinionReported{MakeMinionReport("m2", 2'000, 1)}});
+  if (row.has_answered) agent.AnswerPoll({}, {});
+  for (int n = 0; n < row.failed_polls; ++n) {
+    agent.now.boot = agent.board.poll.next_at;
+    agent.Step({AgentTick{}});
+    if (agent.board.poll.in_flight) agent.FailPoll(CallAnswer::kNotConnected);
+  }
+  agent.Step({MinionReported{MakeMinionReport("m1", 1'000, 9)}});
+  CHECK(agent.board.minion->id == row.known);
+}
+
+}  // namespace
+}  // namespace dottereltrack::pool
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -138,6 +138,20 @@
         await cell.expect_event(daemon, "config_adopted", version=cell.config_version)
 
 
+async def announce_ends_that_do_not_come(cell):
+    """Agents get leaves of minions that go on, and complete reports of minions that do
+    not exist."""
+    for n in range(6):
+        for minion in cell.minions[:2]:
+            path = f"/-/instances/{minion.id}/deregister"
+            await call_json(minion.agent, "POST", path, {})
+        for minion in cell.minions[2:]:
+            path = f"/-/instances/other-{n}/heartbeat"
+            text = odd_input.complete_report()
+            await call_json(minion.agent, "POST", path, text.encode())
+        await asyncio.sleep(0.5)
+
+
 async def crash_minions_by_a_task(cell):
     """A task crashes each minion that starts it. Its entry is killed after the first
     crash, so that its client submits the job to another one."""
@@ -183,6 +197,7 @@
     "history of the store lost": (lose_store_history, 1.0),
     "minion drains": (drain_minion, 1.0),
     "odd input": (write_odd_input, 0.9),
+    "ends of minions that do not come": (announce_ends_that_do_not_come, 0.9),
     "settings reloaded": (reload_all_settings, 1.0),
     "task crashes minions": (crash_minions_by_a_task, 0.8),
 }
