Compute leases from a lower bound of the minion's clock

Cause: the end of a lease is a time on the minion's clock, which the agent read with the answers to its polls only, and it polls no minion without runs. The time since the reading was added at the full rate, though the minion's clock may be 2% slow: after 50 s the lease was 1,000 ms instead of 300.

Fix: the estimate is a lower bound (98% of the time since the reading), reports bring readings as well, a minion with a reading older than 2 s is polled, and the time of a pause does not count, since the minion's clock may have stood still with the machine. A lease is never longer than meant; the bound shortens it by 40 ms at most. No constant of the waits was changed.

--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -100,6 +100,7 @@
   void OnEvent(const AgentPaused& e) {
     paused_ = true;
     ApplyChanges(AbortAllEntryLinks(*board_, e.duration));
+    ApplyChanges(PollAfterPause(*board_, e.duration, now_));
   }
 
   void OnMessage(LinkId link, const EntryHello& message) {
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -38,6 +38,8 @@
 // minion's clock may run up to 2% slower than the local one.
 struct ClockReading {
   std::uint64_t minion_clock_ms = 0;
+  // Later than the arrival by the time for which this process was paused since:
+  // the minion's clock may not have advanced in a pause.
   BootTime read_at{0};
   friend bool operator==(const ClockReading&, const ClockReading&) = default;
 };
--- a/src/core/pool/agent/capacity.cpp
+++ b/src/core/pool/agent/capacity.cpp
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace dottereltrack::pool {
+namespace {
+
+// The platform allows the clock of a minion to be this much slower than true
+// time.
+constexpr int kMaxClockSlownessPercent = 2;
+
+}  // namespace
 
 Resources FreeResources(const AgentBoard& board) {
   if (!board.minion) return {};
@@ -31,7 +38,8 @@
 std::uint64_t EstimateMinionClockMs(const AgentBoard& board, const Now& now) {
   const auto elapsed =
       std::chrono::duration_cast<milliseconds>(now.boot - board.clock.read_at);
-  return board.clock.minion_clock_ms + elapsed.count();
+  return board.clock.minion_clock_ms +
+         elapsed.count() * (100 - kMaxClockSlownessPercent) / 100;
 }
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/agent/capacity.h
+++ b/src/core/pool/agent/capacity.h
@@ -13,8 +13,9 @@
 // Whether the minion accepts new runs.
 bool IsAccepting(const AgentBoard& board, const Now& now);
 
-// Estimates the current time on the minion's clock from its last reading. The
-// result exceeds the true value by at most the drift since that reading.
+// Returns a lower bound of the current time on the minion's clock. A lease that
+// is computed from it is never longer than meant, however old the last reading
+// is.
 std::uint64_t EstimateMinionClockMs(const AgentBoard& board, const Now& now);
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/agent/instances.cpp
+++ b/src/core/pool/agent/instances.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/pool/agent/capacity.h"
 #include "core/pool/agent/crashes.h"
 #include "core/pool/agent/fencing.h"
 #include "core/pool/agent/runs.h"
@@ -72,10 +73,15 @@
 }
 
 // Processes a further report of the known instance.
-AgentChanges UpdateMinion(const AgentBoard& board, const MinionReport& report) {
+AgentChanges UpdateMinion(const AgentBoard& board, const MinionReport& report,
+                          const Now& now) {
   AgentChanges changes;
   const MinionReport& known = *board.minion;
   if (report.sequence <= known.sequence) return changes;
+  // A report that was delayed tells less than an earlier reading.
+  if (report.clock_ms > EstimateMinionClockMs(board, now)) {
+    changes.Add(SetClock{{report.clock_ms, now.boot}});
+  }
   const bool has_left = board.minion_has_left && report.draining;
   changes.Add(SetMinion{report, has_left});
   if (report.draining != known.draining || report.capacity != known.capacity) {
@@ -152,7 +158,7 @@
   }
   if (!board.minion) return AdoptNewInstance(board, report, now);
   const MinionReport& known = *board.minion;
-  if (IsSameInstance(known, report)) return UpdateMinion(board, report);
+  if (IsSameInstance(known, report)) return UpdateMinion(board, report, now);
   // A delayed report of an instance that has been replaced.
   if (report.started_ms < known.started_ms && IsProven(board)) return {};
   if (report.id == known.id) return AdoptRestartedInstance(board, report, now);
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -163,15 +163,18 @@
   if (!board.minion || known.in_flight) return changes;
   const bool has_runs = !board.runs.empty();
   const bool has_left = board.minion->draining && !has_runs;
+  const AgentSettings& settings = board.settings;
+  const bool has_old_clock =
+      now.boot - board.clock.read_at > settings.max_clock_reading_age;
   const bool has_reason =
-      has_runs || !known.has_inventory || known.failures > 0;
+      has_runs || !known.has_inventory || known.failures > 0 || has_old_clock;
   if (!has_reason || has_left || now.boot < known.next_at) return changes;
   PollState poll = known;
   ++poll.sequence;
   poll.in_flight = true;
   poll.sent_at = now.boot;
-  const AgentSettings& settings = board.settings;
-  const bool skips_wait = poll.failures > 0 || !poll.has_inventory;
+  const bool skips_wait =
+      poll.failures > 0 || !poll.has_inventory || has_old_clock;
   CallPoll call{*board.minion,
                 poll.sequence,
                 {},
@@ -234,6 +237,22 @@
   return changes;
 }
 
+AgentChanges PollAfterPause(const AgentBoard& board, milliseconds pause,
+                            const Now& now) {
+  AgentChanges changes;
+  if (!board.minion) return changes;
+  changes.Add(
+      SetClock{{board.clock.minion_clock_ms, board.clock.read_at + pause}});
+  PollState poll = board.poll;
+  // The answer to a poll that was sent before the pause is ignored.
+  ++poll.sequence;
+  poll.in_flight = false;
+  poll.has_inventory = false;
+  poll.next_at = now.boot;
+  changes.Add(SetPollState{poll});
+  return changes;
+}
+
 AgentChanges EndRunsWithExpiredLease(const AgentBoard& board, const Now& now) {
   if (board.runs.empty() || board.poll.failures == 0 ||
       now.boot < board.poll.lease_ends_at) {
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -31,6 +31,10 @@
   milliseconds lease{300};
   // A lease has expired after this time, also if the minion's clock is 2% slow.
   milliseconds max_lease_duration{310};
+  // The minion is polled if the last reading of its clock is older than this.
+  // The drift since the reading, up to 2%, shortens the leases. It is above the
+  // 1.5 s between two reports, which bring readings as well.
+  milliseconds max_clock_reading_age{2'000};
   // A poll of the minion waits up to this long for a run to end. The wait is
   // short because the response may get lost, and the end is then only seen one
   // wait later.
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -91,6 +91,14 @@
     ("pool_lease_of_an_ending_minion", POOL_AGENT + "polls.cpp", [
         ("return board.poll.failures == 0 || !IsExpectedToEnd(board);",
          "return true;")]),
+    ("pool_slow_clock_of_a_minion", POOL_AGENT + "capacity.cpp", [
+        ("constexpr int kMaxClockSlownessPercent = 2;",
+         "constexpr int kMaxClockSlownessPercent = 0;")]),
+    ("pool_clock_after_a_pause", POOL_AGENT + "polls.cpp", [
+        ("board.clock.read_at + pause", "board.clock.read_at")]),
+    ("pool_clock_of_reports", POOL_AGENT + "instances.cpp", [
+        ("if (report.clock_ms > EstimateMinionClockMs(board, now)) {",
+         "if (report.clock_ms > EstimateMinionClockMs(board, now) + 9999) {")]),
     ("pool_unreadable_rows", POOL_AGENT + "polls.cpp", [
         ("} else if (e.refused_rows == 0 || run.phase == RunPhase::kStopping) {",
          "} else {")]),
