Take an answer that proves nothing as no answer to a call

In the users' record the answer to the first start was lost, and the stops of two tasks with one run number were called at the same moment on the first minion.

Cause: ParseCallAnswer took each status that it does not name, such as 500, 502 or 504, and a 409 without a known reason as "not carried out". The start was refused to its entry, which placed the task again, although the minion ran it. The next poll then found a run that nobody knew and stopped it, hence the two stops.

Fix: only the answers for which the protocol says that nothing was done count as refusals (429, 503, 409 with a reason that it names, 400, 421). Any other is as good as none: the run stays reserved until a poll lists it or a stop forbids it.

Two rows of the table of answers required the fault: a 409 that cannot be read counted as a refusal. The soak draws such answers, refused stops and leaves of minions that live on.

--- a/src/core/pool/agent/events.h
+++ b/src/core/pool/agent/events.h
@@ -53,8 +53,8 @@
   // No connection could be established, so nothing was sent.
   kNotConnected,
   kInvalid,
-  // No response arrived. The minion may have carried out the call or may still
-  // do so.
+  // No response arrived, or one that does not tell whether the call was carried
+  // out. The minion may have done so or may still do so.
   kUnanswered,
 };
 
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -65,6 +65,14 @@
         minion.response_loss_rate = 0.0
 
 
+async def answer_with_errors(cell):
+    for minion in cell.minions:
+        minion.error_rate = 0.2
+    await asyncio.sleep(2.0)
+    for minion in cell.minions:
+        minion.error_rate = 0.0
+
+
 async def take_store_down(cell):
     cell.store.mode = "down"
     await asyncio.sleep(2.0)
@@ -192,6 +200,7 @@
     "minion crashed": (crash_minion, 0.95),
     "minion silent": (silence_minion, 0.95),
     "answers of minions lost": (lose_responses, 0.95),
+    "calls executed and answered with errors": (answer_with_errors, 0.95),
     "store down": (take_store_down, 1.0),
     "store silent and entry killed": (silence_store_and_kill_entry, 0.8),
     "history of the store lost": (lose_store_history, 1.0),
--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -67,7 +67,10 @@
     def minion_fault(self):
         minion = self.random.choice(self.cell.minions)
         kind = self.random.choice(
-            ["crash", "silence", "lose_answers", "drain", "odd_rows", "odd_report"]
+            [
+                "crash", "silence", "lose_answers", "errors", "refuse_stops", "leave",
+                "drain", "odd_rows", "odd_report"
+            ]
         )
         odd_report = self.random.choice(odd_input.reports())
         actions = {
@@ -78,6 +81,13 @@
             "lose_answers": lambda: set_temporarily(
                 minion, "response_loss_rate", 0.2, 0.0, self.random_duration()
             ),
+            "errors": lambda: set_temporarily(
+                minion, "error_rate", 0.2, 0.0, self.random_duration()
+            ),
+            "refuse_stops": lambda: set_temporarily(
+                minion, "refuses_stops", True, False, self.random_duration()
+            ),
+            "leave": lambda: announce_end(minion),
             "drain": lambda: set_temporarily(
                 minion, "draining", True, False, self.random_duration()
             ),
@@ -177,6 +187,12 @@
     store.put_odd_item(odd_input.ENTRY_PREFIX, text)
 
 
+async def announce_end(minion):
+    """The minion lives on, as after a leave whose answer is lost."""
+    path = f"/-/instances/{minion.id}/deregister"
+    await call_json(minion.agent, "POST", path, {}, timeout=1.0)
+
+
 async def send_odd_report(minion, text):
     path = "/-/instances/odd/heartbeat"
     await call_json(minion.agent, "POST", path, text.encode(), timeout=1.0)
--- a/tests/process/pool/standins.py
+++ b/tests/process/pool/standins.py
@@ -13,6 +13,7 @@
 
 MAX_LEASE_EXTENSION_S = 1.0
 STOP_DURATION_S = 0.03
+ERRORS_AFTER_EXECUTION = [500, 502, 504]
 FIRST_TASK = ".0.0.0"
 CRASH_DELAY_S = 0.01
 CRASH_DOWNTIME_S = 1.0
@@ -243,6 +244,10 @@
         self.address = address
         self.mode = "up"
         self.response_loss_rate = 0.0
+        # Share of the calls that are executed and answered with an error.
+        self.error_rate = 0.0
+        # Whether calls to stop a run are answered with an error and not executed.
+        self.refuses_stops = False
         # Rows that no program of this system can read.
         self.odd_rows = []
         self.random = random.Random(host)
@@ -360,6 +365,8 @@
         if token < self.fencing_token:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         self.fencing_token = token
+        if self.refuses_stops and path == "/-/run-stop":
+            return 500, {}
         answer = {
             "/-/run-start": self.run_start,
             "/-/run-stop": self.run_stop,
@@ -368,6 +375,8 @@
         answer = await answer
         if self.random.random() < self.response_loss_rate:
             await asyncio.sleep(3600)
+        if self.random.random() < self.error_rate:
+            return self.random.choice(ERRORS_AFTER_EXECUTION), {}
         return answer
 
     async def run_start(self, body):
--- a/tests/users_platform/minion_test.cpp
+++ b/tests/users_platform/minion_test.cpp
@@ -164,8 +164,10 @@
 }
 
 TEST_CASE("Responses of a minion are mapped to answers", "[platform][minion]") {
-  // Guards against releasing capacity while the run may still exist: only
-  // responses that prove that nothing was started may release it.
+  // Guards against releasing capacity, and starting the task again elsewhere,
+  // while the run may still exist: only responses that prove that nothing was
+  // started may do so. A minion that has executed a start and answers 500, 502
+  // or 504 proves nothing.
   struct Row {
     HttpResult result;
     pool::CallAnswer answer;
@@ -177,12 +179,28 @@
        {Answered(409, R"({"reason":"old"})"), CallAnswer::kOldNumber},
        {Answered(409, R"({"reason":"late"})"), CallAnswer::kLate},
        {Answered(409, R"({"reason":"room"})"), CallAnswer::kNoRoom},
-       {Answered(409, R"({"reason":5})"), CallAnswer::kUnavailable},
-       {Answered(409, "no json"), CallAnswer::kUnavailable},
+       {Answered(409, R"({"reason":"ticket"})"), CallAnswer::kUnavailable},
+       {Answered(409, R"({"reason":"other"})"), CallAnswer::kUnanswered},
+       {Answered(409, R"({"reason":5})"), CallAnswer::kUnanswered},
+       {Answered(409, "{}"), CallAnswer::kUnanswered},
+       {Answered(409, "no json"), CallAnswer::kUnanswered},
+       {Answered(409, ""), CallAnswer::kUnanswered},
        {Answered(400, ""), CallAnswer::kInvalid},
        {Answered(421, ""), CallAnswer::kOtherInstance},
        {Answered(429, ""), CallAnswer::kUnavailable},
        {Answered(503, ""), CallAnswer::kUnavailable},
+       {Answered(100, ""), CallAnswer::kUnanswered},
+       {Answered(202, ""), CallAnswer::kUnanswered},
+       {Answered(204, ""), CallAnswer::kUnanswered},
+       {Answered(302, ""), CallAnswer::kUnanswered},
+       {Answered(401, ""), CallAnswer::kUnanswered},
+       {Answered(404, ""), CallAnswer::kUnanswered},
+       {Answered(408, ""), CallAnswer::kUnanswered},
+       {Answered(500, ""), CallAnswer::kUnanswered},
+       {Answered(501, ""), CallAnswer::kUnanswered},
+       {Answered(502, ""), CallAnswer::kUnanswered},
+       {Answered(504, ""), CallAnswer::kUnanswered},
+       {Answered(599, ""), CallAnswer::kUnanswered},
        {{HttpEnd::kNotConnected, 0, "", ""}, CallAnswer::kNotConnected},
        {{HttpEnd::kRefused, 0, "", ""}, CallAnswer::kNotConnected},
        {{HttpEnd::kTimedOut, 0, "", ""}, CallAnswer::kUnanswered},
