Let the lease lapse if a minion does not stop a run in time

What callers saw: a task runs twice at once when its entry is lost, the client submits the job to another entry, and the minion refuses or loses the stops of the first runs.

Cause: the agent repeated the stop for ever and its polls renewed the lease meanwhile, though the entry restarts a lost run after 910 ms and the client submits the job elsewhere after 1.3 s.

Fix: a run whose task may be started elsewhere has a time by which it must stop: 60 ms after its link was lost or it was found on the minion, 800 ms after its entry's request. After that no poll renews the lease, and no run starts on the minion, until the stop is accepted. 500 + 25 + 60 + 310 ms are below 910, and 800 + 310 below 1,300, so the entries' waits stay as they are. A stop that has no such risk (a run that stalled, a start without an answer) has no limit.

--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -78,6 +78,10 @@
   bool stop_in_flight = false;
   BootTime next_stop_at{0};
   std::optional<BootTime> stop_answered_at;
+  // Unless the minion has accepted the stop by this time, no lease is renewed
+  // until it has: the task may be started elsewhere although the run has not
+  // ended. Unset if the task's entry waits for the end of the run.
+  std::optional<BootTime> must_stop_by;
   // Progress that the minion last reported.
   int percent = 0;
   BootTime progress_at{0};
--- a/src/core/pool/agent/capacity.cpp
+++ b/src/core/pool/agent/capacity.cpp
@@ -23,9 +23,18 @@
                      [](const auto& it) { return it.second.is_suspect; });
 }
 
+bool HasOverdueStop(const AgentBoard& board, const Now& now) {
+  return std::any_of(board.runs.begin(), board.runs.end(), [&](const auto& it) {
+    const RunRow& run = it.second;
+    return run.must_stop_by && now.boot >= *run.must_stop_by &&
+           !run.stop_answered_at;
+  });
+}
+
 bool IsAccepting(const AgentBoard& board, const Now& now) {
   if (!board.minion || board.minion->draining || board.stopping) return false;
-  if (board.successor) return false;
+  // A start would renew the lease of all runs.
+  if (board.successor || HasOverdueStop(board, now)) return false;
   if (!board.poll.has_inventory || board.poll.failures > 0) return false;
   const MinionHealth& health = board.health;
   if (now.boot < health.suspended_until) return false;
--- a/src/core/pool/agent/capacity.h
+++ b/src/core/pool/agent/capacity.h
@@ -10,6 +10,10 @@
 // Whether a run of a suspect task is in progress.
 bool HasSuspect(const AgentBoard& board);
 
+// Whether a run had to stop by now and the minion has not accepted the stop. No
+// call may renew the lease then.
+bool HasOverdueStop(const AgentBoard& board, const Now& now);
+
 // Whether the minion accepts new runs.
 bool IsAccepting(const AgentBoard& board, const Now& now);
 
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -23,6 +23,7 @@
     found.has_begun = true;
     found.started_at = now.boot;
     found.next_stop_at = now.boot;
+    found.must_stop_by = now.boot + board.settings.max_run_stop_time;
     changes->Add(Put<RunRow>{found});
     changes->Add(Decision{Severity::kFailure,
                           "run_found",
@@ -142,10 +143,11 @@
   return changes;
 }
 
-// Whether the next poll renews the lease of the runs. A minion that is expected
-// to end and does not answer gets no renewal, so that its lease lapses.
-bool RenewsLease(const AgentBoard& board) {
-  if (board.runs.empty()) return false;
+// Whether the next poll renews the lease of the runs. It lapses on a minion
+// that is expected to end and does not answer, and on one that does not stop a
+// run whose task may be started elsewhere.
+bool RenewsLease(const AgentBoard& board, const Now& now) {
+  if (board.runs.empty() || HasOverdueStop(board, now)) return false;
   return board.poll.failures == 0 || !IsExpectedToEnd(board);
 }
 
@@ -184,7 +186,7 @@
                 {}};
   call.timeout = call.wait + settings.poll_timeout_margin;
   poll.previous_lease_ends_at = poll.lease_ends_at;
-  if (RenewsLease(board)) {
+  if (RenewsLease(board, now)) {
     call.lease_ends_ms =
         EstimateMinionClockMs(board, now) + settings.lease.count();
     poll.lease_ends_at = now.boot + settings.max_lease_duration;
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -64,13 +64,21 @@
   return nullptr;
 }
 
+// Returns the run as to be stopped; unchanged if it is already.
 RunRow WithStopRequested(RunRow run, RunEnd reason, const Now& now) {
+  if (run.phase == RunPhase::kStopping) return run;
   run.phase = RunPhase::kStopping;
   run.stop_reason = reason;
   run.next_stop_at = now.boot;
   return run;
 }
 
+// Returns the run with a limit for its stop, or an earlier one that it has.
+RunRow WithStopLimit(RunRow run, BootTime limit) {
+  run.must_stop_by = std::min(run.must_stop_by.value_or(limit), limit);
+  return run;
+}
+
 // Removes a refused run, which releases its resources. Its entry may start the
 // task on another minion.
 AgentChanges RemoveRefusedRun(const AgentBoard& board, const RunRow& run,
@@ -127,8 +135,10 @@
                         const Now& now) {
   AgentChanges changes;
   const RunRow* run = board.runs.Find(message.run);
-  if (run == nullptr || run->phase == RunPhase::kStopping) return changes;
-  changes.Add(Put<RunRow>{WithStopRequested(*run, RunEnd::kStopped, now)});
+  if (run == nullptr) return changes;
+  changes.Add(Put<RunRow>{
+      WithStopLimit(WithStopRequested(*run, RunEnd::kStopped, now),
+                    now.boot + board.settings.max_requested_stop_time)});
   return changes;
 }
 
@@ -199,8 +209,10 @@
                             const Now& now) {
   AgentChanges changes;
   for (const auto& [key, run] : board.runs) {
-    if (run.link != link || run.phase == RunPhase::kStopping) continue;
-    changes.Add(Put<RunRow>{WithStopRequested(run, RunEnd::kStopped, now)});
+    if (run.link != link) continue;
+    changes.Add(Put<RunRow>{
+        WithStopLimit(WithStopRequested(run, RunEnd::kStopped, now),
+                      now.boot + board.settings.max_run_stop_time)});
   }
   return changes;
 }
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -48,6 +48,10 @@
   milliseconds call_timeout{100};
   // Upper bound of the time to stop a run; a minion needs at most 50 ms.
   milliseconds max_run_stop_time{60};
+  // A client may submit a job to another entry 1.3 s after it lost its call,
+  // upon which the former entry stops the runs. If a minion has not accepted a
+  // stop of an entry within this time, the lease of its runs lapses in time.
+  milliseconds max_requested_stop_time{800};
   // Minimum interval between two load reports to an entry, multiplied by the
   // number of linked entries, so that an agent sends at most 200 reports per
   // second in total.
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -99,6 +99,9 @@
     ("pool_clock_of_reports", POOL_AGENT + "instances.cpp", [
         ("if (report.clock_ms > EstimateMinionClockMs(board, now)) {",
          "if (report.clock_ms > EstimateMinionClockMs(board, now) + 9999) {")]),
+    ("pool_overdue_stops", POOL_AGENT + "capacity.cpp", [
+        ("return run.must_stop_by && now.boot >= *run.must_stop_by &&",
+         "return false && now.boot >= *run.must_stop_by &&")]),
     ("pool_unreadable_rows", POOL_AGENT + "polls.cpp", [
         ("} else if (e.refused_rows == 0 || run.phase == RunPhase::kStopping) {",
          "} else {")]),
--- a/tests/pool/agent_runs_test.cpp
+++ b/tests/pool/agent_runs_test.cpp
@@ -155,6 +155,63 @@
   CHECK(stops[0].run == MakeRunKey(0));
 }
 
+TEST_CASE("The lease lapses if a run does not stop in time",
+          "[pool][agent][lease][twice]") {
+  // Guards against a second run elsewhere while a minion that refuses or loses
+  // stops goes on with the first, and against lost runs because of a stop that
+  // is merely under way.
+  enum class Cause { kLinkClosed, kRequest, kRequestThenLinkClosed, kStalled };
+  struct Row {
+    Cause cause;
+    CallAnswer answer;
+    milliseconds age;
+    bool renews;
+  };
+  const milliseconds stop_time = AgentSettings{}.max_run_stop_time;
+  const milliseconds request_time = AgentSettings{}.max_requested_stop_time;
+  const milliseconds tick{1};
+  const auto row = GENERATE_COPY(values<Row>({
+      {Cause::kLinkClosed, CallAnswer::kUnanswered, stop_time - tick, true},
+      {Cause::kLinkClosed, CallAnswer::kUnanswered, stop_time, false},
+      {Cause::kLinkClosed, CallAnswer::kUnavailable, stop_time, false},
+      {Cause::kLinkClosed, CallAnswer::kAccepted, stop_time, true},
+      {Cause::kRequest, CallAnswer::kUnanswered, request_time - tick, true},
+      {Cause::kRequest, CallAnswer::kUnanswered, request_time, false},
+      {Cause::kRequest, CallAnswer::kAccepted, request_time, true},
+      {Cause::kRequestThenLinkClosed, CallAnswer::kUnanswered, stop_time,
+       false},
+      {Cause::kStalled, CallAnswer::kUnanswered, 2 * request_time, true},
+  }));
+  CAPTURE(static_cast<int>(row.cause), static_cast<int>(row.answer),
+          row.age.count());
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.AddEntry(2, 200);
+  StartAndConfirm(&agent, MakeRunKey(0));
+  std::vector<AgentEvent> events;
+  if (row.cause == Cause::kStalled) {
+    agent.now.boot += AgentSettings{}.min_stall_time;
+    events = {AgentTick{}};
+  } else if (row.cause == Cause::kLinkClosed) {
+    events = {EntryLinkClosed{{1}}};
+  } else {
+    events = {EntryMessage{{1}, StopRun{MakeRunKey(0)}}};
+    if (row.cause == Cause::kRequestThenLinkClosed) {
+      events.emplace_back(EntryLinkClosed{{1}});
+    }
+  }
+  REQUIRE(SelectEffects<CallStop>(agent.Step(events)).size() == 1);
+  agent.Step({StopAnswered{MakeRunKey(0), row.answer}});
+  agent.now.boot += row.age;
+  const auto polls =
+      SelectEffects<CallPoll>(agent.AnswerPoll({{MakeRunKey(0), 5}}, {}));
+  REQUIRE(polls.size() == 1);
+  CHECK(polls[0].lease_ends_ms.has_value() == row.renews);
+  // A start would renew the lease as well.
+  const auto start = agent.Start(2, MakeRunKey(1));
+  CHECK(SelectEffects<CallStart>(start).empty() == !row.renews);
+}
+
 TEST_CASE("A silent entry's link is aborted", "[pool][agent][links]") {
   // Guards against runs of an entry that lost power, since its connections are
   // not closed.
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -73,6 +73,21 @@
         minion.error_rate = 0.0
 
 
+async def refuse_stops_and_kill_entry(cell):
+    """The clients of long jobs submit them to another entry while the minions refuse to
+    stop the runs that the first entry has started."""
+    client = LoadGenerator(cell, seed=8, tasks_per_job=1, task_duration_s=2.0)
+    jobs = [asyncio.create_task(client.submit(0, timeout_s=8.0)) for _ in range(8)]
+    await asyncio.sleep(0.3)
+    for minion in cell.minions:
+        minion.refuses_stops = True
+    await cell.entries[0].kill(0.5)
+    await asyncio.sleep(2.0)
+    for minion in cell.minions:
+        minion.refuses_stops = False
+    await asyncio.gather(*jobs)
+
+
 async def take_store_down(cell):
     cell.store.mode = "down"
     await asyncio.sleep(2.0)
@@ -201,6 +216,7 @@
     "minion silent": (silence_minion, 0.95),
     "answers of minions lost": (lose_responses, 0.95),
     "calls executed and answered with errors": (answer_with_errors, 0.95),
+    "stops refused and entry killed": (refuse_stops_and_kill_entry, 0.8),
     "store down": (take_store_down, 1.0),
     "store silent and entry killed": (silence_store_and_kill_entry, 0.8),
     "history of the store lost": (lose_store_history, 1.0),
