--- a/src/core/pool/task.h
+++ b/src/core/pool/task.h
@@ -24,8 +24,8 @@
 // successor.
 constexpr TaskKey FirstTaskOf(std::uint64_t job) { return {job, 0, 0}; }
 constexpr TaskKey LastTaskOf(std::uint64_t job) {
-  constexpr auto kMax = std::numeric_limits<std::uint32_t>::max();
-  return {job, kMax, kMax};
+  using Limits = std::numeric_limits<std::uint32_t>;
+  return {job, Limits::max(), Limits::max()};
 }
 
 // Identifies a run of a task. Later runs of the same task have higher numbers,
