Log what a minion answered, and whether a call was sent again

The agent's lines could not tell the hypotheses apart: start_refused said 'the minion is unavailable' for a status that proves nothing, for a refusal by the minion, and for a refusal of a second copy of the call; a stop that was not accepted left no line; run_found did not name the run.

HttpResult::is_resent tells that libcurl has sent a request again after the server had closed a reused connection without a response. It is set in the callback that libcurl calls before each sending if bytes of an earlier copy have gone out. The agent's start_refused, start_unanswered and minion_unreachable have the field answer, run_found the run and the minion, and stop_failed is new. No decision depends on any of these.

--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -220,7 +220,8 @@
   minion_client_.Start(
       users_platform::MakeHttpCall(effect),
       [this, run = effect.run](const HttpResult& result) {
-        Post(StartAnswered{run, users_platform::ParseCallAnswer(result)});
+        Post(StartAnswered{run, users_platform::ParseCallAnswer(result),
+                           users_platform::DescribeAnswer(result)});
       });
 }
 
@@ -228,7 +229,8 @@
   minion_client_.Start(
       users_platform::MakeHttpCall(effect),
       [this, run = effect.run](const HttpResult& result) {
-        Post(StopAnswered{run, users_platform::ParseCallAnswer(result)});
+        Post(StopAnswered{run, users_platform::ParseCallAnswer(result),
+                          users_platform::DescribeAnswer(result)});
       });
 }
 
--- a/src/core/pool/agent/events.h
+++ b/src/core/pool/agent/events.h
@@ -61,10 +61,13 @@
 struct StartAnswered {
   RunKey run;
   CallAnswer answer = CallAnswer::kUnanswered;
+  // What was received, for the log.
+  std::string detail{};
 };
 struct StopAnswered {
   RunKey run;
   CallAnswer answer = CallAnswer::kUnanswered;
+  std::string detail{};
 };
 
 // A run that the minion lists.
@@ -90,6 +93,8 @@
   // Rows of the lists that cannot be read, and why the first of them cannot.
   std::uint64_t refused_rows = 0;
   std::string first_row_problem;
+  // What was received, for the log.
+  std::string detail;
 };
 struct AgentTick {};
 struct AgentStopRequested {};
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -25,11 +25,12 @@
     found.next_stop_at = now.boot;
     found.must_stop_by = now.boot + board.settings.max_run_stop_time;
     changes->Add(Put<RunRow>{found});
-    changes->Add(Decision{Severity::kFailure,
-                          "run_found",
-                          listed.run.task.job,
-                          {{"task", ToText(listed.run.task)}},
-                          {}});
+    changes->Add(Decision{
+        Severity::kFailure,
+        "run_found",
+        listed.run.task.job,
+        {{"task", ToText(listed.run.task)}, {"minion", board.minion->id}},
+        {{"run", static_cast<std::int64_t>(listed.run.number)}}});
   }
 }
 
@@ -137,8 +138,8 @@
     changes.Add(Decision{Severity::kStateChange,
                          "minion_unreachable",
                          0,
-                         {{"minion", board.minion->id}},
-                         {{"answer", static_cast<int>(e.answer)}}});
+                         {{"minion", board.minion->id}, {"answer", e.detail}},
+                         {}});
   }
   return changes;
 }
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -32,12 +32,13 @@
 
 void RefuseStart(const AgentBoard& board, LinkId link, const RunKey& run,
                  StartRefusal refusal, const std::string& reason,
-                 AgentChanges* changes) {
+                 const std::string& detail, AgentChanges* changes) {
   changes->Add(SendToEntry{link, StartRefused{run, refusal}});
   const Severity severity = refusal == StartRefusal::kNoRoom
                                 ? Severity::kRoutine
                                 : Severity::kFailure;
   Decision decision = RunDecision(run, severity, "start_refused", reason);
+  if (!detail.empty()) decision.texts.emplace_back("answer", detail);
   const Resources free = FreeResources(board);
   decision.numbers.emplace_back("free_cpu_millis", free.cpu_millis);
   decision.numbers.emplace_back("runs",
@@ -80,12 +81,13 @@
 }
 
 // Removes a refused run, which releases its resources. Its entry may start the
-// task on another minion.
+// task on another minion. `detail` tells what the minion answered.
 AgentChanges RemoveRefusedRun(const AgentBoard& board, const RunRow& run,
-                              StartRefusal refusal, const std::string& reason) {
+                              StartRefusal refusal, const std::string& reason,
+                              const std::string& detail) {
   AgentChanges changes;
   changes.Add(Erase<RunRow>{run.key});
-  RefuseStart(board, run.link, run.key, refusal, reason, &changes);
+  RefuseStart(board, run.link, run.key, refusal, reason, detail, &changes);
   MarkReportDue(board, run.link, &changes);
   return changes;
 }
@@ -107,7 +109,7 @@
     RefuseStart(board, link, run,
                 IsAccepting(board, now) ? StartRefusal::kNoRoom
                                         : StartRefusal::kNotAccepting,
-                obstacle, &changes);
+                obstacle, {}, &changes);
     return changes;
   }
   RunRow started;
@@ -158,16 +160,17 @@
     }
     case CallAnswer::kNoRoom:
       return RemoveRefusedRun(board, *run, StartRefusal::kNoRoom,
-                              "the minion has no room");
+                              "the minion has no room", e.detail);
     case CallAnswer::kOldNumber:
       return RemoveRefusedRun(board, *run, StartRefusal::kOldNumber,
-                              "the minion knows a higher run number");
+                              "the minion knows a higher run number", e.detail);
     case CallAnswer::kInvalid:
       return RemoveRefusedRun(board, *run, StartRefusal::kRejected,
-                              "the minion rejects the task");
+                              "the minion rejects the task", e.detail);
     case CallAnswer::kFenced: {
       changes = RemoveRefusedRun(board, *run, StartRefusal::kNotAccepting,
-                                 "the minion has seen a higher fencing token");
+                                 "the minion has seen a higher fencing token",
+                                 e.detail);
       changes.Add(SetFencingToken{NextFencingToken(board, now)});
       return changes;
     }
@@ -178,14 +181,17 @@
       return RemoveRefusedRun(board, *run, StartRefusal::kNotAccepting,
                               e.answer == CallAnswer::kLate
                                   ? "the start reached the minion too late"
-                                  : "the minion is unavailable");
+                                  : "the minion is unavailable",
+                              e.detail);
     case CallAnswer::kUnanswered: {
       RunRow unconfirmed = *run;
       unconfirmed.phase = RunPhase::kUnconfirmed;
       unconfirmed.phase_started_at = now.boot;
       changes.Add(Put<RunRow>{unconfirmed});
-      changes.Add(RunDecision(e.run, Severity::kFailure, "start_unanswered",
-                              "no answer of the minion"));
+      Decision decision = RunDecision(e.run, Severity::kFailure,
+                                      "start_unanswered", "the run may exist");
+      decision.texts.emplace_back("answer", e.detail);
+      changes.Add(std::move(decision));
       return changes;
     }
   }
@@ -202,6 +208,14 @@
   run.next_stop_at = now.boot + kStopRetryDelay;
   if (e.answer == CallAnswer::kAccepted) run.stop_answered_at = now.boot;
   changes.Add(Put<RunRow>{run});
+  if (e.answer != CallAnswer::kAccepted) {
+    Decision decision = RunDecision(e.run, Severity::kFailure, "stop_failed",
+                                    "the minion has not accepted the stop");
+    decision.texts.emplace_back("answer", e.detail);
+    decision.numbers.emplace_back("lease_withheld",
+                                  HasOverdueStop(board, now) ? 1 : 0);
+    changes.Add(std::move(decision));
+  }
   return changes;
 }
 
--- a/src/http_client/curl_call.cpp
+++ b/src/http_client/curl_call.cpp
@@ -1,5 +1,6 @@
 #include "http_client/curl_call.h"
 
+#include <cstdint>
 #include <utility>
 
 namespace dottereltrack {
@@ -17,6 +18,21 @@
   return n;
 }
 
+// Number of bytes of the request that have been sent, in all copies of it.
+std::int64_t BytesSent(const CurlCall& call) {
+  long sent = 0;  // NOLINT(google-runtime-int): libcurl's type
+  curl_easy_getinfo(call.easy.get(), CURLINFO_REQUEST_SIZE, &sent);
+  return sent;
+}
+
+// libcurl calls this each time that it is about to send the request.
+int OnSend(void* user_data, char* /*server_ip*/, char* /*local_ip*/,
+           int /*server_port*/, int /*local_port*/) {
+  auto& call = *static_cast<CurlCall*>(user_data);
+  if (BytesSent(call) > 0) call.is_resent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 void SetHeaders(CurlCall& call, const HttpCall& request) {
   // Suppresses "Expect: 100-continue", which costs a round trip.
   curl_slist* list = curl_slist_append(nullptr, "Expect:");
@@ -45,11 +61,7 @@
 
 // The error code alone does not show this: libcurl may send the request on a
 // reused connection that the server closes, and then fail to reconnect.
-bool HasSentNothing(const CurlCall& call) {
-  long sent = 0;  // NOLINT(google-runtime-int): libcurl's type
-  curl_easy_getinfo(call.easy.get(), CURLINFO_REQUEST_SIZE, &sent);
-  return sent == 0;
-}
+bool HasSentNothing(const CurlCall& call) { return BytesSent(call) == 0; }
 
 HttpEnd HttpEndFromCurlCode(const CurlCall& call, CURLcode code) {
   switch (code) {
@@ -124,6 +136,8 @@
                    static_cast<long>(request.timeout.count()));  // NOLINT
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnResponseBytes);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, call.get());
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, call.get());
   if (request.use_fresh_connection) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -135,10 +149,16 @@
 
 HttpResult MakeHttpResult(CurlCall& call, CURLcode code) {
   const auto end = HttpEndFromCurlCode(call, code);
-  if (end != HttpEnd::kAnswered) return {end, 0, {}, ErrorMessage(end, code)};
+  if (end != HttpEnd::kAnswered) {
+    return {end, 0, {}, ErrorMessage(end, code), call.is_resent};
+  }
   long status = 0;  // NOLINT(google-runtime-int): libcurl's type
   curl_easy_getinfo(call.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-  return {end, static_cast<int>(status), std::move(call.response), {}};
+  return {end,
+          static_cast<int>(status),
+          std::move(call.response),
+          {},
+          call.is_resent};
 }
 
 }  // namespace dottereltrack
--- a/src/http_client/curl_call.h
+++ b/src/http_client/curl_call.h
@@ -25,6 +25,8 @@
   std::size_t max_response_bytes = 0;
   std::string response;
   bool is_response_too_large = false;
+  // See HttpResult.
+  bool is_resent = false;
   std::unique_ptr<curl_slist, CurlListDeleter> headers;
   std::unique_ptr<CURL, CurlEasyDeleter> easy;
   std::function<void(HttpResult)> on_done;
--- a/src/http_client/http_types.h
+++ b/src/http_client/http_types.h
@@ -58,6 +58,10 @@
   // Cause of the failure and advice for the operator; empty if the end is
   // kAnswered.
   std::string message{};
+  // The request was sent more than once: the server closed a reused connection
+  // without a response, and libcurl sent the request again. The server may have
+  // processed each copy; a response is the one to the last copy.
+  bool is_resent = false;
   friend bool operator==(const HttpResult&, const HttpResult&) = default;
 };
 
--- a/tests/http_client/http_client_test.cpp
+++ b/tests/http_client/http_client_test.cpp
@@ -35,6 +35,10 @@
   }
   int requests() const { return requests_; }
   int connections() const { return connections_; }
+  // Reads the n-th request and closes its connection without a response.
+  void CloseAtRequest(int n) { closed_request_ = n; }
+  // Accepts no connection any more.
+  void StopListening() { acceptor_.close(); }
 
  private:
   struct Session {
@@ -59,6 +63,7 @@
                              if (ec) return;
                              ++requests_;
                              session->buf.clear();
+                             if (requests_ == closed_request_) return;
                              SendResponse(session);
                            });
   }
@@ -76,6 +81,7 @@
   bool closes_connection_;
   int requests_ = 0;
   int connections_ = 0;
+  int closed_request_ = 0;
 };
 
 // Runs the event loop until the condition holds. Returns false if it does not
@@ -180,6 +186,55 @@
   CHECK(server.connections() == (is_fresh ? 3 : 1));
 }
 
+// Guards against a response to the last copy of a request being taken for that
+// to an earlier copy, which the server may have processed.
+TEST_CASE("a call that was sent again is reported as such", "[http]") {
+  struct Row {
+    const char* name;
+    int closed_request;
+    bool is_fresh;
+    bool is_resent;
+  };
+  const auto row =
+      GENERATE(values<Row>({{"answered at once", 0, false, false},
+                            {"reused connection closed", 2, false, true},
+                            {"fresh connection closed", 2, true, false}}));
+  CAPTURE(row.name);
+  asio::io_context loop;
+  RawServer server(loop, kOkResponse, false);
+  server.CloseAtRequest(row.closed_request);
+  HttpClient client(loop);
+  const HttpCall call{.method = "POST",
+                      .url = server.Url(),
+                      .body = "b",
+                      .use_fresh_connection = row.is_fresh};
+  std::optional<HttpResult> result;
+  for (int n = 1; n <= 2; ++n) {
+    result.reset();
+    client.Start(call, [&](HttpResult r) { result = std::move(r); });
+    REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+    CHECK(result->is_resent == (n == 2 && row.is_resent));
+  }
+}
+
+// Guards against a call being reported as not sent if its first copy was sent
+// and the server cannot be reached for the second.
+TEST_CASE("a call that cannot be sent again counts as sent", "[http]") {
+  asio::io_context loop;
+  RawServer server(loop, kOkResponse, false);
+  server.CloseAtRequest(2);
+  HttpClient client(loop);
+  const HttpCall call{.method = "POST", .url = server.Url(), .body = "b"};
+  std::optional<HttpResult> result;
+  for (int n = 1; n <= 2; ++n) {
+    if (n == 2) server.StopListening();
+    result.reset();
+    client.Start(call, [&](HttpResult r) { result = std::move(r); });
+    REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+  }
+  CHECK(ToString(result->end) == std::string("transport_error"));
+}
+
 // Guards against a result being delivered to a caller that has cancelled the
 // call.
 TEST_CASE("a cancelled call does not invoke its callback", "[http]") {
--- a/tests/users_platform/minion_test.cpp
+++ b/tests/users_platform/minion_test.cpp
@@ -210,6 +210,23 @@
   CHECK(ParseCallAnswer(row.result) == row.answer);
 }
 
+TEST_CASE("The log tells what a minion answered", "[platform][minion]") {
+  // Guards against log lines from which the answers that release a task cannot
+  // be told apart.
+  struct Row {
+    HttpResult result;
+    std::string text;
+  };
+  const auto row =
+      GENERATE(values<Row>({{Answered(503, ""), "status 503"},
+                            {{HttpEnd::kAnswered, 503, "", "", true},
+                             "status 503, request sent again"},
+                            {{HttpEnd::kTimedOut, 0, "", ""}, "timed_out"},
+                            {{HttpEnd::kTransportError, 0, "", "", true},
+                             "transport_error, request sent again"}}));
+  CHECK(DescribeAnswer(row.result) == row.text);
+}
+
 TEST_CASE("The run lists of a status poll are decoded", "[platform][minion]") {
   // Guards against ends that are assigned to the wrong run or outcome.
   const auto look = ParseLookAnswer(
