Reproduce two runs of a task after the refusal of a second copy of its start

The minion carries out a start and closes the connection without a response. If the connection was a reused one, libcurl sends the request again on another, and the minion refuses this copy (429, 503, 409 or 421). The agent takes the refusal for the start, and the entry starts the task again at once.

--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -73,6 +73,16 @@
         minion.error_rate = 0.0
 
 
+async def refuse_copies_of_starts(cell):
+    """Minions execute starts, close the connections without a response, and refuse the
+    copies of these starts that libcurl sends on other connections."""
+    for minion in cell.minions:
+        minion.copy_refusal_rate = 0.2
+    await asyncio.sleep(2.0)
+    for minion in cell.minions:
+        minion.copy_refusal_rate = 0.0
+
+
 async def refuse_stops_and_kill_entry(cell):
     """The clients of long jobs submit them to another entry while the minions refuse to
     stop the runs that the first entry has started."""
@@ -222,6 +232,7 @@
     "minion silent": (silence_minion, 0.95),
     "answers of minions lost": (lose_responses, 0.95),
     "calls executed and answered with errors": (answer_with_errors, 0.95),
+    "copies of executed starts refused": (refuse_copies_of_starts, 0.95),
     "stops refused and entry killed": (refuse_stops_and_kill_entry, 0.8),
     "store down": (take_store_down, 1.0),
     "store silent and entry killed": (silence_store_and_kill_entry, 0.8),
--- a/tests/process/pool/standins.py
+++ b/tests/process/pool/standins.py
@@ -14,6 +14,7 @@
 MAX_LEASE_EXTENSION_S = 1.0
 STOP_DURATION_S = 0.03
 ERRORS_AFTER_EXECUTION = [500, 502, 504]
+REFUSALS = [429, 503]
 FIRST_TASK = ".0.0.0"
 CRASH_DELAY_S = 0.01
 CRASH_DOWNTIME_S = 1.0
@@ -246,6 +247,10 @@
         self.response_loss_rate = 0.0
         # Share of the calls that are executed and answered with an error.
         self.error_rate = 0.0
+        # Share of the starts that are executed and whose connection is then closed
+        # without a response. A second copy of such a start is refused.
+        self.copy_refusal_rate = 0.0
+        self.unanswered_starts = set()
         # Whether calls to stop a run are answered with an error and not executed.
         self.refuses_stops = False
         # Rows that no program of this system can read.
@@ -367,12 +372,18 @@
         self.fencing_token = token
         if self.refuses_stops and path == "/-/run-stop":
             return 500, {}
+        start = (body.get("task"), body.get("run"))
+        if path == "/-/run-start" and start in self.unanswered_starts:
+            return self.random.choice(REFUSALS), {}
         answer = {
             "/-/run-start": self.run_start,
             "/-/run-stop": self.run_stop,
             "/-/hold": self.hold,
         }[path](body)
         answer = await answer
+        if path == "/-/run-start" and self.random.random() < self.copy_refusal_rate:
+            self.unanswered_starts.add(start)
+            raise DropConnection
         if self.random.random() < self.response_loss_rate:
             await asyncio.sleep(3600)
         if self.random.random() < self.error_rate:
--- a/tests/users_platform/minion_test.cpp
+++ b/tests/users_platform/minion_test.cpp
@@ -210,6 +210,35 @@
   CHECK(ParseCallAnswer(row.result) == row.answer);
 }
 
+TEST_CASE("An answer to a second copy of a call does not refuse the first one",
+          "[platform][minion]") {
+  // Guards against starting a task again while its first run is at work: the
+  // minion may have executed the first copy of the start, lost its answer with
+  // the connection, and refused the copy that libcurl has sent again.
+  struct Row {
+    int status;
+    std::string body;
+    pool::CallAnswer answer;
+  };
+  using pool::CallAnswer;
+  const auto row = GENERATE(
+      values<Row>({{200, "{}", CallAnswer::kAccepted},
+                   {400, "", CallAnswer::kUnanswered},
+                   {409, R"({"reason":"fence"})", CallAnswer::kUnanswered},
+                   {409, R"({"reason":"late"})", CallAnswer::kUnanswered},
+                   {409, R"({"reason":"old"})", CallAnswer::kUnanswered},
+                   {409, R"({"reason":"room"})", CallAnswer::kUnanswered},
+                   {409, R"({"reason":"ticket"})", CallAnswer::kUnanswered},
+                   {421, "", CallAnswer::kUnanswered},
+                   {429, "", CallAnswer::kUnanswered},
+                   {500, "", CallAnswer::kUnanswered},
+                   {503, "", CallAnswer::kUnanswered}}));
+  CAPTURE(row.status, row.body);
+  HttpResult result = Answered(row.status, row.body);
+  result.is_resent = true;
+  CHECK(ParseCallAnswer(result) == row.answer);
+}
+
 TEST_CASE("The log tells what a minion answered", "[platform][minion]") {
   // Guards against log lines from which the answers that release a task cannot
   // be told apart.
