--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -78,9 +78,7 @@
             "silence": lambda: set_temporarily(
                 minion, "mode", "silent", "up", self.random_duration()
             ),
-            "lose_answers": lambda: set_temporarily(
-                minion, "response_loss_rate", 0.2, 0.0, self.random_duration()
-            ),
+            "lose_answers": lambda: lose_answers(minion, self.random_duration()),
             "errors": lambda: set_temporarily(
                 minion, "error_rate", 0.2, 0.0, self.random_duration()
             ),
@@ -173,6 +171,14 @@
     setattr(target, attribute, normal_value)
 
 
+async def lose_answers(minion, seconds):
+    """Answers are late or, for some starts, lost with their connection, and a second
+    copy of such a start is refused."""
+    minion.copy_refusal_rate = 0.1
+    await set_temporarily(minion, "response_loss_rate", 0.2, 0.0, seconds)
+    minion.copy_refusal_rate = 0.0
+
+
 async def end_all_leases(store):
     for lease in list(store.leases):
         store.end_lease(lease)
