End the monitoring of a socket before its number is reused

What callers saw: a call to a minion or to the store whose reused connection ends without a response takes its whole timeout (100 ms for a start) instead of one more round trip.

Cause: libcurl announces that it will close a socket, closes it and opens the next one, which gets the same number, all within one call of curl_multi_socket_action. The handler that makes this call holds a reference to the old ObservedSocket, so its destructor ran after that and removed the number from epoll, which by then stood for the new socket. strace shows close(9), socket() = 9, EPOLL_CTL_ADD 9, EPOLL_CTL_DEL 9.

Found by the test of calls that are sent again; it failed with 'timed_out == answered' and covers the end of the call now. The fix ends the monitoring when libcurl announces the close.

--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -16,10 +16,15 @@
 struct ObservedSocket {
   ObservedSocket(asio::io_context& loop, curl_socket_t socket)
       : descriptor(loop, socket), fd(socket) {}
-  ~ObservedSocket() { descriptor.release(); }
+  ~ObservedSocket() { Release(); }
   ObservedSocket(const ObservedSocket&) = delete;
   ObservedSocket& operator=(const ObservedSocket&) = delete;
 
+  // Ends the monitoring; pending waits are cancelled.
+  void Release() {
+    if (descriptor.is_open()) descriptor.release();
+  }
+
   asio::posix::stream_descriptor descriptor;
   curl_socket_t fd;
   // Events that libcurl waits for: CURL_POLL_IN, CURL_POLL_OUT or both.
@@ -99,7 +104,12 @@
 
   void UpdateSocket(curl_socket_t fd, int events) {
     if (events == CURL_POLL_REMOVE) {
-      sockets_.erase(fd);
+      const auto it = sockets_.find(fd);
+      if (it == sockets_.end()) return;
+      // libcurl closes the socket next, and a new one may get its number. A
+      // later release would end the monitoring of that one.
+      it->second->Release();
+      sockets_.erase(it);
       return;
     }
     auto& socket = sockets_[fd];
--- a/tests/http_client/http_client_test.cpp
+++ b/tests/http_client/http_client_test.cpp
@@ -187,18 +187,20 @@
 }
 
 // Guards against a response to the last copy of a request being taken for that
-// to an earlier copy, which the server may have processed.
+// to an earlier copy, which the server may have processed, and against that
+// response not being read: the new socket often has the number of the old one.
 TEST_CASE("a call that was sent again is reported as such", "[http]") {
   struct Row {
     const char* name;
     int closed_request;
     bool is_fresh;
+    HttpEnd end;
     bool is_resent;
   };
-  const auto row =
-      GENERATE(values<Row>({{"answered at once", 0, false, false},
-                            {"reused connection closed", 2, false, true},
-                            {"fresh connection closed", 2, true, false}}));
+  const auto row = GENERATE(values<Row>(
+      {{"answered at once", 0, false, HttpEnd::kAnswered, false},
+       {"reused connection closed", 2, false, HttpEnd::kAnswered, true},
+       {"fresh connection closed", 2, true, HttpEnd::kTransportError, false}}));
   CAPTURE(row.name);
   asio::io_context loop;
   RawServer server(loop, kOkResponse, false);
@@ -215,6 +217,7 @@
     REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
     CHECK(result->is_resent == (n == 2 && row.is_resent));
   }
+  CHECK(ToString(result->end) == std::string(ToString(row.end)));
 }
 
 // Guards against a call being reported as not sent if its first copy was sent
