Bound the leases of a restarted minion by its own limit

What callers could see: a task runs twice at once after its minion has restarted under its id.

Cause: the call that finds the restart carries a lease that was computed for the clock of the former process. If the new clock is behind, the new process takes it, shortened to the longest lease that it grants (1 s), and holds it for all runs. The agent counted 310 ms: it reported runs as lost that were at work, and started runs that outlive the 910 ms that an entry waits for after the loss of the agent. Same class as the lease after a pause: a lease is measured on the wrong clock.

Fix: after a restart the agent reckons with 1,020 ms from the first answer to a call with the raised fencing token, after which the minion rejects all earlier calls. Until that lease is within the usual 310 ms, the minion takes no run: 0.71 s after each such restart.

--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -130,6 +130,13 @@
   BootTime lease_ends_at{0};
   // The same, not counting the poll that is in flight.
   BootTime previous_lease_ends_at{0};
+  // The minion has restarted under its id and has not answered a poll since, so
+  // it may still carry out calls that were meant for the former process.
+  bool has_restarted = false;
+  // The lease that such a call may have given to the restarted minion ends by
+  // this time. Its end was computed for the former process's clock, so that
+  // only the minion's own limit applies.
+  BootTime inherited_lease_ends_at{0};
   friend bool operator==(const PollState&, const PollState&) = default;
 };
 
--- a/src/core/pool/agent/capacity.cpp
+++ b/src/core/pool/agent/capacity.cpp
@@ -31,11 +31,19 @@
   });
 }
 
+BootTime LatestLeaseEnd(const AgentBoard& board) {
+  return std::max(board.poll.lease_ends_at, board.poll.inherited_lease_ends_at);
+}
+
 bool IsAccepting(const AgentBoard& board, const Now& now) {
   if (!board.minion || board.minion->draining || board.stopping) return false;
   // A start would renew the lease of all runs.
   if (board.successor || HasOverdueStop(board, now)) return false;
   if (!board.poll.has_inventory || board.poll.failures > 0) return false;
+  // A run would outlive the wait of its entry if this agent failed.
+  if (LatestLeaseEnd(board) > now.boot + board.settings.max_lease_duration) {
+    return false;
+  }
   const MinionHealth& health = board.health;
   if (now.boot < health.suspended_until) return false;
   if (health.on_trial && !board.runs.empty()) return false;
--- a/src/core/pool/agent/capacity.h
+++ b/src/core/pool/agent/capacity.h
@@ -14,6 +14,10 @@
 // call may renew the lease then.
 bool HasOverdueStop(const AgentBoard& board, const Now& now);
 
+// The leases of all runs on the minion expire by this time unless a later call
+// renews them.
+BootTime LatestLeaseEnd(const AgentBoard& board);
+
 // Whether the minion accepts new runs.
 bool IsAccepting(const AgentBoard& board, const Now& now);
 
--- a/src/core/pool/agent/instances.cpp
+++ b/src/core/pool/agent/instances.cpp
@@ -28,7 +28,7 @@
 
 // Whether a run may still be at work on the known instance.
 bool MayHaveLiveRuns(const AgentBoard& board, const Now& now) {
-  return !board.runs.empty() && now.boot < board.poll.lease_ends_at;
+  return !board.runs.empty() && now.boot < LatestLeaseEnd(board);
 }
 
 // Records a crash if the known instance has not announced its end.
@@ -133,6 +133,8 @@
   poll.last_end_number = 0;
   poll.next_at = now.boot;
   poll.has_inventory = false;
+  poll.has_restarted = true;
+  poll.inherited_lease_ends_at = now.boot + board.settings.max_granted_lease;
   changes.Add(SetPollState{poll});
   changes.Add(SetMinion{report});
   changes.Add(SetClock{{report.clock_ms, now.boot}});
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -12,7 +12,8 @@
 namespace dottereltrack::pool {
 namespace {
 
-// Stops runs that an earlier agent process has left on the minion.
+// Stops runs on the minion that this agent does not know, such as those of an
+// earlier agent process.
 void StopUnknownRuns(const AgentBoard& board, const PollAnswered& e,
                      const Now& now, AgentChanges* changes) {
   for (const ListedRun& listed : e.running) {
@@ -229,6 +230,12 @@
         {{"rows", static_cast<std::int64_t>(e.refused_rows)}}});
   }
   poll.has_inventory = true;
+  if (poll.has_restarted) {
+    // The minion has seen the raised fencing token, so that it rejects calls
+    // for its former process from now on.
+    poll.has_restarted = false;
+    poll.inherited_lease_ends_at = now.boot + board.settings.max_granted_lease;
+  }
   for (const ListedEnd& it : e.ended) {
     poll.last_end_number = std::max(poll.last_end_number, it.number);
   }
@@ -258,7 +265,7 @@
 
 AgentChanges EndRunsWithExpiredLease(const AgentBoard& board, const Now& now) {
   if (board.runs.empty() || board.poll.failures == 0 ||
-      now.boot < board.poll.lease_ends_at) {
+      now.boot < LatestLeaseEnd(board)) {
     return {};
   }
   AgentChanges changes;
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -31,6 +31,9 @@
   milliseconds lease{300};
   // A lease has expired after this time, also if the minion's clock is 2% slow.
   milliseconds max_lease_duration{310};
+  // Leases longer than 1 s are shortened by the minion; this is the longest
+  // one, also if the minion's clock is 2% slow.
+  milliseconds max_granted_lease{1'020};
   // The minion is polled if the last reading of its clock is older than this.
   // The drift since the reading, up to 2%, shortens the leases. It is above the
   // 1.5 s between two reports, which bring readings as well.
--- a/tests/pool/agent_instances_test.cpp
+++ b/tests/pool/agent_instances_test.cpp
@@ -101,6 +101,58 @@
   CHECK(IsAccepting(agent.board, agent.now) == !has_left);
 }
 
+// Tells the agent that its minion has restarted under its id.
+void Restart(AgentFixture* agent, bool is_found_by_poll) {
+  if (is_found_by_poll) {
+    PollAnswered answer;
+    answer.sequence = agent->board.poll.sequence;
+    answer.answer = CallAnswer::kAccepted;
+    answer.clock_ms = 1'000;
+    answer.started_ms = 2'000;
+    agent->Step({answer});
+  } else {
+    agent->Step({MinionReported{MakeMinionReport("m1", 2'000, 1)}});
+  }
+}
+
+TEST_CASE("A restarted minion takes no run while it may hold a long lease",
+          "[pool][agent][twice]") {
+  // Guards against a run that outlives the wait of its entry: a call for the
+  // former process, whose clock was ahead, may have given the new process the
+  // longest lease that a minion grants.
+  const bool is_found_by_poll = GENERATE(false, true);
+  CAPTURE(is_found_by_poll);
+  AgentFixture agent = MakeAgentWithRun();
+  Restart(&agent, is_found_by_poll);
+  agent.now.boot += milliseconds{30};
+  agent.AnswerPoll({}, {{1, MakeRunKey(0), RunEnd::kLost}});
+  const AgentSettings& settings = agent.board.settings;
+  const auto wait = settings.max_granted_lease - settings.max_lease_duration;
+  agent.now.boot += wait - milliseconds{1};
+  CHECK_FALSE(IsAccepting(agent.board, agent.now));
+  agent.now.boot += milliseconds{1};
+  CHECK(IsAccepting(agent.board, agent.now));
+}
+
+TEST_CASE("The runs of a restarted minion are not lost before its lease ends",
+          "[pool][agent][twice]") {
+  // Guards against a second run elsewhere while the restarted minion, which has
+  // accepted the start of the first, holds the longest lease that it grants.
+  const bool is_found_by_poll = GENERATE(false, true);
+  CAPTURE(is_found_by_poll);
+  AgentFixture agent = MakeAgentWithRun();
+  Restart(&agent, is_found_by_poll);
+  agent.now.boot += milliseconds{30};
+  agent.AnswerPoll({{MakeRunKey(0), 10}}, {});
+  const BootTime lease_ends_at =
+      agent.now.boot + agent.board.settings.max_granted_lease;
+  CHECK(FailPollsUntil(&agent, CallAnswer::kNotConnected,
+                       lease_ends_at - milliseconds{1})
+            .empty());
+  CHECK(FailPollsUntil(&agent, CallAnswer::kNotConnected, lease_ends_at) ==
+        std::vector{RunEnd::kLost});
+}
+
 TEST_CASE("An instance that answers no poll gives way to an earlier one",
           "[pool][agent][minion]") {
   // Guards against a minion that gets no tasks any more, because a report of
