Renew no lease for a run that an earlier agent process has left

What callers could see: a client leaves and submits its job to another entry 1.3 s later, and the task runs twice at once.

Cause: the stop of the first run fails, and its agent is killed and started again before it would have let the lease lapse (0.86 s after the stop request). The new agent finds the run and renewed its lease for another 60 ms, so the run lived up to 0.37 s longer.

Fix: the new agent does not know how long ago the task's caller has left, so it renews no lease from the discovery on, until the minion has accepted the stop.

--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -24,7 +24,8 @@
     found.has_begun = true;
     found.started_at = now.boot;
     found.next_stop_at = now.boot;
-    found.must_stop_by = now.boot + board.settings.max_run_stop_time;
+    // Its caller may already have submitted the job to another entry.
+    found.must_stop_by = now.boot;
     changes->Add(Put<RunRow>{found});
     changes->Add(Decision{
         Severity::kFailure,
--- a/tests/pool/agent_minion_test.cpp
+++ b/tests/pool/agent_minion_test.cpp
@@ -107,6 +107,26 @@
   CHECK(IsAccepting(agent.board, agent.now));
 }
 
+TEST_CASE("A run that an earlier agent process has left gets no lease",
+          "[pool][agent][twice]") {
+  // Guards against a restarted agent that prolongs a run whose task its caller
+  // may have submitted to another entry, while the minion refuses to stop it.
+  const auto answer =
+      GENERATE(values({CallAnswer::kUnanswered, CallAnswer::kUnavailable}));
+  CAPTURE(static_cast<int>(answer));
+  AgentFixture agent;
+  agent.Step({MinionReported{MakeMinionReport("m2", 2'000, 1)}});
+  auto effects = agent.AnswerPoll({{MakeRunKey(7), 50}}, {});
+  for (int n = 0; n < 3; ++n) {
+    const auto polls = SelectEffects<CallPoll>(effects);
+    REQUIRE(polls.size() == 1);
+    CHECK_FALSE(polls[0].lease_ends_ms.has_value());
+    agent.Step({StopAnswered{MakeRunKey(7), answer}});
+    agent.now.boot += milliseconds{50};
+    effects = agent.AnswerPoll({{MakeRunKey(7), 60}}, {});
+  }
+}
+
 TEST_CASE("A poll renews the lease of the runs", "[pool][agent][lease]") {
   // Guards against leases that expire while the agent is alive.
   AgentFixture agent;
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -8,7 +8,7 @@
 import signal
 
 import odd_input
-from cell import LoadGenerator
+from cell import RESEND_DELAY_S, TASK_CPU_MILLIS, LoadGenerator
 from web import call_json
 
 
@@ -98,6 +98,56 @@
     await asyncio.gather(*jobs)
 
 
+async def submit_twice(cell, job, patience_s):
+    """A client submits a long job, leaves, and submits it to another entry."""
+    body = {
+        "best_effort": True,
+        "spec": f"2.0 {TASK_CPU_MILLIS} done",
+        "steps": [
+            {"count": 1, "cpu": TASK_CPU_MILLIS, "task_memory_mb": 10,
+             "estimated_ms": 2000}
+        ],
+    }
+    headers = {"Host": "h", "X-Dottereltrack-Deadline-Ms": "8000"}
+    for n, timeout in ((0, patience_s), (1, 3.0)):
+        address = cell.client_addresses[n]
+        await call_json(address, "POST", f"/q/{job}", body, headers, timeout)
+        await asyncio.sleep(RESEND_DELAY_S)
+
+
+async def refuse_stops_while_clients_leave(cell, fault):
+    """Clients leave while the minions refuse to stop their runs; then `fault` happens."""
+    patience_s = 0.5
+    clients = [
+        asyncio.create_task(submit_twice(cell, f"{n + 1:016x}", patience_s))
+        for n in range(8)
+    ]
+    await asyncio.sleep(patience_s - 0.05)
+    for minion in cell.minions:
+        minion.refuses_stops = True
+    await fault()
+    await asyncio.sleep(1.5)
+    for minion in cell.minions:
+        minion.refuses_stops = False
+    await asyncio.gather(*clients)
+
+
+async def refuse_stops_and_pause_entry(cell):
+    """The entry learns 0.3 s late that its clients have left; the pause is too short
+    to be noticed."""
+    await refuse_stops_while_clients_leave(cell, lambda: cell.entries[0].freeze(0.35))
+
+
+async def refuse_stops_and_restart_agents(cell):
+    """The agents are replaced shortly before they would let the leases lapse."""
+
+    async def restart_agents():
+        await asyncio.sleep(0.8)
+        await asyncio.gather(*(agent.kill(0.0) for agent in cell.agents))
+
+    await refuse_stops_while_clients_leave(cell, restart_agents)
+
+
 async def take_store_down(cell):
     cell.store.mode = "down"
     await asyncio.sleep(2.0)
@@ -234,6 +284,8 @@
     "calls executed and answered with errors": (answer_with_errors, 0.95),
     "copies of executed starts refused": (refuse_copies_of_starts, 0.95),
     "stops refused and entry killed": (refuse_stops_and_kill_entry, 0.8),
+    "stops refused and entry paused": (refuse_stops_and_pause_entry, 0.7),
+    "stops refused and agents restarted": (refuse_stops_and_restart_agents, 0.5),
     "store down": (take_store_down, 1.0),
     "store silent and entry killed": (silence_store_and_kill_entry, 0.8),
     "history of the store lost": (lose_store_history, 1.0),
--- a/tests/process/pool/standins.py
+++ b/tests/process/pool/standins.py
@@ -251,6 +251,7 @@
         # without a response. A second copy of such a start is refused.
         self.copy_refusal_rate = 0.0
         self.unanswered_starts = set()
+        self.copy_refusal_random = random.Random(f"copies {host}")
         # Whether calls to stop a run are answered with an error and not executed.
         self.refuses_stops = False
         # Rows that no program of this system can read.
@@ -381,7 +382,7 @@
             "/-/hold": self.hold,
         }[path](body)
         answer = await answer
-        if path == "/-/run-start" and self.random.random() < self.copy_refusal_rate:
+        if path == "/-/run-start" and self.draw_copy_refusal():
             self.unanswered_starts.add(start)
             raise DropConnection
         if self.random.random() < self.response_loss_rate:
@@ -390,6 +391,10 @@
             return self.random.choice(ERRORS_AFTER_EXECUTION), {}
         return answer
 
+    def draw_copy_refusal(self):
+        # A generator of its own keeps the faults that the soak's seeds draw.
+        return self.copy_refusal_random.random() < self.copy_refusal_rate
+
     async def run_start(self, body):
         task, number = body["task"], body["run"]
         clock = {"clock_ms": self.clock_ms()}
