--- a/src/http_client/curl_call.cpp
+++ b/src/http_client/curl_call.cpp
@@ -18,7 +18,7 @@
   return n;
 }
 
-// Number of bytes of the request that have been sent, in all copies of it.
+// Number of bytes of the request that have been sent, in all attempts.
 std::int64_t BytesSent(const CurlCall& call) {
   long sent = 0;  // NOLINT(google-runtime-int): libcurl's type
   curl_easy_getinfo(call.easy.get(), CURLINFO_REQUEST_SIZE, &sent);
--- a/src/http_client/http_types.h
+++ b/src/http_client/http_types.h
@@ -24,7 +24,8 @@
   std::size_t max_response_bytes = 1U << 20;
   // Opens a new connection and closes it after the call. Must be set for
   // requests that are not safe to repeat: on a reused connection that the
-  // server has closed, libcurl resends the request automatically.
+  // server has closed, libcurl resends the request automatically. A caller that
+  // draws conclusions from a refusal must set it or check `is_resent`.
   bool use_fresh_connection = false;
   friend bool operator==(const HttpCall&, const HttpCall&) = default;
 };
@@ -59,8 +60,8 @@
   // kAnswered.
   std::string message{};
   // The request was sent more than once: the server closed a reused connection
-  // without a response, and libcurl sent the request again. The server may have
-  // processed each copy; a response is the one to the last copy.
+  // without a response, and libcurl resent the request. The server may have
+  // processed each attempt; the response is that to the last one.
   bool is_resent = false;
   friend bool operator==(const HttpResult&, const HttpResult&) = default;
 };
--- a/tests/http_client/http_client_test.cpp
+++ b/tests/http_client/http_client_test.cpp
@@ -186,10 +186,10 @@
   CHECK(server.connections() == (is_fresh ? 3 : 1));
 }
 
-// Guards against a response to the last copy of a request being taken for that
-// to an earlier copy, which the server may have processed, and against that
-// response not being read: the new socket often has the number of the old one.
-TEST_CASE("a call that was sent again is reported as such", "[http]") {
+// Guards against a response to the last attempt being taken for that to an
+// earlier one, which the server may have processed, and against that response
+// not being read: the new socket often has the number of the old one.
+TEST_CASE("a resent call is reported as such", "[http]") {
   struct Row {
     const char* name;
     int closed_request;
@@ -220,9 +220,9 @@
   CHECK(ToString(result->end) == std::string(ToString(row.end)));
 }
 
-// Guards against a call being reported as not sent if its first copy was sent
-// and the server cannot be reached for the second.
-TEST_CASE("a call that cannot be sent again counts as sent", "[http]") {
+// Guards against a call being reported as not sent if its first attempt was
+// sent and the server cannot be reached for the second.
+TEST_CASE("a call that cannot be resent counts as sent", "[http]") {
   asio::io_context loop;
   RawServer server(loop, kOkResponse, false);
   server.CloseAtRequest(2);
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -73,14 +73,14 @@
         minion.error_rate = 0.0
 
 
-async def refuse_copies_of_starts(cell):
-    """Minions execute starts, close the connections without a response, and refuse the
-    copies of these starts that libcurl sends on other connections."""
+async def refuse_resent_starts(cell):
+    """Minions execute starts, close the connections without a response, and refuse these
+    starts when libcurl resends them on other connections."""
     for minion in cell.minions:
-        minion.copy_refusal_rate = 0.2
+        minion.resend_refusal_rate = 0.2
     await asyncio.sleep(2.0)
     for minion in cell.minions:
-        minion.copy_refusal_rate = 0.0
+        minion.resend_refusal_rate = 0.0
 
 
 async def refuse_stops_and_kill_entry(cell):
@@ -282,7 +282,7 @@
     "minion silent": (silence_minion, 0.95),
     "answers of minions lost": (lose_responses, 0.95),
     "calls executed and answered with errors": (answer_with_errors, 0.95),
-    "copies of executed starts refused": (refuse_copies_of_starts, 0.95),
+    "executed starts refused when resent": (refuse_resent_starts, 0.95),
     "stops refused and entry killed": (refuse_stops_and_kill_entry, 0.8),
     "stops refused and entry paused": (refuse_stops_and_pause_entry, 0.7),
     "stops refused and agents restarted": (refuse_stops_and_restart_agents, 0.5),
--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -172,11 +172,11 @@
 
 
 async def lose_answers(minion, seconds):
-    """Answers are late or, for some starts, lost with their connection, and a second
-    copy of such a start is refused."""
-    minion.copy_refusal_rate = 0.1
+    """Answers are late or, for some starts, lost with their connection; such a start is
+    refused when it is resent."""
+    minion.resend_refusal_rate = 0.1
     await set_temporarily(minion, "response_loss_rate", 0.2, 0.0, seconds)
-    minion.copy_refusal_rate = 0.0
+    minion.resend_refusal_rate = 0.0
 
 
 async def end_all_leases(store):
--- a/tests/process/pool/standins.py
+++ b/tests/process/pool/standins.py
@@ -248,10 +248,10 @@
         # Share of the calls that are executed and answered with an error.
         self.error_rate = 0.0
         # Share of the starts that are executed and whose connection is then closed
-        # without a response. A second copy of such a start is refused.
-        self.copy_refusal_rate = 0.0
+        # without a response. Such a start is refused when it is resent.
+        self.resend_refusal_rate = 0.0
         self.unanswered_starts = set()
-        self.copy_refusal_random = random.Random(f"copies {host}")
+        self.resend_refusal_random = random.Random(f"resends {host}")
         # Whether calls to stop a run are answered with an error and not executed.
         self.refuses_stops = False
         # Rows that no program of this system can read.
@@ -382,7 +382,7 @@
             "/-/hold": self.hold,
         }[path](body)
         answer = await answer
-        if path == "/-/run-start" and self.draw_copy_refusal():
+        if path == "/-/run-start" and self.draw_resend_refusal():
             self.unanswered_starts.add(start)
             raise DropConnection
         if self.random.random() < self.response_loss_rate:
@@ -391,9 +391,9 @@
             return self.random.choice(ERRORS_AFTER_EXECUTION), {}
         return answer
 
-    def draw_copy_refusal(self):
+    def draw_resend_refusal(self):
         # A generator of its own keeps the faults that the soak's seeds draw.
-        return self.copy_refusal_random.random() < self.copy_refusal_rate
+        return self.resend_refusal_random.random() < self.resend_refusal_rate
 
     async def run_start(self, body):
         task, number = body["task"], body["run"]
--- a/tests/users_platform/minion_test.cpp
+++ b/tests/users_platform/minion_test.cpp
@@ -210,11 +210,11 @@
   CHECK(ParseCallAnswer(row.result) == row.answer);
 }
 
-TEST_CASE("An answer to a second copy of a call does not refuse the first one",
+TEST_CASE("A refusal of a resent call does not refuse its first attempt",
           "[platform][minion]") {
   // Guards against starting a task again while its first run is at work: the
-  // minion may have executed the first copy of the start, lost its answer with
-  // the connection, and refused the copy that libcurl has sent again.
+  // minion may have executed the start, lost its answer with the connection,
+  // and refused the start when libcurl resent it.
   struct Row {
     int status;
     std::string body;
@@ -246,13 +246,12 @@
     HttpResult result;
     std::string text;
   };
-  const auto row =
-      GENERATE(values<Row>({{Answered(503, ""), "status 503"},
-                            {{HttpEnd::kAnswered, 503, "", "", true},
-                             "status 503, request sent again"},
-                            {{HttpEnd::kTimedOut, 0, "", ""}, "timed_out"},
-                            {{HttpEnd::kTransportError, 0, "", "", true},
-                             "transport_error, request sent again"}}));
+  const auto row = GENERATE(values<Row>(
+      {{Answered(503, ""), "status 503"},
+       {{HttpEnd::kAnswered, 503, "", "", true}, "status 503, resent"},
+       {{HttpEnd::kTimedOut, 0, "", ""}, "timed_out"},
+       {{HttpEnd::kTransportError, 0, "", "", true},
+        "transport_error, resent"}}));
   CHECK(DescribeAnswer(row.result) == row.text);
 }
 
