Count a found run as alive until the former agent's lease has lapsed

What callers could see: a task runs twice at once after its agent has been restarted.

Cause: a new agent does not renew the lease of a run that it finds on its minion.

Measured: the new test failed for each of three kinds of failed polls before.

--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -24,7 +24,8 @@
     found.has_begun = true;
     found.started_at = now.boot;
     found.next_stop_at = now.boot;
-    // Its caller may already have submitted the job to another entry.
+    // No lease is renewed until the minion has accepted the stop, since the
+    // caller may already have submitted the job to another entry.
     found.must_stop_by = now.boot;
     changes->Add(Put<RunRow>{found});
     changes->Add(Decision{
@@ -231,6 +232,14 @@
         {{"rows", static_cast<std::int64_t>(e.refused_rows)}}});
   }
   poll.has_inventory = true;
+  const bool has_found_runs =
+      std::any_of(e.running.begin(), e.running.end(),
+                  [&](const auto& it) { return !board.runs.Contains(it.run); });
+  if (has_found_runs) {
+    // They may hold a lease from the last call of an earlier agent process.
+    poll.lease_ends_at = std::max<BootTime>(
+        poll.lease_ends_at, now.boot + board.settings.max_lease_duration);
+  }
   if (poll.has_restarted) {
     // The minion has seen the raised fencing token, so that it rejects calls
     // for its former process from now on.
--- a/tests/pool/agent_minion_test.cpp
+++ b/tests/pool/agent_minion_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "core/pool/agent/capacity.h"
@@ -127,6 +128,35 @@
   }
 }
 
+TEST_CASE(
+    "A run that an earlier agent process has left is lost when its lease "
+    "has lapsed, and not before",
+    "[pool][agent][twice]") {
+  // Guards against reporting to entries that nothing is left on the minion,
+  // because one poll after the discovery has failed.
+  const auto answer =
+      GENERATE(values({CallAnswer::kUnanswered, CallAnswer::kUnavailable,
+                       CallAnswer::kNotConnected}));
+  CAPTURE(static_cast<int>(answer));
+  AgentFixture agent;
+  agent.Step({MinionReported{MakeMinionReport("m2", 2'000, 1)}});
+  agent.AnswerPoll({{MakeRunKey(7), 50}}, {});
+  const BootTime lapses_at =
+      agent.now.boot + agent.board.settings.max_lease_duration;
+  const auto fail_polls_until = [&](BootTime until) {
+    while (agent.now.boot < until) {
+      if (agent.board.poll.in_flight) agent.FailPoll(answer);
+      agent.now.boot =
+          std::min<BootTime>(until, agent.now.boot + milliseconds{10});
+      agent.Step({AgentTick{}});
+    }
+  };
+  fail_polls_until(lapses_at - milliseconds{1});
+  CHECK(agent.board.runs.Contains(MakeRunKey(7)));
+  fail_polls_until(lapses_at + milliseconds{1});
+  CHECK_FALSE(agent.board.runs.Contains(MakeRunKey(7)));
+}
+
 TEST_CASE("A poll renews the lease of the runs", "[pool][agent][lease]") {
   // Guards against leases that expire while the agent is alive.
   AgentFixture agent;
