Stop a run again on a minion that has restarted under its id

What callers could see: a task runs twice at once.

Cause: the minion's former process accepts the stop of a run whose start was not answered, the minion restarts under its id, and the new process carries out that start. The agent took the stop as accepted, so it sent none to the new process and renewed the lease for as long as the run lasted, also after the client had submitted the job elsewhere.

Fix: a restart makes every stop due again, and an answer to a call with an earlier fencing token does not count as an acceptance.

--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -228,9 +228,10 @@
 void PoolAgent::Execute(const CallStop& effect) {
   minion_client_.Start(
       users_platform::MakeHttpCall(effect),
-      [this, run = effect.run](const HttpResult& result) {
+      [this, run = effect.run,
+       token = effect.fencing_token](const HttpResult& result) {
         Post(StopAnswered{run, users_platform::ParseCallAnswer(result),
-                          users_platform::DescribeAnswer(result)});
+                          users_platform::DescribeAnswer(result), token});
       });
 }
 
--- a/src/core/pool/agent/events.h
+++ b/src/core/pool/agent/events.h
@@ -68,6 +68,8 @@
   RunKey run;
   CallAnswer answer = CallAnswer::kUnanswered;
   std::string detail{};
+  // Token of the call; if unset, the current one.
+  std::optional<std::uint64_t> fencing_token{};
 };
 
 // A run that the minion lists.
--- a/src/core/pool/agent/instances.cpp
+++ b/src/core/pool/agent/instances.cpp
@@ -121,11 +121,16 @@
                                     const Now& now) {
   AgentChanges changes = RecordReplacement(board, now);
   for (const auto& [key, run] : board.runs) {
-    if (run.phase != RunPhase::kRunning) continue;
     RunRow row = run;
-    row.phase = RunPhase::kUnconfirmed;
-    row.phase_started_at = now.boot;
-    changes.Add(Put<RunRow>{row});
+    if (run.phase == RunPhase::kRunning) {
+      row.phase = RunPhase::kUnconfirmed;
+      row.phase_started_at = now.boot;
+    }
+    // The new process does not know of stops that the former one has accepted.
+    row.stop_answered_at.reset();
+    row.stop_in_flight = false;
+    row.next_stop_at = now.boot;
+    if (row != run) changes.Add(Put<RunRow>{row});
   }
   PollState poll = board.poll;
   ++poll.sequence;
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -206,7 +206,13 @@
   RunRow run = *known;
   run.stop_in_flight = false;
   run.next_stop_at = now.boot + kStopRetryDelay;
-  if (e.answer == CallAnswer::kAccepted) run.stop_answered_at = now.boot;
+  // An answer to a call with an earlier token may be that of the minion's
+  // former process.
+  const bool is_current =
+      !e.fencing_token || *e.fencing_token == board.fencing_token;
+  if (e.answer == CallAnswer::kAccepted && is_current) {
+    run.stop_answered_at = now.boot;
+  }
   changes.Add(Put<RunRow>{run});
   if (e.answer != CallAnswer::kAccepted) {
     Decision decision = RunDecision(e.run, Severity::kFailure, "stop_failed",
--- a/tests/pool/agent_instances_test.cpp
+++ b/tests/pool/agent_instances_test.cpp
@@ -153,6 +153,36 @@
         std::vector{RunEnd::kLost});
 }
 
+TEST_CASE("A run is stopped on the restarted minion again",
+          "[pool][agent][twice]") {
+  // Guards against a run that goes on after its client has submitted the job
+  // elsewhere: its start was meant for the former process, which has accepted
+  // the stop, and the new process carries the start out.
+  struct Row {
+    const char* name;
+    bool is_answered_before;
+    bool is_answered_after;
+  };
+  const auto row =
+      GENERATE(values<Row>({{"answered before the restart", true, false},
+                            {"answer of the former process", false, true},
+                            {"no answer", false, false}}));
+  CAPTURE(row.name);
+  AgentFixture agent = MakeAgentWithRun();
+  const StopAnswered accepted{
+      MakeRunKey(0), CallAnswer::kAccepted, {}, agent.board.fencing_token};
+  agent.Step({EntryMessage{{1}, StopRun{MakeRunKey(0)}}});
+  if (row.is_answered_before) agent.Step({accepted});
+  agent.Step({MinionReported{MakeMinionReport("m1", 2'000, 1)}});
+  if (row.is_answered_after) agent.Step({accepted});
+  agent.now.boot += milliseconds{30};
+  agent.AnswerPoll({{MakeRunKey(0), 10}}, {});
+  const RunRow* run = agent.board.runs.Find(MakeRunKey(0));
+  REQUIRE(run != nullptr);
+  CHECK(run->stop_in_flight);
+  CHECK_FALSE(run->stop_answered_at.has_value());
+}
+
 TEST_CASE("An instance that answers no poll gives way to an earlier one",
           "[pool][agent][minion]") {
   // Guards against a minion that gets no tasks any more, because a report of
