End a run whose start has expired without waiting for its stop

What callers could see: the runs of other entries on a minion lapse, and the minion takes none any more.

Cause: a start gets no answer and is never carried out, its client leaves, and the minion answers polls but refuses stops.

Fix: a start carries its own lease. A list that the minion made after that has expired, and that does not name the run, ends it: the minion rejects the start as late if it still arrives. Not after a restart of the minion, whose clock may be behind, and not if a row of the list cannot be read.

Measured: the new test failed in one of its three rows before; the other two guard the limits of the rule.

--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -53,9 +53,21 @@
   if (row != run) changes->Add(Put<RunRow>{row});
 }
 
+// Whether the minion must reject the start of a run if it arrives after the
+// poll in flight was sent, since the lease in the start has expired. A
+// restarted minion's clock may be behind the one that the lease was computed
+// for.
+bool IsStartExpired(const AgentBoard& board, const RunRow& run) {
+  const bool precedes_restart =
+      run.started_at < board.poll.inherited_lease_ends_at;
+  return !precedes_restart &&
+         board.poll.sent_at >=
+             run.started_at + board.settings.max_lease_duration;
+}
+
 // Handles a run that the minion does not list.
-void UpdateUnlistedRun(const AgentBoard& board, const RunRow& run,
-                       const Now& now, MinionHealth* health,
+void UpdateUnlistedRun(const AgentBoard& board, const PollAnswered& e,
+                       const RunRow& run, const Now& now, MinionHealth* health,
                        AgentChanges* changes) {
   const BootTime sent_at = board.poll.sent_at;
   switch (run.phase) {
@@ -78,6 +90,11 @@
                              "the minion does not list it", now, health));
       return;
     case RunPhase::kStopping:
+      if (e.refused_rows == 0 && IsStartExpired(board, run)) {
+        changes->Append(EndRun(board, run, run.stop_reason,
+                               "the minion does not list it", now, health));
+        return;
+      }
       if (!run.stop_answered_at ||
           sent_at < *run.stop_answered_at + board.settings.max_run_stop_time) {
         return;
@@ -110,7 +127,7 @@
     } else if (e.refused_rows == 0 || run.phase == RunPhase::kStopping) {
       // A row that cannot be read may stand for this run. If no later poll
       // lists the run, it ends as stalled.
-      UpdateUnlistedRun(board, run, now, &health, changes);
+      UpdateUnlistedRun(board, e, run, now, &health, changes);
     }
   }
   changes->Add(SetHealth{health});
--- a/tests/pool/agent_runs_test.cpp
+++ b/tests/pool/agent_runs_test.cpp
@@ -213,6 +213,38 @@
   CHECK(SelectEffects<CallStart>(start).empty() == !row.renews);
 }
 
+TEST_CASE("A start that can no longer be carried out needs no stop",
+          "[pool][agent][lease]") {
+  // Guards against a minion that gets no leases and no runs any more because it
+  // refuses to stop a run that it has never begun, and against giving up a run
+  // whose start may still arrive.
+  struct Row {
+    const char* name;
+    milliseconds age;
+    bool has_restarted;
+    bool ends;
+  };
+  const milliseconds lease = AgentSettings{}.max_lease_duration;
+  const auto row = GENERATE_COPY(
+      values<Row>({{"lease in force", lease - milliseconds{1}, false, false},
+                   {"lease lapsed", lease, false, true},
+                   {"minion restarted", lease, true, false}}));
+  CAPTURE(row.name);
+  AgentFixture agent;
+  agent.AddEntry(1, 100);
+  agent.Start(1, MakeRunKey(0));
+  agent.Step({StartAnswered{MakeRunKey(0), CallAnswer::kUnanswered}});
+  agent.Step({EntryMessage{{1}, StopRun{MakeRunKey(0)}}});
+  if (row.has_restarted) {
+    agent.Step({MinionReported{MakeMinionReport("m1", 2'000, 1)}});
+  }
+  agent.now.boot += row.age;
+  agent.AnswerPoll({}, {});
+  agent.Step({StopAnswered{MakeRunKey(0), CallAnswer::kUnavailable}});
+  agent.AnswerPoll({}, {});
+  CHECK(agent.board.runs.empty() == row.ends);
+}
+
 TEST_CASE("A run ends before its client submits the job to another entry",
           "[pool][agent][twice]") {
   // Guards against time limits whose sum exceeds the 1.3 s after which a client
