Count a pause into the end of the leases that an agent reckons with

What callers could see: a task runs twice at once after a machine was paused.

Cause: after a pause, an agent takes it that the minion's clock may not have advanced, but did so only for the clock reading. The times by which the leases end, the inherited lease of a restarted minion among them, passed during the pause: runs could be lost, and new ones started, up to the length of the pause too early.

Fix: PollAfterPause moves these times by the pause. The longest lease that a minion grants is 1,021 ms on a clock that is 2% slow, not 1,020. Comments name the sum behind the limit of stops and which leases a field covers.

--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -126,7 +126,8 @@
   // Whether a poll has listed the runs that the minion already had when this
   // agent learned of it.
   bool has_inventory = false;
-  // The leases of all runs expire by this time unless a later call renews them.
+  // The leases that this agent has given expire by this time unless a later
+  // call renews them. See LatestLeaseEnd for all leases.
   BootTime lease_ends_at{0};
   // The same, not counting the poll that is in flight.
   BootTime previous_lease_ends_at{0};
--- a/src/core/pool/agent/instances.cpp
+++ b/src/core/pool/agent/instances.cpp
@@ -115,7 +115,8 @@
 // hold some of the runs; the next poll shows which. That poll also carries a
 // higher fencing token, so that the minion rejects starts that arrive even
 // later: their leases were computed for the previous clock and may seem valid
-// on the new one.
+// on the new one. Until then, such a start or poll may give the new process the
+// longest lease that a minion grants.
 AgentChanges AdoptRestartedInstance(const AgentBoard& board,
                                     const MinionReport& report,
                                     const Now& now) {
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -286,6 +286,10 @@
   poll.in_flight = false;
   poll.has_inventory = false;
   poll.next_at = now.boot;
+  // The minion's clock, by which leases end, may not have advanced.
+  poll.lease_ends_at += pause;
+  poll.previous_lease_ends_at += pause;
+  poll.inherited_lease_ends_at += pause;
   changes.Add(SetPollState{poll});
   return changes;
 }
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -31,9 +31,9 @@
   milliseconds lease{300};
   // A lease has expired after this time, also if the minion's clock is 2% slow.
   milliseconds max_lease_duration{310};
-  // Leases longer than 1 s are shortened by the minion; this is the longest
-  // one, also if the minion's clock is 2% slow.
-  milliseconds max_granted_lease{1'020};
+  // A minion shortens longer leases to 1 s, which take this long if its clock
+  // is 2% slow.
+  milliseconds max_granted_lease{1'021};
   // The minion is polled if the last reading of its clock is older than this.
   // The drift since the reading, up to 2%, shortens the leases. It is above the
   // 1.5 s between two reports, which bring readings as well.
@@ -51,11 +51,11 @@
   milliseconds call_timeout{100};
   // Upper bound of the time to stop a run; a minion needs at most 50 ms.
   milliseconds max_run_stop_time{60};
-  // A client may submit a job to another entry 1.3 s after it lost its call,
-  // upon which the former entry stops the runs. If a minion has not accepted a
-  // stop of an entry within this time, its runs lapse before that, even if
-  // entry and agent have each been paused for a time that is too short to be
-  // noticed.
+  // If the minion has not accepted a stop this long after an entry's request,
+  // no lease is renewed until it has. A client may submit its job to another
+  // entry 1.3 s after it lost its call. By then the runs must have lapsed, even
+  // if the entry has been paused for 374 ms and the agent for 310 ms, which
+  // neither notices: 374 + 310 + 280 + 310 ms.
   milliseconds max_requested_stop_time{280};
   // Minimum interval between two load reports to an entry, multiplied by the
   // number of linked entries, so that an agent sends at most 200 reports per
--- a/tests/pool/agent_instances_test.cpp
+++ b/tests/pool/agent_instances_test.cpp
@@ -121,11 +121,18 @@
   // former process, whose clock was ahead, may have given the new process the
   // longest lease that a minion grants.
   const bool is_found_by_poll = GENERATE(false, true);
-  CAPTURE(is_found_by_poll);
+  // The minion's clock may stand still while the agent is paused.
+  const auto pause = GENERATE(values({milliseconds{0}, milliseconds{1'000}}));
+  CAPTURE(is_found_by_poll, pause.count());
   AgentFixture agent = MakeAgentWithRun();
   Restart(&agent, is_found_by_poll);
   agent.now.boot += milliseconds{30};
   agent.AnswerPoll({}, {{1, MakeRunKey(0), RunEnd::kLost}});
+  if (pause.count() > 0) {
+    agent.now.boot += pause;
+    agent.Step({AgentPaused{pause}});
+    agent.AnswerPoll({}, {});
+  }
   const AgentSettings& settings = agent.board.settings;
   const auto wait = settings.max_granted_lease - settings.max_lease_duration;
   agent.now.boot += wait - milliseconds{1};
