--- a/tests/process/pool/run_scenario.py
+++ b/tests/process/pool/run_scenario.py
@@ -7,6 +7,10 @@
 from cell import LoadGenerator, Cell
 from scenarios import SCENARIOS
 
+# Number of the first scenario's cell. The soak uses the numbers below, so that both can
+# run at the same time.
+FIRST_CELL = 120
+
 # The fault is injected under load. Jobs submitted in the last half second before it may
 # be affected.
 FAULT_AT_S = 1.5
@@ -70,7 +74,7 @@
 
 def main():
     name = sys.argv[2]
-    cell = Cell(sys.argv[1], list(SCENARIOS).index(name))
+    cell = Cell(sys.argv[1], FIRST_CELL + list(SCENARIOS).index(name))
     problems = asyncio.run(run(cell, name))
     if not problems:
         return 0
