--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -123,6 +123,14 @@
   void OnMessage(LinkId, const LoadReport&) {}
   void OnMessage(LinkId, const StartRefused&) {}
   void OnMessage(LinkId, const RunEnded&) {}
+  void OnMessage(LinkId, const EvacuationList&) {}
+  void OnMessage(LinkId, const ConfigAnnouncement&) {}
+  void OnMessage(LinkId, const ConfigRequest&) {}
+  void OnMessage(LinkId, const EntryLoad&) {}
+  void OnMessage(LinkId, const ForwardJob&) {}
+  void OnMessage(LinkId, const ForwardedJobEnded&) {}
+  void OnMessage(LinkId, const CancelJob&) {}
+  void OnMessage(LinkId, const JobCancelled&) {}
 
   void ExitWhenIdle() {
     if (!board_->stopping) return;
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -128,6 +128,14 @@
   // The process decodes the text when it arrives and posts ConfigRead.
   void OnMessage(LinkId, const ConfigOffer&) {}
   void OnMessage(LinkId, const Ping&) {}
+  void OnMessage(LinkId, const EvacuationList&) {}
+  void OnMessage(LinkId, const ConfigAnnouncement&) {}
+  void OnMessage(LinkId, const ConfigRequest&) {}
+  void OnMessage(LinkId, const EntryLoad&) {}
+  void OnMessage(LinkId, const ForwardJob&) {}
+  void OnMessage(LinkId, const ForwardedJobEnded&) {}
+  void OnMessage(LinkId, const CancelJob&) {}
+  void OnMessage(LinkId, const JobCancelled&) {}
   // Sent to agents only.
   void OnMessage(LinkId, const StartRun&) {}
   void OnMessage(LinkId, const StopRun&) {}
--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -22,6 +22,9 @@
   std::vector<Endpoint> known_entries;
   // Recent crashes of minions; sent to entries only.
   std::vector<CrashReport> crashes{};
+  // Shortest interval between two load reports that the entry wants from an
+  // agent; 0 leaves it to the agent's settings.
+  milliseconds report_interval{0};
   friend bool operator==(const EntryHello&, const EntryHello&) = default;
 };
 
@@ -76,6 +79,8 @@
   Resources capacity;
   // Recent crashes of the minion's instances.
   std::vector<CrashReport> crashes{};
+  // The minion's labels; its kind and its rack among them.
+  std::vector<std::string> labels{};
   friend bool operator==(const AgentHello&, const AgentHello&) = default;
 };
 
@@ -107,8 +112,113 @@
   friend bool operator==(const RunEnded&, const RunEnded&) = default;
 };
 
+// Whether a data centre is evacuated, as of a revision of the store.
+struct Evacuation {
+  std::string data_centre;
+  std::uint64_t revision = 0;
+  bool is_active = false;
+  friend bool operator==(const Evacuation&, const Evacuation&) = default;
+};
+
+// All evacuations that the sender knows, also those that have ended.
+struct EvacuationList {
+  std::vector<Evacuation> evacuations;
+  friend bool operator==(const EvacuationList&,
+                         const EvacuationList&) = default;
+};
+
+// Version and size of the newest configuration that the sender can provide;
+// version 0 if it has none.
+struct ConfigAnnouncement {
+  std::uint64_t version = 0;
+  std::uint64_t size_bytes = 0;
+  friend bool operator==(const ConfigAnnouncement&,
+                         const ConfigAnnouncement&) = default;
+};
+
+// Asks for the announced configuration; answered with ConfigOffer.
+struct ConfigRequest {
+  std::uint64_t version = 0;
+  friend bool operator==(const ConfigRequest&, const ConfigRequest&) = default;
+};
+
+// Work of one service that waits at an entry.
+struct ServiceBacklog {
+  std::string service;
+  // Thousandths of a core times milliseconds, divided by a thousand.
+  std::int64_t waiting_core_ms = 0;
+  // Expected time until a task that is submitted now starts.
+  milliseconds expected_delay{0};
+  friend bool operator==(const ServiceBacklog&,
+                         const ServiceBacklog&) = default;
+};
+
+// Load of the sending entry.
+struct EntryLoad {
+  // Share of time, in thousandths, in which its event loop is busy.
+  std::uint32_t busy_permille = 0;
+  // Number of further jobs that the sender takes from the receiver.
+  std::uint32_t offered_jobs = 0;
+  std::vector<ServiceBacklog> backlogs{};
+  friend bool operator==(const EntryLoad&, const EntryLoad&) = default;
+};
+
+// Hands a job over to another entry, which owns it from then on. Answered with
+// ForwardedJobEnded.
+struct ForwardJob {
+  JobSpec job;
+  // The client's request id, for logs.
+  std::string request_id;
+  std::string host;
+  std::string path;
+  // Version of the configuration in force at the sender.
+  std::uint64_t config_version = 0;
+  // Time since the sender received the job.
+  milliseconds age{0};
+  // How long the client still waits for the reply.
+  milliseconds client_timeout{0};
+  friend bool operator==(const ForwardJob&, const ForwardJob&) = default;
+};
+
+// How a forwarded job has ended.
+enum class ForwardedOutcome {
+  kCompleted,
+  kFailed,
+  // The job was not accepted; none of its tasks has started or will start.
+  kRefused,
+  // The job may have begun and was given up.
+  kGivenUp,
+};
+
+struct ForwardedJobEnded {
+  std::uint64_t job = 0;
+  ForwardedOutcome outcome = ForwardedOutcome::kGivenUp;
+  // Delay after which a refused client should try again.
+  milliseconds retry_after{0};
+  friend bool operator==(const ForwardedJobEnded&,
+                         const ForwardedJobEnded&) = default;
+};
+
+// Asks another entry to cancel a job; answered with JobCancelled.
+struct CancelJob {
+  // Chosen by the sender; the answer repeats it.
+  std::uint64_t request = 0;
+  std::uint64_t job = 0;
+  friend bool operator==(const CancelJob&, const CancelJob&) = default;
+};
+
+struct JobCancelled {
+  std::uint64_t request = 0;
+  std::uint64_t job = 0;
+  // Whether the sender owned the job.
+  bool was_known = false;
+  friend bool operator==(const JobCancelled&, const JobCancelled&) = default;
+};
+
 using Message =
     std::variant<EntryHello, StartRun, StopRun, Ping, ConfigOffer, KnownEntries,
-                 AgentHello, LoadReport, StartRefused, RunEnded>;
+                 AgentHello, LoadReport, StartRefused, RunEnded, EvacuationList,
+                 ConfigAnnouncement, ConfigRequest, EntryLoad, ForwardJob,
+                 ForwardedJobEnded, CancelJob, JobCancelled>;
 
 }  // namespace dottereltrack::pool
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -115,6 +115,42 @@
   return reports;
 }
 
+using TextVector =
+    flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+
+std::vector<std::string> FromWire(const TextVector* rows) {
+  std::vector<std::string> texts;
+  if (rows == nullptr) return texts;
+  texts.reserve(rows->size());
+  for (const flatbuffers::String* it : *rows) texts.push_back(it->str());
+  return texts;
+}
+
+using StepVector = flatbuffers::Vector<flatbuffers::Offset<wire::StepSpec>>;
+
+flatbuffers::Offset<StepVector> WriteSteps(Builder* builder,
+                                           const std::vector<StepSpec>& steps) {
+  std::vector<flatbuffers::Offset<wire::StepSpec>> offsets;
+  offsets.reserve(steps.size());
+  for (const StepSpec& it : steps) {
+    const auto needs = ToWire(it.needs);
+    offsets.push_back(
+        wire::CreateStepSpec(*builder, it.count, &needs, it.estimate.count()));
+  }
+  return builder->CreateVector(offsets);
+}
+
+std::vector<StepSpec> FromWire(const StepVector* offsets) {
+  std::vector<StepSpec> steps;
+  if (offsets == nullptr) return steps;
+  steps.reserve(offsets->size());
+  for (const wire::StepSpec* it : *offsets) {
+    steps.push_back(
+        {it->count(), FromWire(*it->needs()), milliseconds{it->estimate_ms()}});
+  }
+  return steps;
+}
+
 // Union type and offset of a serialized message body.
 struct Body {
   wire::Body kind;
@@ -125,7 +161,9 @@
   const auto known = WriteEndpoints(builder, it.known_entries);
   const auto crashes = WriteCrashReports(builder, it.crashes);
   return {wire::Body::EntryHello,
-          wire::CreateEntryHello(*builder, it.entry, known, crashes).Union()};
+          wire::CreateEntryHello(*builder, it.entry, known, crashes,
+                                 it.report_interval.count())
+              .Union()};
 }
 
 Body Write(Builder* builder, const StartRun& it) {
@@ -166,9 +204,10 @@
   const auto rack = builder->CreateString(it.rack);
   const auto capacity = ToWire(it.capacity);
   const auto crashes = WriteCrashReports(builder, it.crashes);
+  const auto labels = builder->CreateVectorOfStrings(it.labels);
   return {wire::Body::AgentHello,
           wire::CreateAgentHello(*builder, it.agent, minion, service,
-                                 data_centre, rack, &capacity, crashes)
+                                 data_centre, rack, &capacity, crashes, labels)
               .Union()};
 }
 
@@ -198,9 +237,81 @@
           .Union()};
 }
 
+Body Write(Builder* builder, const EvacuationList& it) {
+  std::vector<flatbuffers::Offset<wire::Evacuation>> offsets;
+  offsets.reserve(it.evacuations.size());
+  for (const Evacuation& row : it.evacuations) {
+    const auto data_centre = builder->CreateString(row.data_centre);
+    offsets.push_back(wire::CreateEvacuation(*builder, data_centre,
+                                             row.revision, row.is_active));
+  }
+  const auto evacuations = builder->CreateVector(offsets);
+  return {wire::Body::EvacuationList,
+          wire::CreateEvacuationList(*builder, evacuations).Union()};
+}
+
+Body Write(Builder* builder, const ConfigAnnouncement& it) {
+  return {wire::Body::ConfigAnnouncement,
+          wire::CreateConfigAnnouncement(*builder, it.version, it.size_bytes)
+              .Union()};
+}
+
+Body Write(Builder* builder, const ConfigRequest& it) {
+  return {wire::Body::ConfigRequest,
+          wire::CreateConfigRequest(*builder, it.version).Union()};
+}
+
+Body Write(Builder* builder, const EntryLoad& it) {
+  std::vector<flatbuffers::Offset<wire::ServiceBacklog>> offsets;
+  offsets.reserve(it.backlogs.size());
+  for (const ServiceBacklog& row : it.backlogs) {
+    const auto service = builder->CreateString(row.service);
+    offsets.push_back(wire::CreateServiceBacklog(
+        *builder, service, row.waiting_core_ms, row.expected_delay.count()));
+  }
+  const auto backlogs = builder->CreateVector(offsets);
+  return {wire::Body::EntryLoad,
+          wire::CreateEntryLoad(*builder, it.busy_permille, it.offered_jobs,
+                                backlogs)
+              .Union()};
+}
+
+Body Write(Builder* builder, const ForwardJob& it) {
+  const auto payload = builder->CreateString(*it.job.payload);
+  const auto steps = WriteSteps(builder, it.job.steps);
+  const auto request_id = builder->CreateString(it.request_id);
+  const auto host = builder->CreateString(it.host);
+  const auto path = builder->CreateString(it.path);
+  return {wire::Body::ForwardJob,
+          wire::CreateForwardJob(*builder, it.job.id, payload, steps,
+                                 request_id, host, path, it.config_version,
+                                 it.age.count(), it.client_timeout.count())
+              .Union()};
+}
+
+Body Write(Builder* builder, const ForwardedJobEnded& it) {
+  return {wire::Body::ForwardedJobEnded,
+          wire::CreateForwardedJobEnded(
+              *builder, it.job, static_cast<wire::ForwardedOutcome>(it.outcome),
+              it.retry_after.count())
+              .Union()};
+}
+
+Body Write(Builder* builder, const CancelJob& it) {
+  return {wire::Body::CancelJob,
+          wire::CreateCancelJob(*builder, it.request, it.job).Union()};
+}
+
+Body Write(Builder* builder, const JobCancelled& it) {
+  return {wire::Body::JobCancelled,
+          wire::CreateJobCancelled(*builder, it.request, it.job, it.was_known)
+              .Union()};
+}
+
 Message Read(const wire::EntryHello& it) {
   return EntryHello{it.entry(), FromWire(it.known_entries()),
-                    FromWire(it.crashes())};
+                    FromWire(it.crashes()),
+                    milliseconds{it.report_interval_ms()}};
 }
 
 Message Read(const wire::StartRun& it) {
@@ -231,7 +342,8 @@
                     FromWire(it.data_centre()),
                     FromWire(it.rack()),
                     FromWire(*it.capacity()),
-                    FromWire(it.crashes())};
+                    FromWire(it.crashes()),
+                    FromWire(it.labels())};
 }
 
 Message Read(const wire::LoadReport& it) {
@@ -250,6 +362,62 @@
                   milliseconds{it.duration_ms()}};
 }
 
+Message Read(const wire::EvacuationList& it) {
+  EvacuationList list;
+  if (it.evacuations() == nullptr) return list;
+  for (const wire::Evacuation* row : *it.evacuations()) {
+    list.evacuations.push_back(
+        {FromWire(row->data_centre()), row->revision(), row->is_active()});
+  }
+  return list;
+}
+
+Message Read(const wire::ConfigAnnouncement& it) {
+  return ConfigAnnouncement{it.version(), it.size_bytes()};
+}
+
+Message Read(const wire::ConfigRequest& it) {
+  return ConfigRequest{it.version()};
+}
+
+Message Read(const wire::EntryLoad& it) {
+  EntryLoad load{it.busy_permille(), it.offered_jobs(), {}};
+  if (it.backlogs() == nullptr) return load;
+  for (const wire::ServiceBacklog* row : *it.backlogs()) {
+    load.backlogs.push_back({FromWire(row->service()), row->waiting_core_ms(),
+                             milliseconds{row->expected_delay_ms()}});
+  }
+  return load;
+}
+
+Message Read(const wire::ForwardJob& it) {
+  ForwardJob forwarded;
+  forwarded.job.id = it.job();
+  forwarded.job.payload = FromWire(it.payload());
+  forwarded.job.steps = FromWire(it.steps());
+  forwarded.request_id = FromWire(it.request_id());
+  forwarded.host = FromWire(it.host());
+  forwarded.path = FromWire(it.path());
+  forwarded.config_version = it.config_version();
+  forwarded.age = milliseconds{it.age_ms()};
+  forwarded.client_timeout = milliseconds{it.client_timeout_ms()};
+  return forwarded;
+}
+
+Message Read(const wire::ForwardedJobEnded& it) {
+  return ForwardedJobEnded{it.job(),
+                           static_cast<ForwardedOutcome>(it.outcome()),
+                           milliseconds{it.retry_after_ms()}};
+}
+
+Message Read(const wire::CancelJob& it) {
+  return CancelJob{it.request(), it.job()};
+}
+
+Message Read(const wire::JobCancelled& it) {
+  return JobCancelled{it.request(), it.job(), it.was_known()};
+}
+
 // Returns false if an enum value is unknown to this release, which means that
 // the sender runs a newer one.
 bool HasKnownEnums(const wire::Frame& frame) {
@@ -259,6 +427,9 @@
   if (const auto* it = frame.body_as_RunEnded()) {
     return it->end() <= wire::RunEnd::MAX;
   }
+  if (const auto* it = frame.body_as_ForwardedJobEnded()) {
+    return it->outcome() <= wire::ForwardedOutcome::MAX;
+  }
   return true;
 }
 
@@ -313,6 +484,22 @@
       return Read(*frame.body_as_StartRefused());
     case wire::Body::RunEnded:
       return Read(*frame.body_as_RunEnded());
+    case wire::Body::EvacuationList:
+      return Read(*frame.body_as_EvacuationList());
+    case wire::Body::ConfigAnnouncement:
+      return Read(*frame.body_as_ConfigAnnouncement());
+    case wire::Body::ConfigRequest:
+      return Read(*frame.body_as_ConfigRequest());
+    case wire::Body::EntryLoad:
+      return Read(*frame.body_as_EntryLoad());
+    case wire::Body::ForwardJob:
+      return Read(*frame.body_as_ForwardJob());
+    case wire::Body::ForwardedJobEnded:
+      return Read(*frame.body_as_ForwardedJobEnded());
+    case wire::Body::CancelJob:
+      return Read(*frame.body_as_CancelJob());
+    case wire::Body::JobCancelled:
+      return Read(*frame.body_as_JobCancelled());
     case wire::Body::NONE:
       break;
   }
--- a/tests/pool/codec_test.cpp
+++ b/tests/pool/codec_test.cpp
@@ -14,11 +14,28 @@
           {{"m2", 0}, {}, milliseconds{0}}};
 }
 
+ForwardJob SampleForwardedJob() {
+  ForwardJob forwarded;
+  forwarded.job = {3,
+                   std::string("payload"),
+                   {{8, {1'300, 64, 0}, milliseconds{51}},
+                    {1, {100, 0, 1}, milliseconds{7}}}};
+  forwarded.request_id = "c1-7";
+  forwarded.host = "menus.example";
+  forwarded.path = "/q/0000000000000003";
+  forwarded.config_version = 12;
+  forwarded.age = milliseconds{3};
+  forwarded.client_timeout = milliseconds{1'400};
+  return forwarded;
+}
+
 Message SampleMessage(std::size_t kind) {
   switch (kind) {
     case 0:
-      return EntryHello{
-          7, {{"10.0.0.1", 7000}, {"10.0.0.2", 7001}}, SampleCrashes()};
+      return EntryHello{7,
+                        {{"10.0.0.1", 7000}, {"10.0.0.2", 7001}},
+                        SampleCrashes(),
+                        milliseconds{50}};
     case 1:
       return StartRun{
           3,   kRun, std::string("payload"), {6'200, 64, 1}, milliseconds{99},
@@ -32,14 +49,37 @@
     case 5:
       return KnownEntries{{{"10.0.0.1", 7000}}};
     case 6:
-      return AgentHello{
-          5, "m1", "menus", "north", "r1", {64'000, 1'024, 0}, SampleCrashes()};
+      return AgentHello{5,
+                        "m1",
+                        "menus",
+                        "north",
+                        "r1",
+                        {64'000, 1'024, 0},
+                        SampleCrashes(),
+                        {"a", "r1"}};
     case 7:
       return LoadReport{4, {1, 2, 3}, true, true, 0.25, true};
     case 8:
       return StartRefused{kRun, StartRefusal::kOldNumber};
-    default:
+    case 9:
       return RunEnded{kRun, RunEnd::kStalled, milliseconds{120}};
+    case 10:
+      return EvacuationList{{{"north", 7, true}, {"south", 9, false}}};
+    case 11:
+      return ConfigAnnouncement{9, 200'000};
+    case 12:
+      return ConfigRequest{9};
+    case 13:
+      return EntryLoad{740, 5, {{"menus", 12'000, milliseconds{30}}}};
+    case 14:
+      return SampleForwardedJob();
+    case 15:
+      return ForwardedJobEnded{3, ForwardedOutcome::kRefused,
+                               milliseconds{1'500}};
+    case 16:
+      return CancelJob{4, 3};
+    default:
+      return JobCancelled{4, 3, true};
   }
 }
 
