Read processor share, memory, link rate and remote factor from the settings

Cause: decisions on overload, memory budgets, transfers and locality depend on the machine and the deployment, and several components need the values. Change: NodeSettings holds them; absent values are 0, or 1 for the factor.

--- a/apps/pool_common/settings_watch.cpp
+++ b/apps/pool_common/settings_watch.cpp
@@ -34,7 +34,12 @@
           {kSeedsSetting, std::move(seeds)},
           {"service", settings.service},
           {"store_address", ToText(settings.store_address)},
-          {"max_descriptors", settings.max_descriptors}};
+          {"max_descriptors", settings.max_descriptors},
+          {"cpu_cores", settings.cpu_cores},
+          {"memory_mb", settings.memory_mb},
+          {"link_mbps", settings.link_mbps},
+          {"remote_factor", settings.remote_factor},
+          {"data_centres", settings.data_centres}};
 }
 
 std::vector<std::string> ChangedSettings(const NodeSettings& before,
--- a/tests/users_platform/store_test.cpp
+++ b/tests/users_platform/store_test.cpp
@@ -89,7 +89,9 @@
       R"("listen":{"front":"10.1.0.13:8161","readiness":"10.1.0.13:8167"},)"
       R"("internal_ports":[7720,7735],"seeds":["10.2.0.30:8166"],)"
       R"("app":"10.1.0.14:8165","service":"s","unknown":{},)"
-      R"("limits":{"file_descriptors":8192,"cpu_share":0.2},)"
+      R"("limits":{"file_descriptors":8192,"cpu_share":0.25,"cores":2,)"
+      R"("memory_mb":160,"link_mbps":25.0},"zones":{"a":"r","b":"r"},)"
+      R"("bounds":{"remote_factor":1.5,"fencing_enforced":false},)"
       R"("platform":{"address":"10.200.1.7:8169"}})");
   REQUIRE(settings);
   NodeSettings expected;
@@ -102,6 +104,11 @@
   expected.service = "s";
   expected.store_address = {"10.200.1.7", 8169};
   expected.max_descriptors = 8'192;
+  expected.cpu_cores = 0.5;
+  expected.memory_mb = 160;
+  expected.link_mbps = 25;
+  expected.remote_factor = 1.5;
+  expected.data_centres = {"a", "b"};
   CHECK(settings.value() == expected);
 }
 
@@ -116,7 +123,13 @@
        {R"({"zone":"a"})", "node_name"},
        {R"({"node_name":"n","zone":"a","ip":"i","internal_ports":[1],)"
         R"("listen":{"front":"x"}})",
-        "listen.front"}}));
+        "listen.front"},
+       {R"({"node_name":"n","zone":"a","ip":"i","internal_ports":[1],)"
+        R"("listen":{},"limits":{"link_mbps":-1}})",
+        "limits.link_mbps"},
+       {R"({"node_name":"n","zone":"a","ip":"i","internal_ports":[1],)"
+        R"("listen":{},"bounds":{"remote_factor":0.5}})",
+        "bounds.remote_factor"}}));
   CAPTURE(row.text);
   const auto settings = ParseNodeSettings(row.text);
   REQUIRE_FALSE(settings);
