Replace overdue polls and resolve lost starts within 40 ms

Cause: when a minion leaves single calls unanswered, the agent saw the ends of all its runs only after the poll's timeout of 90 ms, and gave up a lost start after the timeouts of the start, a poll and the longest stop, about 190 ms. Change: a poll without an answer 10 ms after its wait is replaced by one that does not wait, and for 3 s after a lost answer polls wait 15 ms instead of 50. A run that a poll does not list 25 ms after its start is stopped at once; if the minion accepts the stop and does not list the run after it, the run was never begun and its task may start elsewhere. Stops are repeated after 40 ms.

--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -116,6 +116,12 @@
   std::uint64_t sequence = 0;
   bool in_flight = false;
   BootTime sent_at{0};
+  // How long the poll in flight may wait for a run to end.
+  milliseconds wait{0};
+  // The poll in flight has replaced one whose answer was overdue.
+  bool follows_overdue = false;
+  // When a poll was answered that had replaced an overdue one.
+  std::optional<BootTime> answer_lost_at;
   BootTime next_at{0};
   int failures = 0;
   // The last failed poll was refused at once, so no process listens at the
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -7,6 +7,7 @@
 #include "core/pool/agent/crashes.h"
 #include "core/pool/agent/fencing.h"
 #include "core/pool/agent/instances.h"
+#include "core/pool/agent/poll_timing.h"
 #include "core/pool/agent/runs.h"
 
 namespace dottereltrack::pool {
@@ -65,22 +66,37 @@
              run.started_at + board.settings.max_lease_duration;
 }
 
+// Returns the run, whose start was probably lost, as to be stopped: after the
+// stop the minion refuses the start.
+RunRow WithLostStart(RunRow run, const Now& now) {
+  run.phase = RunPhase::kStopping;
+  run.stop_reason = RunEnd::kLost;
+  run.next_stop_at = now.boot;
+  return run;
+}
+
 // Handles a run that the minion does not list.
 void UpdateUnlistedRun(const AgentBoard& board, const PollAnswered& e,
                        const RunRow& run, const Now& now, MinionHealth* health,
                        AgentChanges* changes) {
   const BootTime sent_at = board.poll.sent_at;
   switch (run.phase) {
-    case RunPhase::kStarting:
+    case RunPhase::kStarting: {
+      if (!ShowsUnansweredStart(board, run, sent_at)) return;
+      changes->Add(Put<RunRow>{WithLostStart(run, now)});
+      Decision decision{Severity::kFailure,
+                        "start_unanswered",
+                        run.key.task.job,
+                        {{"task", ToText(run.key.task)},
+                         {"reason", "the minion does not list the run"}},
+                        {}};
+      changes->Add(std::move(decision));
       return;
+    }
     case RunPhase::kUnconfirmed: {
       // The start call may still arrive; after a stop the minion refuses it.
       if (run.phase_started_at > sent_at) return;
-      RunRow row = run;
-      row.phase = RunPhase::kStopping;
-      row.stop_reason = RunEnd::kLost;
-      row.next_stop_at = now.boot;
-      changes->Add(Put<RunRow>{row});
+      changes->Add(Put<RunRow>{WithLostStart(run, now)});
       return;
     }
     case RunPhase::kRunning:
@@ -95,8 +111,13 @@
                                "the minion does not list it", now, health));
         return;
       }
-      if (!run.stop_answered_at ||
-          sent_at < *run.stop_answered_at + board.settings.max_run_stop_time) {
+      if (!run.stop_answered_at) return;
+      // A run that was listed before may take its time to stop. One that the
+      // minion has never shown, and does not list after it has accepted the
+      // stop, was never begun, and the stop forbids its start.
+      if (sent_at < *run.stop_answered_at +
+                        (run.has_begun ? board.settings.max_run_stop_time
+                                       : milliseconds{0})) {
         return;
       }
       changes->Append(EndRun(board, run, run.stop_reason,
@@ -183,7 +204,9 @@
 AgentChanges PollMinion(const AgentBoard& board, const Now& now) {
   AgentChanges changes;
   const PollState& known = board.poll;
-  if (!board.minion || known.in_flight) return changes;
+  const PollReplacement replacement = FindPollReplacement(board, now);
+  const bool replaces = replacement != PollReplacement::kNone;
+  if (!board.minion || (known.in_flight && !replaces)) return changes;
   const bool has_runs = !board.runs.empty();
   const bool has_left = board.minion->draining && !has_runs;
   const AgentSettings& settings = board.settings;
@@ -193,18 +216,15 @@
       has_runs || !known.has_inventory || known.failures > 0 || has_old_clock;
   if (!has_reason || has_left || now.boot < known.next_at) return changes;
   PollState poll = known;
+  poll.follows_overdue = replacement == PollReplacement::kOverdue;
   ++poll.sequence;
   poll.in_flight = true;
   poll.sent_at = now.boot;
   const bool skips_wait =
-      poll.failures > 0 || !poll.has_inventory || has_old_clock;
-  CallPoll call{*board.minion,
-                poll.sequence,
-                {},
-                poll.last_end_number,
-                skips_wait ? milliseconds{0} : settings.poll_wait,
-                board.fencing_token,
-                {}};
+      poll.failures > 0 || !poll.has_inventory || has_old_clock || replaces;
+  poll.wait = skips_wait ? milliseconds{0} : PollWait(board, now);
+  CallPoll call{*board.minion, poll.sequence,       {}, poll.last_end_number,
+                poll.wait,     board.fencing_token, {}};
   call.timeout = call.wait + settings.poll_timeout_margin;
   poll.previous_lease_ends_at = poll.lease_ends_at;
   if (RenewsLease(board, now)) {
@@ -237,6 +257,7 @@
   poll.in_flight = false;
   poll.failures = 0;
   poll.next_at = now.boot;
+  if (poll.follows_overdue) poll.answer_lost_at = now.boot;
   if (e.refused_rows > 0) {
     // The minion returns the rows again at once, since they are not
     // acknowledged.
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -249,7 +249,7 @@
     row.stop_in_flight = true;
     changes.Add(Put<RunRow>{row});
     changes.Add(CallStop{*board.minion, key, board.fencing_token,
-                         board.settings.call_timeout});
+                         board.settings.stop_timeout});
   }
   return changes;
 }
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -42,6 +42,16 @@
   // short because the response may get lost, and the end is then only seen one
   // wait later.
   milliseconds poll_wait{50};
+  // The answer to a poll counts as overdue this long after its wait; the minion
+  // is then polled again at once. Answers normally arrive within a millisecond.
+  milliseconds poll_overdue_margin{10};
+  // For this time after an answer was lost, polls wait only briefly.
+  milliseconds lossy_period{3'000};
+  milliseconds lossy_poll_wait{15};
+  // A run that a poll does not list is stopped if the poll was sent this long
+  // after the run's start, which is not answered yet. A minion answers within a
+  // millisecond; a start that arrives after the stop is refused.
+  milliseconds start_doubt_delay{25};
   // A poll has failed if there is no response this long after its wait.
   milliseconds poll_timeout_margin{40};
   // Interval between polls of a minion that does not respond.
@@ -49,6 +59,8 @@
   // Responses to starts and stops normally arrive within a millisecond; one
   // that has not arrived within this time counts as lost.
   milliseconds call_timeout{100};
+  // A stop is repeated after this time; repeating it does no harm.
+  milliseconds stop_timeout{40};
   // Upper bound of the time to stop a run; a minion needs at most 50 ms.
   milliseconds max_run_stop_time{60};
   // If the minion has not accepted a stop this long after an entry's request,
