Add the registers of evacuated data centres

Cause: processes hear of an evacuation and of its end from the store and from each other in any order, also long after the change. Change: a register for each data centre whose highest store revision wins, the merge of a complete list of the store, which ends what it lacks, and the share of a minion's capacity that returns after the end.

--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/cell.h"
+#include "core/pool/evacuation.h"
 #include "core/pool/minion_crash.h"
 #include "core/pool/task.h"
 
@@ -112,14 +113,6 @@
   friend bool operator==(const RunEnded&, const RunEnded&) = default;
 };
 
-// Whether a data centre is evacuated, as of a revision of the store.
-struct Evacuation {
-  std::string data_centre;
-  std::uint64_t revision = 0;
-  bool is_active = false;
-  friend bool operator==(const Evacuation&, const Evacuation&) = default;
-};
-
 // All evacuations that the sender knows, also those that have ended.
 struct EvacuationList {
   std::vector<Evacuation> evacuations;
