Start no tasks on minions of an evacuated data centre

Cause: an operator who evacuates a data centre needs that no connected process starts a task there, also an entry that the store turns away. Change: entries and agents send EvacuationList over each link whose other side does not know all of it, before starts and configurations; agents refuse starts and report that they accept none; entries place tasks elsewhere, deduct the capacity from admission at once, and refuse jobs that only such a data centre could run. After the end, a minion's capacity returns within some seconds.

--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/pool/agent/crashes.h"
+#include "core/pool/agent/evacuation.h"
 #include "core/pool/agent/instances.h"
 #include "core/pool/agent/links.h"
 #include "core/pool/agent/polls.h"
@@ -28,6 +29,7 @@
     ApplyChanges(SendStops(*board_, now_));
     ApplyChanges(PollMinion(*board_, now_));
     ApplyChanges(AnnounceMinion(*board_, minion_before_));
+    ApplyChanges(SendEvacuations(*board_));
     ApplyChanges(ReportLoad(*board_, now_));
     ApplyChanges(DialEntries(*board_, now_));
   }
@@ -116,6 +118,9 @@
     ApplyChanges(
         AddEntries(*board_, message.entries, EntrySource::kHint, now_));
   }
+  void OnMessage(LinkId link, const EvacuationList& message) {
+    ApplyChanges(HandleEvacuationList(*board_, link, message, now_));
+  }
   void OnMessage(LinkId, const Ping&) {}
   // Sent to entries only.
   void OnMessage(LinkId, const ConfigOffer&) {}
@@ -123,7 +128,6 @@
   void OnMessage(LinkId, const LoadReport&) {}
   void OnMessage(LinkId, const StartRefused&) {}
   void OnMessage(LinkId, const RunEnded&) {}
-  void OnMessage(LinkId, const EvacuationList&) {}
   void OnMessage(LinkId, const ConfigAnnouncement&) {}
   void OnMessage(LinkId, const ConfigRequest&) {}
   void OnMessage(LinkId, const EntryLoad&) {}
--- a/src/core/pool/agent/apply.cpp
+++ b/src/core/pool/agent/apply.cpp
@@ -39,6 +39,9 @@
   void operator()(const SetFencingToken& it) const {
     board->fencing_token = it.token;
   }
+  void operator()(const SetAgentEvacuations& it) const {
+    board->evacuations = it.evacuations;
+  }
   void operator()(const SetAgentStopping& it) const {
     board->stopping = true;
     board->stopping_since = it.since;
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -8,6 +8,7 @@
 #include "core/cell.h"
 #include "core/ids.h"
 #include "core/pool/agent/settings.h"
+#include "core/pool/evacuation.h"
 #include "core/pool/known_entries.h"
 #include "core/pool/messages.h"
 #include "core/pool/task.h"
@@ -31,6 +32,9 @@
   std::uint64_t sequence = 0;
   // Reading of the minion's clock.
   std::uint64_t clock_ms = 0;
+  // How long the minion expects to be slower than usual, because its caches are
+  // empty.
+  milliseconds cold_remaining{0};
   friend bool operator==(const MinionReport&, const MinionReport&) = default;
 };
 
@@ -105,6 +109,8 @@
   bool report_due = false;
   // Since when the link is not needed; the entry is told to send no starts.
   std::optional<BootTime> surplus_since;
+  // As in LinkRow of an entry.
+  std::uint64_t known_evacuation_changes = 0;
 
   const LinkId& Key() const { return id; }
   friend bool operator==(const EntryLinkRow&, const EntryLinkRow&) = default;
@@ -172,6 +178,7 @@
   Table<RunRow> runs;
   // Recent crashes of the minion's instances.
   Table<MinionCrash> crashes;
+  EvacuationRegisters evacuations;
   Table<EntryLinkRow> links;
   Table<KnownEntry> entries;
   bool stopping = false;
--- a/src/core/pool/agent/capacity.cpp
+++ b/src/core/pool/agent/capacity.cpp
@@ -35,7 +35,30 @@
   return std::max(board.poll.lease_ends_at, board.poll.inherited_lease_ends_at);
 }
 
+bool IsEvacuated(const AgentBoard& board) {
+  return board.minion &&
+         IsEvacuated(board.evacuations, board.minion->data_centre);
+}
+
+double CurrentUsableShare(const AgentBoard& board, const Now& now) {
+  if (!board.minion) return 1;
+  return UsableShare(board.evacuations, board.minion->data_centre,
+                     board.minion->cold_remaining, now);
+}
+
+Resources AvailableResources(const AgentBoard& board, const Now& now) {
+  if (!board.minion) return {};
+  const MinionReport& minion = *board.minion;
+  const double share = CurrentUsableShare(board, now);
+  // An evacuation is shown by `IsAccepting`, so that the free resources still
+  // tell what runs.
+  if (share <= 0 || share >= 1) return FreeResources(board);
+  return FreeResources(board) -
+         (minion.capacity - ShareOf(minion.capacity, share));
+}
+
 bool IsAccepting(const AgentBoard& board, const Now& now) {
+  if (IsEvacuated(board)) return false;
   if (!board.minion || board.minion->draining || board.stopping) return false;
   // A start would renew the lease of all runs.
   if (board.successor || HasOverdueStop(board, now)) return false;
--- a/src/core/pool/agent/capacity.h
+++ b/src/core/pool/agent/capacity.h
@@ -7,6 +7,17 @@
 // The minion's capacity minus the needs of all runs whose end is not known.
 Resources FreeResources(const AgentBoard& board);
 
+// Whether the minion's data centre is evacuated.
+bool IsEvacuated(const AgentBoard& board);
+
+// Share of the minion's capacity that evacuations leave usable; see
+// UsableShare.
+double CurrentUsableShare(const AgentBoard& board, const Now& now);
+
+// The resources that new runs may take: less than the free ones for some
+// seconds after an evacuation, since the minion may be cold.
+Resources AvailableResources(const AgentBoard& board, const Now& now);
+
 // Whether a run of a suspect task is in progress.
 bool HasSuspect(const AgentBoard& board);
 
--- a/src/core/pool/agent/changes.h
+++ b/src/core/pool/agent/changes.h
@@ -29,6 +29,9 @@
 struct SetFencingToken {
   std::uint64_t token = 0;
 };
+struct SetAgentEvacuations {
+  EvacuationRegisters evacuations;
+};
 struct SetAgentStopping {
   BootTime since{0};
 };
@@ -38,7 +41,7 @@
                  Erase<MinionCrash>, Put<EntryLinkRow>, Erase<EntryLinkRow>,
                  Put<KnownEntry>, Erase<KnownEntry>, SetMinion, SetSuccessor,
                  SetClock, SetPollState, SetHealth, SetFencingToken,
-                 SetAgentStopping>;
+                 SetAgentEvacuations, SetAgentStopping>;
 
 struct SendToEntry {
   LinkId link;
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -25,8 +25,9 @@
 LoadReport MakeLoadReport(const AgentBoard& board, const EntryLinkRow& link,
                           double log_slowness, const Now& now) {
   const bool accepting = !link.surplus_since && IsAccepting(board, now);
-  return {link.handled_starts,    FreeResources(board), accepting,
-          IsSettled(board, link), log_slowness,         HasSuspect(board)};
+  return {link.handled_starts, AvailableResources(board, now),
+          accepting,           IsSettled(board, link),
+          log_slowness,        HasSuspect(board)};
 }
 
 // Whether a load report is due. Each report wakes up the entry, and small
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -54,8 +54,9 @@
 // Returns why the run cannot be started now, or null if it can.
 const char* FindStartObstacle(const AgentBoard& board, const StartRun& start,
                               const Now& now) {
+  if (IsEvacuated(board)) return "the data centre is evacuated";
   if (!IsAccepting(board, now)) return "the minion takes no runs";
-  if (!Fits(start.needs, FreeResources(board))) return "no room";
+  if (!Fits(start.needs, AvailableResources(board, now))) return "no room";
   if (HasRunOfTask(board, start.run.task)) {
     return "another run of the task has not ended";
   }
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/pool/entry/crashes.h"
+#include "core/pool/entry/evacuation.h"
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/placement.h"
@@ -24,6 +25,9 @@
 
   void RunControllers() {
     ApplyChanges(EndCrashingJobs(*board_, now_));
+    // Before starts and configurations are sent over the same links.
+    ApplyChanges(SendEvacuations(*board_));
+    ApplyChanges(RefuseEvacuatedJobs(*board_, now_));
     ApplyChanges(PlaceTasks(*board_, now_));
     ApplyChanges(DialPeers(*board_, now_));
     ApplyChanges(OfferConfig(*board_));
@@ -76,6 +80,9 @@
          {"queues", static_cast<std::int64_t>(e.config.queues.size())}}});
     ApplyChanges(std::move(changes));
   }
+  void OnEvent(const EvacuationsRead& e) {
+    ApplyChanges(HandleEvacuationsRead(*board_, e.view, now_));
+  }
   void OnEvent(const EntriesListed& e) {
     ApplyChanges(AddPeers(*board_, e.entries, EntrySource::kStore, now_));
   }
@@ -125,10 +132,12 @@
   void OnMessage(LinkId, const KnownEntries& message) {
     ApplyChanges(AddPeers(*board_, message.entries, EntrySource::kHint, now_));
   }
+  void OnMessage(LinkId link, const EvacuationList& message) {
+    ApplyChanges(HandleEvacuationList(*board_, link, message, now_));
+  }
   // The process decodes the text when it arrives and posts ConfigRead.
   void OnMessage(LinkId, const ConfigOffer&) {}
   void OnMessage(LinkId, const Ping&) {}
-  void OnMessage(LinkId, const EvacuationList&) {}
   void OnMessage(LinkId, const ConfigAnnouncement&) {}
   void OnMessage(LinkId, const ConfigRequest&) {}
   void OnMessage(LinkId, const EntryLoad&) {}
@@ -184,8 +193,9 @@
 
 bool IsReady(const EntryBoard& board) {
   if (board.stopping || board.config.version == 0) return false;
-  return std::any_of(board.agents.begin(), board.agents.end(),
-                     [](const auto& it) { return it.second.load.accepting; });
+  return std::any_of(
+      board.agents.begin(), board.agents.end(),
+      [&](const auto& it) { return IsUsable(board, it.second); });
 }
 
 std::size_t CountPending(const EntryBoard& board, const std::string& queue) {
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -90,6 +90,9 @@
     board->config = it.config;
     board->config_text = it.text;
   }
+  void operator()(const SetEvacuations& it) const {
+    board->evacuations = it.evacuations;
+  }
   void operator()(const SetEntryStopping& it) const {
     board->stopping = true;
     board->stopping_since = it.since;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -12,6 +12,7 @@
 #include "core/ids.h"
 #include "core/pool/config.h"
 #include "core/pool/entry/settings.h"
+#include "core/pool/evacuation.h"
 #include "core/pool/known_entries.h"
 #include "core/pool/messages.h"
 #include "core/pool/task.h"
@@ -122,6 +123,9 @@
   BootTime last_received_at{0};
   BootTime last_sent_at{0};
   std::uint64_t sent_config_version = 0;
+  // Value of `EvacuationRegisters::changes` up to which the other side knows
+  // the evacuations.
+  std::uint64_t known_evacuation_changes = 0;
 
   const LinkId& Key() const { return id; }
   friend bool operator==(const LinkRow&, const LinkRow&) = default;
@@ -138,6 +142,7 @@
   Table<LinkRow> links;
   // The other entries.
   Table<KnownEntry> peers;
+  EvacuationRegisters evacuations;
   // Recent crashes of minions, also those with runs of other entries.
   Table<MinionCrash> crashes;
   // Indexes that `Apply` derives from the tables.
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -13,6 +13,9 @@
   PoolConfig config;
   Bytes text;
 };
+struct SetEvacuations {
+  EvacuationRegisters evacuations;
+};
 struct SetEntryStopping {
   BootTime since{0};
 };
@@ -21,7 +24,8 @@
     std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
                  Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
                  Put<KnownEntry>, Erase<KnownEntry>, Put<MinionCrash>,
-                 Erase<MinionCrash>, SetConfig, SetEntryStopping>;
+                 Erase<MinionCrash>, SetConfig, SetEvacuations,
+                 SetEntryStopping>;
 
 // Kind of the reply to a client.
 enum class ReplyKind {
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -49,7 +49,7 @@
   EntryChanges changes;
   const LinkRow* known = board.links.Find(link);
   LinkRow row =
-      known == nullptr ? LinkRow{link, {}, now.boot, now.boot, 0} : *known;
+      known == nullptr ? LinkRow{link, {}, now.boot, now.boot} : *known;
   row.last_received_at = now.boot;
   changes.Add(Put<LinkRow>{row});
   return changes;
@@ -142,7 +142,7 @@
   changes.Add(Put<KnownEntry>{
       WithDialResult(*known, e.link, board.settings.dial_retry_delay, now)});
   if (!e.link) return changes;
-  changes.Add(Put<LinkRow>{{*e.link, e.address, now.boot, now.boot, 0}});
+  changes.Add(Put<LinkRow>{{*e.link, e.address, now.boot, now.boot}});
   EntryHello hello = MakeHello(board);
   hello.crashes = MakeCrashReports(board.crashes, now);
   changes.Add(SendMessage{*e.link, std::move(hello)});
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/pool/entry/crashes.h"
+#include "core/pool/entry/evacuation.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -169,10 +170,11 @@
 }  // namespace
 
 bool HasAcceptingAgent(const EntryBoard& board, const std::string& service) {
-  return std::any_of(
-      board.agents.begin(), board.agents.end(), [&](const auto& it) {
-        return it.second.load.accepting && it.second.hello->service == service;
-      });
+  return std::any_of(board.agents.begin(), board.agents.end(),
+                     [&](const auto& it) {
+                       return IsUsable(board, it.second) &&
+                              it.second.hello->service == service;
+                     });
 }
 
 EntryChanges HandleRunEnded(const EntryBoard& board, LinkId link,
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -7,6 +7,7 @@
 #include <tuple>
 
 #include "core/pool/entry/crashes.h"
+#include "core/pool/entry/evacuation.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -78,7 +79,7 @@
 std::vector<Candidate> CollectCandidates(const EntryBoard& board) {
   std::vector<Candidate> candidates;
   for (const auto& [link, agent] : board.agents) {
-    if (!agent.load.accepting || agent.free.cpu_millis <= 0) continue;
+    if (!IsUsable(board, agent) || agent.free.cpu_millis <= 0) continue;
     candidates.push_back({&agent,
                           agent.free,
                           std::exp(agent.load.log_slowness),
@@ -93,7 +94,7 @@
 double FindLowestSlowness(const EntryBoard& board, const std::string& service) {
   double lowest = std::numeric_limits<double>::infinity();
   for (const auto& [link, agent] : board.agents) {
-    if (!agent.load.accepting || agent.hello->service != service) continue;
+    if (!IsUsable(board, agent) || agent.hello->service != service) continue;
     lowest = std::min(lowest, std::exp(agent.load.log_slowness));
   }
   return lowest;
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "core/pool/entry/crashes.h"
+#include "core/pool/entry/evacuation.h"
 #include "core/pool/entry/outcomes.h"
 
 namespace dottereltrack::pool {
@@ -134,7 +135,7 @@
 }  // namespace
 
 milliseconds EstimateBacklogDelay(const EntryBoard& board,
-                                  const std::string& service) {
+                                  const std::string& service, const Now& now) {
   double waiting_work = 0;
   for (const TaskKey& key : board.waiting_tasks) {
     const TaskRow& task = *board.tasks.Find(key);
@@ -148,8 +149,9 @@
   }
   double total_cpu_millis = 0;
   for (const auto& [link, agent] : board.agents) {
-    if (agent.hello->service != service || !agent.load.accepting) continue;
-    total_cpu_millis += static_cast<double>(agent.hello->capacity.cpu_millis);
+    if (agent.hello->service != service || !IsUsable(board, agent)) continue;
+    total_cpu_millis +=
+        static_cast<double>(UsableCapacity(board, agent, now).cpu_millis);
   }
   if (waiting_work == 0 || total_cpu_millis == 0) return milliseconds{0};
   // Each agent shares its minion among the entries that it links to.
@@ -189,9 +191,13 @@
     return RefuseJob(e, ReplyKind::kStopping, kRetryAfter,
                      {.texts = {{"reason", "this process is stopping"}}});
   }
-  const milliseconds backlog = EstimateBacklogDelay(board, queue->service);
+  const milliseconds backlog = EstimateBacklogDelay(board, queue->service, now);
   const bool is_warmed_up =
       now.boot >= board.started_at + board.settings.warm_up_time;
+  if (HasOnlyEvacuatedMinions(board, queue->service, now)) {
+    return RefuseJob(e, ReplyKind::kNoMinions, kRetryAfter,
+                     {.texts = {{"reason", kOnlyEvacuatedMinions}}});
+  }
   if (is_warmed_up && backlog + LongestEstimate(e.job) > e.client_timeout) {
     return RefuseJob(e, ReplyKind::kOverloaded, kOverloadRetryAfter,
                      {.texts = {{"reason", "the backlog exceeds the deadline"}},
--- a/src/core/pool/entry/submission.h
+++ b/src/core/pool/entry/submission.h
@@ -13,6 +13,6 @@
 // Estimates the time until all waiting tasks of the service have been started
 // on this entry's share of the service's cores.
 milliseconds EstimateBacklogDelay(const EntryBoard& board,
-                                  const std::string& service);
+                                  const std::string& service, const Now& now);
 
 }  // namespace dottereltrack::pool
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -69,7 +69,8 @@
         ("const bool is_earlier = run.entry == link.entry && "
          "run.link != link.id;", "const bool is_earlier = false;")]),
     ("pool_room_check", POOL_AGENT + "runs.cpp", [
-        ('if (!Fits(start.needs, FreeResources(board))) return "no room";', "")]),
+        ('if (!Fits(start.needs, AvailableResources(board, now))) return "no room";',
+         "")]),
     ("pool_one_run_of_a_task", POOL_AGENT + "runs.cpp", [
         ("if (HasRunOfTask(board, start.run.task)) {",
          "if (HasRunOfTask(board, start.run.task) && board.runs.empty()) {")]),
