Read evacuations and configuration with one watch

Cause: entries must learn of evacuations without more calls to the store. Change: the watch of the configuration covers the prefix of the operator's keys and hands over items with their revisions and the revision of the list; keys that are not used are ignored without a log line. platform/evacuation.h alone knows the key. Result: pool_tests and users_platform_tests pass; not yet run with real processes.

--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -41,6 +41,11 @@
            }},
           {"dottereltrack_agent_entries", "Entries with a link",
            [&board] { return static_cast<double>(board.links.size()); }},
+          {"dottereltrack_agent_usable_share",
+           "Share of the minion's capacity that its evacuation leaves usable",
+           [&board] {
+             return CurrentUsableShare(board, {BootNow(), WallNow(), 0});
+           }},
           {"dottereltrack_agent_failure_share",
            "Share of failed runs, exponential average",
            [&board] { return board.health.failure_share; }}};
@@ -79,8 +84,8 @@
           loop, store_, log,
           {kEntryKeyPrefix, kEntryWatchWait, kEntryWatchRetryDelay,
            &FindAddressProblem},
-          [this](const auto& values) {
-            Post(EntriesRegistered{ParseEntryAddresses(values)});
+          [this](const auto& view) {
+            Post(EntriesRegistered{ParseEntryAddresses(view)});
           },
           [this](const Decision& refusal) { Execute(refusal); }),
       metrics_(loop, MakeGauges(board_),
--- a/apps/pool_common/store_watches.cpp
+++ b/apps/pool_common/store_watches.cpp
@@ -67,10 +67,10 @@
   const bool is_available = result.status == StoreStatus::kOk;
   dependency_log_.RecordResult(is_available, result.message);
   if (!is_available) return ScheduleRestart();
-  values_.clear();
+  items_.clear();
   for (const auto& item : result.view.items) ApplyItem(item);
   as_of_ = result.view.as_of;
-  on_change_(values_);
+  ReportItems();
   WatchForChanges();
 }
 
@@ -85,7 +85,7 @@
   if (!is_available) return ScheduleRestart();
   for (const auto& item : result.view.items) ApplyItem(item);
   if (result.view.as_of > as_of_) as_of_ = result.view.as_of;
-  if (!result.view.items.empty()) on_change_(values_);
+  if (!result.view.items.empty()) ReportItems();
   // Which key such a change concerns shows in a new list only.
   if (users_platform::HasItemWithoutKey(result.view.items)) {
     return ScheduleRestart();
@@ -93,20 +93,31 @@
   WatchForChanges();
 }
 
+void PrefixWatch::ReportItems() const {
+  users_platform::StoreView view;
+  view.as_of = as_of_;
+  for (const auto& [key, item] : items_) view.items.push_back(item);
+  on_change_(view);
+}
+
 void PrefixWatch::ApplyItem(const StoreItem& item) {
+  // An item whose key cannot be read may be any.
+  if (settings_.is_used && !item.key.empty() && !settings_.is_used(item.key)) {
+    return;
+  }
   std::string problem = item.problem;
   if (problem.empty() && !item.is_removed && settings_.find_problem) {
-    problem = settings_.find_problem(item.value);
+    problem = settings_.find_problem(item);
   }
   if (!problem.empty()) {
-    values_.erase(item.key);
+    items_.erase(item.key);
     return ReportRefusal(item.key, problem);
   }
   refused_keys_.erase(item.key);
   if (item.is_removed) {
-    values_.erase(item.key);
+    items_.erase(item.key);
   } else {
-    values_[item.key] = item.value;
+    items_[item.key] = item;
   }
 }
 
@@ -199,17 +210,17 @@
   if (lease_id_ != 0) store_.EndLease(lease_id_, [](const StoreResult&) {});
 }
 
-std::string FindAddressProblem(const std::string& value) {
-  if (ParseEntryAddress(value)) return {};
+std::string FindAddressProblem(const StoreItem& item) {
+  if (ParseEntryAddress(item.value)) return {};
   return "the value is not an address; write IP:PORT with a port from 1 to "
          "65535";
 }
 
 std::vector<Endpoint> ParseEntryAddresses(
-    const std::map<std::string, std::string>& values) {
+    const users_platform::StoreView& view) {
   std::vector<Endpoint> entries;
-  for (const auto& [key, value] : values) {
-    const auto endpoint = ParseEntryAddress(value);
+  for (const StoreItem& item : view.items) {
+    const auto endpoint = ParseEntryAddress(item.value);
     if (endpoint) entries.push_back(*endpoint);
   }
   return entries;
--- a/apps/pool_common/store_watches.h
+++ b/apps/pool_common/store_watches.h
@@ -40,12 +40,15 @@
     // Delay after a failure, and before the keys are listed again because a
     // change cannot be read.
     milliseconds retry_delay{0};
-    // Returns why a value cannot be used, or an empty string. May be empty.
-    std::function<std::string(const std::string&)> find_problem{};
+    // Returns why an item cannot be used, or an empty string. May be empty.
+    std::function<std::string(const users_platform::StoreItem&)> find_problem{};
+    // Whether a key is used; others are ignored without a log line. Uses all
+    // keys if empty.
+    std::function<bool(const std::string&)> is_used{};
   };
-  // Called with all keys and their values after each change.
-  using ChangeCallback =
-      std::function<void(const std::map<std::string, std::string>&)>;
+  // Called after each change with all usable items, ordered by key, and the
+  // revision at which these were all.
+  using ChangeCallback = std::function<void(const users_platform::StoreView&)>;
 
   // Called with a decision for the log when an item is refused, once for each
   // key until a usable item replaces it.
@@ -62,6 +65,7 @@
   void OnWatchResponse(const users_platform::StoreResult& result);
   void ApplyItem(const users_platform::StoreItem& item);
   void ReportRefusal(const std::string& key, const std::string& problem);
+  void ReportItems() const;
   void ScheduleRestart();
 
   users_platform::StoreClient& store_;
@@ -70,7 +74,7 @@
   ChangeCallback on_change_;
   RefusalCallback on_refusal_;
   asio::steady_timer timer_;
-  std::map<std::string, std::string> values_;
+  std::map<std::string, users_platform::StoreItem> items_;
   // Keys whose refused items have been reported.
   std::set<std::string> refused_keys_;
   std::uint64_t as_of_ = 0;
@@ -105,10 +109,10 @@
 
 // Returns why a value under kEntryKeyPrefix is not the address of an entry, or
 // an empty string if it is.
-std::string FindAddressProblem(const std::string& value);
+std::string FindAddressProblem(const users_platform::StoreItem& item);
 
 // Parses the values under kEntryKeyPrefix as addresses. Skips invalid ones.
 std::vector<Endpoint> ParseEntryAddresses(
-    const std::map<std::string, std::string>& values);
+    const users_platform::StoreView& view);
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -7,6 +7,7 @@
 #include "apps/pool_entry/state_dump.h"
 #include "core/pool/pause.h"
 #include "platform/config.h"
+#include "platform/evacuation.h"
 #include "pool_wire/codec.h"
 #include "runtime/clock.h"
 #include "runtime/settings/endpoint_text.h"
@@ -19,11 +20,11 @@
 
 constexpr milliseconds kTickInterval{25};
 
-// A configuration must take effect within 2 s of its write. A watch whose
-// connection was lost without a reset is detected after its wait plus the
-// store's timeout.
-constexpr milliseconds kConfigWatchWait{800};
-constexpr milliseconds kConfigWatchRetryDelay{200};
+// A configuration must take effect within 2 s of its write, an evacuation
+// within 5 s. A watch whose connection was lost without a reset is detected
+// after its wait plus the store's timeout.
+constexpr milliseconds kOperatorWatchWait{800};
+constexpr milliseconds kOperatorWatchRetryDelay{200};
 // The set of entries changes rarely, and entries also learn of each other from
 // agents.
 constexpr milliseconds kEntryWatchWait{10'000};
@@ -64,6 +65,11 @@
        [&board] { return static_cast<double>(board.crashes.size()); }},
       {"dottereltrack_entry_agents", "Agents with a link",
        [&board] { return static_cast<double>(board.agents.size()); }},
+      {"dottereltrack_entry_evacuated_data_centres",
+       "Data centres under evacuation",
+       [&board] {
+         return static_cast<double>(CountEvacuated(board.evacuations));
+       }},
       {"dottereltrack_entry_config_version",
        "Version of the configuration in force",
        [&board] { return static_cast<double>(board.config.version); }}};
@@ -110,21 +116,23 @@
            {}}),
       store_(loop, node_settings_.store_address),
       registration_(loop, store_, log, node_settings_.internal_address),
-      config_watch_(
+      operator_watch_(
           loop, store_, log,
-          {users_platform::kConfigKey, kConfigWatchWait,
-           kConfigWatchRetryDelay},
-          [this](const auto& values) {
-            const auto it = values.find(users_platform::kConfigKey);
-            if (it != values.end()) OnConfigText(it->second);
-          },
+          {users_platform::kOperatorKeyPrefix, kOperatorWatchWait,
+           kOperatorWatchRetryDelay,
+           [this](const auto& item) {
+             return users_platform::FindOperatorItemProblem(
+                 item, node_settings_.data_centres);
+           },
+           &users_platform::IsUsedOperatorKey},
+          [this](const auto& view) { OnOperatorItems(view); },
           [this](const Decision& refusal) { Execute(refusal); }),
       entry_watch_(
           loop, store_, log,
           {kEntryKeyPrefix, kEntryWatchWait, kEntryWatchRetryDelay,
            &FindAddressProblem},
-          [this](const auto& values) {
-            Post(EntriesListed{ParseEntryAddresses(values)});
+          [this](const auto& view) {
+            Post(EntriesListed{ParseEntryAddresses(view)});
           },
           [this](const Decision& refusal) { Execute(refusal); }),
       metrics_(loop, MakeGauges(board_),
@@ -150,7 +158,7 @@
   AwaitSignal();
   Post(EntrySeedsRead{node_settings_.seeds});
   registration_.Start();
-  config_watch_.Start();
+  operator_watch_.Start();
   entry_watch_.Start();
   settings_watch_.Start();
   Tick();
@@ -229,6 +237,18 @@
   Post(MessageReceived{link, std::move(message.value())});
 }
 
+void PoolEntry::OnOperatorItems(const users_platform::StoreView& view) {
+  // The evacuations come first: with a configuration, the entry starts tasks.
+  Post(EvacuationsRead{
+      users_platform::ReadEvacuations(view, node_settings_.data_centres)});
+  for (const users_platform::StoreItem& item : view.items) {
+    if (item.key != users_platform::kConfigKey) continue;
+    // Changes of other keys do not make it worth parsing again.
+    if (std::exchange(config_revision_, item.revision) == item.revision) break;
+    OnConfigText(item.value);
+  }
+}
+
 void PoolEntry::OnConfigText(const std::string& text) {
   auto config = users_platform::ParseConfig(text);
   if (!config) {
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -54,6 +54,7 @@
               const HttpRequest& request, const HttpReplier& reply);
   HttpResponse ReadState(const users_platform::ClientCall& call) const;
   HttpResponse CountPendingJobs(const users_platform::ClientCall& call) const;
+  void OnOperatorItems(const users_platform::StoreView& view);
   void OnConfigText(const std::string& text);
   CallId AddOpenCall(const HttpRequest& request, const HttpReplier& reply);
 
@@ -73,7 +74,7 @@
   HttpServer readiness_server_;
   users_platform::StoreClient store_;
   EntryRegistration registration_;
-  PrefixWatch config_watch_;
+  PrefixWatch operator_watch_;
   PrefixWatch entry_watch_;
   PoolMetrics metrics_;
   SettingsWatch settings_watch_;
@@ -82,6 +83,8 @@
   asio::signal_set signals_;
   BootTime last_iteration_at_{0};
   TurnQueue<EntryEvent> event_queue_;
+  // Revision of the configuration that was last read from the store.
+  std::uint64_t config_revision_ = 0;
   std::uint64_t next_call_id_ = 1;
   std::map<CallId, OpenCall> open_calls_;
 };
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -199,7 +199,7 @@
     they list the store again and while they start."""
     for text in odd_input.store_items():
         cell.store.put_odd_item(odd_input.ENTRY_PREFIX, text)
-    cell.store.put_odd_item("op/config", '{"key":7,"value":"","revision":5}')
+    cell.store.put_odd_item("op/", '{"key":7,"value":"","revision":5}')
     for minion in cell.minions[:2]:
         minion.odd_rows = odd_input.RUN_ROWS
         for n, text in enumerate(odd_input.reports()):
