--- a/src/json/bounded_json.cpp
+++ b/src/json/bounded_json.cpp
@@ -1,32 +1,17 @@
 #include "json/bounded_json.h"
 
-#include <cmath>
-#include <cstdlib>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "json/too_large.h"
+
 namespace dottereltrack {
 namespace {
 
 using nlohmann::json;
 
-// Containers that are open where an item begins: the text's object and the
-// list or object that holds the item.
-constexpr std::size_t kItemDepth = 2;
-
-// Id of the JSON library's error for a number that does not fit a double.
-constexpr int kNumberOverflowErrorId = 406;
-
-constexpr std::string_view kNumberCharacters = "0123456789+-.eE";
-constexpr std::string_view kNull = "null";
-
-JsonError TooLargeError(const std::string& problem) {
-  return {JsonErrorKind::kTooLarge, "",
-          "the text " + problem + "; send less at a time"};
-}
-
 // Builds the tree of a text within limits.
 class BoundedTreeBuilder : public nlohmann::json_sax<json> {
  public:
@@ -52,8 +37,7 @@
   bool parse_error(std::size_t position, const std::string&,
                    const nlohmann::detail::exception& error) override {
     has_number_overflow_ = error.id == kNumberOverflowErrorId;
-    error_ = JsonError{JsonErrorKind::kMalformed, "",
-                       "the text is not JSON; write one JSON object", position};
+    error_ = NotJsonError(position);
     return false;
   }
 
@@ -65,8 +49,7 @@
   // Counts a value of the tree. Returns false if the text exceeds the limit.
   bool Count() {
     if (++value_count_ <= limits_.max_values) return true;
-    error_ = TooLargeError("has more than " +
-                           std::to_string(limits_.max_values) + " values");
+    error_ = TooManyValuesError(limits_.max_values);
     return false;
   }
 
@@ -146,42 +129,6 @@
   bool has_number_overflow_ = false;
 };
 
-// Returns the end of the string that begins at `start`.
-std::size_t FindStringEnd(const std::string& text, std::size_t start) {
-  std::size_t n = start + 1;
-  while (n < text.size() && text[n] != '"') n += text[n] == '\\' ? 2 : 1;
-  return n + 1;
-}
-
-bool IsTooLargeNumber(const std::string& digits) {
-  return std::isinf(std::strtod(digits.c_str(), nullptr));
-}
-
-// Replaces numbers that do not fit a double by null. The shortest of them,
-// such as 1e309, has more characters than null.
-std::string ReplaceTooLargeNumbers(std::string text) {
-  std::size_t n = 0;
-  while (n < text.size()) {
-    if (text[n] == '"') {
-      n = FindStringEnd(text, n);
-      continue;
-    }
-    const bool is_number = text[n] == '-' || (text[n] >= '0' && text[n] <= '9');
-    if (!is_number) {
-      ++n;
-      continue;
-    }
-    std::size_t end = text.find_first_not_of(kNumberCharacters, n);
-    if (end == std::string::npos) end = text.size();
-    if (IsTooLargeNumber(text.substr(n, end - n))) {
-      text.replace(n, end - n, end - n, ' ');
-      text.replace(n, kNull.size(), kNull);
-    }
-    n = end;
-  }
-  return text;
-}
-
 bool Build(std::string_view text, JsonComments comments,
            BoundedTreeBuilder* builder) {
   return json::sax_parse(text.begin(), text.end(), builder,
@@ -194,8 +141,7 @@
 JsonResult<json> ParseBoundedJson(std::string_view text, JsonComments comments,
                                   const JsonLimits& limits) {
   if (text.size() > limits.max_bytes) {
-    return TooLargeError("has more than " + std::to_string(limits.max_bytes) +
-                         " bytes");
+    return TooManyBytesError(limits.max_bytes);
   }
   BoundedTreeBuilder builder(limits);
   if (Build(text, comments, &builder)) return builder.TakeRoot();
