Announce configurations to peers instead of sending them

Each entry sent the whole text of a new configuration to all peers: 200 kB to eight peers takes 0.7 s of a link of 19 Mbit/s in each direction. Entries now announce version and size (56 bytes), and one that the store has not served requests the text from one peer at a time: at once if it is small (16 KiB) or none is known, otherwise 100 ms plus the transfer time of the store's answer after the announcement. A peer that is silent, closes, or sends an unusable text is replaced by the next one, fast links first. A sender on a slow link sends one large text at a time and leaves half of the link free.

The test that a peer is offered each configuration once is replaced by one that it is announced once and that no text is sent unasked. Tables in tests/pool/entry_config_test.cpp, on the virtual clock: a version announced three times a second to an entry without a store is in force or replaced within 1 s; a failed provider is replaced within 600 ms.

--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/pool/entry/config_exchange.h"
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
@@ -26,7 +27,6 @@
     ApplyChanges(EndCrashingJobs(*board_, now_));
     ApplyChanges(PlaceTasks(*board_, now_));
     ApplyChanges(DialPeers(*board_, now_));
-    ApplyChanges(OfferConfig(*board_));
   }
 
   std::vector<EntryEffect> TakeEffects() { return std::move(effects_); }
@@ -53,6 +53,7 @@
   }
   void OnEvent(const LinkClosed& e) {
     ApplyChanges(HandleLinkClosed(*board_, e.link, now_));
+    ExchangeConfig();
   }
   void OnEvent(const MessageReceived& e) {
     ApplyChanges(RecordLinkActivity(*board_, e.link, now_));
@@ -61,20 +62,15 @@
   }
   void OnEvent(const PeerDialed& e) {
     ApplyChanges(HandlePeerDialed(*board_, e, now_));
+    ExchangeConfig();
   }
   void OnEvent(const ConfigRead& e) {
-    if (e.config.version <= board_->config.version) return;
-    EntryChanges changes;
-    changes.Add(SetConfig{e.config, e.text});
-    changes.Add(Decision{
-        Severity::kStateChange,
-        "config_adopted",
-        0,
-        {},
-        {{"version", static_cast<std::int64_t>(e.config.version)},
-         {"former_version", static_cast<std::int64_t>(board_->config.version)},
-         {"queues", static_cast<std::int64_t>(e.config.queues.size())}}});
-    ApplyChanges(std::move(changes));
+    ApplyChanges(HandleConfigRead(*board_, e));
+    ExchangeConfig();
+  }
+  void OnEvent(const ConfigRefused& e) {
+    ApplyChanges(HandleConfigRefused(*board_, e, now_));
+    ExchangeConfig();
   }
   void OnEvent(const EntriesListed& e) {
     ApplyChanges(AddPeers(*board_, e.entries, EntrySource::kStore, now_));
@@ -86,6 +82,7 @@
     ApplyChanges(AbortSilentLinks(*board_, now_));
     ApplyChanges(CheckTimeLimits(*board_, now_));
     ApplyChanges(ForgetOldCrashes(*board_, now_));
+    ExchangeConfig();
     ApplyChanges(PingIdleLinks(*board_, now_));
     ExitWhenIdle();
   }
@@ -125,12 +122,20 @@
   void OnMessage(LinkId, const KnownEntries& message) {
     ApplyChanges(AddPeers(*board_, message.entries, EntrySource::kHint, now_));
   }
-  // The process decodes the text when it arrives and posts ConfigRead.
-  void OnMessage(LinkId, const ConfigOffer&) {}
+  // The process reads the text when it arrives and posts ConfigRead.
+  void OnMessage(LinkId link, const ConfigOffer& message) {
+    ApplyChanges(HandleConfigOffer(*board_, link, message, now_));
+  }
+  void OnMessage(LinkId link, const ConfigAnnouncement& message) {
+    ApplyChanges(HandleConfigAnnouncement(*board_, link, message));
+    ExchangeConfig();
+  }
+  void OnMessage(LinkId link, const ConfigRequest&) {
+    ApplyChanges(HandleConfigRequest(*board_, link, now_));
+    ExchangeConfig();
+  }
   void OnMessage(LinkId, const Ping&) {}
   void OnMessage(LinkId, const EvacuationList&) {}
-  void OnMessage(LinkId, const ConfigAnnouncement&) {}
-  void OnMessage(LinkId, const ConfigRequest&) {}
   void OnMessage(LinkId, const EntryLoad&) {}
   void OnMessage(LinkId, const ForwardJob&) {}
   void OnMessage(LinkId, const ForwardedJobEnded&) {}
@@ -140,6 +145,12 @@
   void OnMessage(LinkId, const StartRun&) {}
   void OnMessage(LinkId, const StopRun&) {}
 
+  void ExchangeConfig() {
+    ApplyChanges(AnnounceConfig(*board_, now_));
+    ApplyChanges(FetchConfig(*board_, now_));
+    ApplyChanges(ServeConfig(*board_, now_));
+  }
+
   std::size_t CountActive() const { return board_->active_jobs.size(); }
 
   void ExitWhenIdle() {
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -90,6 +90,18 @@
     board->config = it.config;
     board->config_text = it.text;
   }
+  void operator()(const Put<ConfigPeer>& it) const {
+    board->config_peers.Put(it.row);
+  }
+  void operator()(const Erase<ConfigPeer>& it) const {
+    board->config_peers.Erase(it.key);
+  }
+  void operator()(const SetConfigFetch& it) const {
+    board->config_fetch = it.fetch;
+  }
+  void operator()(const SetConfigUpload& it) const {
+    board->config_upload_ends_at = it.ends_at;
+  }
   void operator()(const SetEntryStopping& it) const {
     board->stopping = true;
     board->stopping_since = it.since;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -11,6 +11,7 @@
 #include "core/cell.h"
 #include "core/ids.h"
 #include "core/pool/config.h"
+#include "core/pool/config_transfer.h"
 #include "core/pool/entry/settings.h"
 #include "core/pool/known_entries.h"
 #include "core/pool/messages.h"
@@ -121,7 +122,6 @@
   std::optional<Endpoint> dialed_address;
   BootTime last_received_at{0};
   BootTime last_sent_at{0};
-  std::uint64_t sent_config_version = 0;
 
   const LinkId& Key() const { return id; }
   friend bool operator==(const LinkRow&, const LinkRow&) = default;
@@ -132,6 +132,11 @@
   EntrySettings settings;
   PoolConfig config;
   Bytes config_text;
+  // Links over which configurations have been announced or requested.
+  Table<ConfigPeer> config_peers;
+  ConfigFetch config_fetch;
+  // No further large configuration is sent before this time.
+  BootTime config_upload_ends_at{0};
   Table<JobRow> jobs;
   Table<TaskRow> tasks;
   Table<AgentRow> agents;
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -13,6 +13,12 @@
   PoolConfig config;
   Bytes text;
 };
+struct SetConfigFetch {
+  ConfigFetch fetch;
+};
+struct SetConfigUpload {
+  BootTime ends_at{0};
+};
 struct SetEntryStopping {
   BootTime since{0};
 };
@@ -21,7 +27,8 @@
     std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
                  Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
                  Put<KnownEntry>, Erase<KnownEntry>, Put<MinionCrash>,
-                 Erase<MinionCrash>, SetConfig, SetEntryStopping>;
+                 Erase<MinionCrash>, Put<ConfigPeer>, Erase<ConfigPeer>,
+                 SetConfig, SetConfigFetch, SetConfigUpload, SetEntryStopping>;
 
 // Kind of the reply to a client.
 enum class ReplyKind {
--- a/src/core/pool/entry/events.h
+++ b/src/core/pool/entry/events.h
@@ -48,6 +48,10 @@
   PoolConfig config;
   Bytes text;
 };
+// A text that was received over this link cannot be read.
+struct ConfigRefused {
+  LinkId link;
+};
 // All entries that the store lists.
 struct EntriesListed {
   std::vector<Endpoint> entries;
@@ -66,7 +70,7 @@
 using EntryEvent =
     std::variant<JobSubmitted, CallerDisconnected, JobCancelRequested,
                  LinkOpened, LinkClosed, MessageReceived, PeerDialed,
-                 ConfigRead, EntriesListed, EntrySeedsRead, EntryTick,
-                 EntryStopRequested, EntryPaused>;
+                 ConfigRead, ConfigRefused, EntriesListed, EntrySeedsRead,
+                 EntryTick, EntryStopRequested, EntryPaused>;
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -49,7 +49,7 @@
   EntryChanges changes;
   const LinkRow* known = board.links.Find(link);
   LinkRow row =
-      known == nullptr ? LinkRow{link, {}, now.boot, now.boot, 0} : *known;
+      known == nullptr ? LinkRow{link, {}, now.boot, now.boot} : *known;
   row.last_received_at = now.boot;
   changes.Add(Put<LinkRow>{row});
   return changes;
@@ -98,6 +98,7 @@
                               const Now& now) {
   EntryChanges changes;
   changes.Add(Erase<LinkRow>{link});
+  changes.Add(Erase<ConfigPeer>{link});
   const AgentRow* agent = board.agents.Find(link);
   if (agent != nullptr) {
     Decision decision = AgentDecision(*agent, "agent_lost");
@@ -142,7 +143,7 @@
   changes.Add(Put<KnownEntry>{
       WithDialResult(*known, e.link, board.settings.dial_retry_delay, now)});
   if (!e.link) return changes;
-  changes.Add(Put<LinkRow>{{*e.link, e.address, now.boot, now.boot, 0}});
+  changes.Add(Put<LinkRow>{{*e.link, e.address, now.boot, now.boot}});
   EntryHello hello = MakeHello(board);
   hello.crashes = MakeCrashReports(board.crashes, now);
   changes.Add(SendMessage{*e.link, std::move(hello)});
@@ -209,22 +210,6 @@
   return changes;
 }
 
-EntryChanges OfferConfig(const EntryBoard& board) {
-  EntryChanges changes;
-  for (const auto& [id, link] : board.links) {
-    if (!link.dialed_address ||
-        link.sent_config_version >= board.config.version) {
-      continue;
-    }
-    LinkRow row = link;
-    row.sent_config_version = board.config.version;
-    changes.Add(Put<LinkRow>{row});
-    changes.Add(
-        SendMessage{id, ConfigOffer{board.config.version, board.config_text}});
-  }
-  return changes;
-}
-
 EntryChanges PingIdleLinks(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   for (const auto& [id, link] : board.links) {
--- a/src/core/pool/entry/links.h
+++ b/src/core/pool/entry/links.h
@@ -31,8 +31,6 @@
 
 // Dials entries without a link.
 EntryChanges DialPeers(const EntryBoard& board, const Now& now);
-// Sends the configuration to entries that have not been sent this version.
-EntryChanges OfferConfig(const EntryBoard& board);
 EntryChanges PingIdleLinks(const EntryBoard& board, const Now& now);
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/cell.h"
+#include "core/pool/config_transfer.h"
 #include "core/time.h"
 
 namespace dottereltrack::pool {
@@ -56,6 +57,7 @@
   // minions are missing or busy: their agents need up to a report interval
   // of 1.5 s to reconnect.
   milliseconds warm_up_time{2'000};
+  ConfigTransferSettings config_transfer{};
   friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
 };
 
--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -132,6 +132,8 @@
 struct ConfigAnnouncement {
   std::uint64_t version = 0;
   std::uint64_t size_bytes = 0;
+  // Rate of the sender's network link; 0 if it is not known.
+  std::uint32_t link_mbps = 0;
   friend bool operator==(const ConfigAnnouncement&,
                          const ConfigAnnouncement&) = default;
 };
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -252,7 +252,8 @@
 
 Body Write(Builder* builder, const ConfigAnnouncement& it) {
   return {wire::Body::ConfigAnnouncement,
-          wire::CreateConfigAnnouncement(*builder, it.version, it.size_bytes)
+          wire::CreateConfigAnnouncement(*builder, it.version, it.size_bytes,
+                                         it.link_mbps)
               .Union()};
 }
 
@@ -373,7 +374,7 @@
 }
 
 Message Read(const wire::ConfigAnnouncement& it) {
-  return ConfigAnnouncement{it.version(), it.size_bytes()};
+  return ConfigAnnouncement{it.version(), it.size_bytes(), it.link_mbps()};
 }
 
 Message Read(const wire::ConfigRequest& it) {
