Parse large configurations on a thread

The results come back as events, refusals of a peer's text as well, and two gauges show the size of the text in force and its parse time.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -51,8 +51,17 @@
   return limits;
 }
 
-std::vector<Gauge> MakeGauges(const EntryBoard& board) {
+std::vector<Gauge> MakeGauges(const EntryBoard& board,
+                              const std::chrono::microseconds& parse_time) {
   return {
+      {"dottereltrack_entry_config_bytes",
+       "Size of the text of the configuration in force",
+       [&board] { return static_cast<double>(board.config_text->size()); }},
+      {"dottereltrack_entry_config_parse_seconds",
+       "Time for parsing the last configuration",
+       [&parse_time] {
+         return std::chrono::duration<double>(parse_time).count();
+       }},
       {"dottereltrack_entry_open_jobs", "Accepted jobs without an answer",
        [&board] { return static_cast<double>(board.active_jobs.size()); }},
       {"dottereltrack_entry_waiting_tasks", "Tasks that wait for room",
@@ -73,6 +82,7 @@
   EntryBoard board;
   board.settings.id = RandomId();
   board.settings.address = node_settings.internal_address;
+  board.settings.config_transfer.link_mbps = node_settings.link_mbps;
   board.started_at = BootNow();
   return board;
 }
@@ -110,13 +120,17 @@
            {}}),
       store_(loop, node_settings_.store_address),
       registration_(loop, store_, log, node_settings_.internal_address),
+      config_reader_(loop,
+                     [this](ConfigReader::Result result) {
+                       OnConfigParsed(std::move(result));
+                     }),
       config_watch_(
           loop, store_, log,
           {users_platform::kConfigKey, kConfigWatchWait,
            kConfigWatchRetryDelay},
           [this](const auto& values) {
             const auto it = values.find(users_platform::kConfigKey);
-            if (it != values.end()) OnConfigText(it->second);
+            if (it != values.end()) OnConfigText(it->second, std::nullopt);
           },
           [this](const Decision& refusal) { Execute(refusal); }),
       entry_watch_(
@@ -127,7 +141,7 @@
             Post(EntriesListed{ParseEntryAddresses(values)});
           },
           [this](const Decision& refusal) { Execute(refusal); }),
-      metrics_(loop, MakeGauges(board_),
+      metrics_(loop, MakeGauges(board_, config_parse_time_),
                [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
                       [this](const users_platform::NodeSettings& new_settings) {
@@ -224,17 +238,26 @@
     return links_.Abort(link);
   }
   if (const auto* offer = std::get_if<ConfigOffer>(&message.value())) {
-    if (offer->version > board_.config.version) OnConfigText(*offer->text);
+    if (offer->version > board_.config.version) {
+      OnConfigText(offer->text, link);
+    }
   }
   Post(MessageReceived{link, std::move(message.value())});
 }
 
-void PoolEntry::OnConfigText(const std::string& text) {
-  auto config = users_platform::ParseConfig(text);
-  if (!config) {
-    return Execute(MakeRefusal("config_refused", config.error().message));
+void PoolEntry::OnConfigText(Bytes text, std::optional<LinkId> link) {
+  // The store's watch lists the text again after a failure.
+  if (text == board_.config_text) return;
+  config_reader_.Read(std::move(text), link);
+}
+
+void PoolEntry::OnConfigParsed(ConfigReader::Result result) {
+  config_parse_time_ = result.parse_time;
+  if (result.config) {
+    return Post(ConfigRead{std::move(result.config.value()), result.text});
   }
-  Post(ConfigRead{std::move(config.value()), text});
+  Execute(MakeRefusal("config_refused", result.config.error().message));
+  if (result.link) Post(ConfigRefused{*result.link});
 }
 
 CallId PoolEntry::AddOpenCall(const HttpRequest& request,
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -10,6 +10,7 @@
 #include "apps/pool_common/metrics.h"
 #include "apps/pool_common/settings_watch.h"
 #include "apps/pool_common/store_watches.h"
+#include "apps/pool_entry/config_reader.h"
 #include "core/pool/entry/advance.h"
 #include "platform/job.h"
 #include "platform/metadata_store.h"
@@ -54,7 +55,9 @@
               const HttpRequest& request, const HttpReplier& reply);
   HttpResponse ReadState(const users_platform::ClientCall& call) const;
   HttpResponse CountPendingJobs(const users_platform::ClientCall& call) const;
-  void OnConfigText(const std::string& text);
+  // Parses a text from the store or, if `link` is set, from another process.
+  void OnConfigText(Bytes text, std::optional<LinkId> link);
+  void OnConfigParsed(ConfigReader::Result result);
   CallId AddOpenCall(const HttpRequest& request, const HttpReplier& reply);
 
   void Execute(const Reply& effect);
@@ -73,6 +76,8 @@
   HttpServer readiness_server_;
   users_platform::StoreClient store_;
   EntryRegistration registration_;
+  std::chrono::microseconds config_parse_time_{0};
+  ConfigReader config_reader_;
   PrefixWatch config_watch_;
   PrefixWatch entry_watch_;
   PoolMetrics metrics_;
