--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -93,6 +93,18 @@
   void operator()(const SetEvacuations& it) const {
     board->evacuations = it.evacuations;
   }
+  void operator()(const Put<ConfigPeer>& it) const {
+    board->config_peers.Put(it.row);
+  }
+  void operator()(const Erase<ConfigPeer>& it) const {
+    board->config_peers.Erase(it.key);
+  }
+  void operator()(const SetConfigFetch& it) const {
+    board->config_fetch = it.fetch;
+  }
+  void operator()(const SetConfigUpload& it) const {
+    board->config_upload_ends_at = it.ends_at;
+  }
   void operator()(const SetEntryStopping& it) const {
     board->stopping = true;
     board->stopping_since = it.since;
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -16,6 +16,12 @@
 struct SetEvacuations {
   EvacuationRegisters evacuations;
 };
+struct SetConfigFetch {
+  ConfigFetch fetch;
+};
+struct SetConfigUpload {
+  BootTime ends_at{0};
+};
 struct SetEntryStopping {
   BootTime since{0};
 };
@@ -24,7 +30,8 @@
     std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
                  Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
                  Put<KnownEntry>, Erase<KnownEntry>, Put<MinionCrash>,
-                 Erase<MinionCrash>, SetConfig, SetEvacuations,
+                 Erase<MinionCrash>, SetEvacuations, Put<ConfigPeer>,
+                 Erase<ConfigPeer>, SetConfig, SetConfigFetch, SetConfigUpload,
                  SetEntryStopping>;
 
 // Kind of the reply to a client.
--- a/src/core/pool/entry/events.h
+++ b/src/core/pool/entry/events.h
@@ -52,6 +52,10 @@
 struct EvacuationsRead {
   EvacuationView view;
 };
+// A text that was received over this link cannot be read.
+struct ConfigRefused {
+  LinkId link;
+};
 // All entries that the store lists.
 struct EntriesListed {
   std::vector<Endpoint> entries;
@@ -70,7 +74,7 @@
 using EntryEvent =
     std::variant<JobSubmitted, CallerDisconnected, JobCancelRequested,
                  LinkOpened, LinkClosed, MessageReceived, PeerDialed,
-                 ConfigRead, EvacuationsRead, EntriesListed, EntrySeedsRead,
-                 EntryTick, EntryStopRequested, EntryPaused>;
+                 ConfigRead, ConfigRefused, EvacuationsRead, EntriesListed,
+                 EntrySeedsRead, EntryTick, EntryStopRequested, EntryPaused>;
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -98,6 +98,7 @@
                               const Now& now) {
   EntryChanges changes;
   changes.Add(Erase<LinkRow>{link});
+  changes.Add(Erase<ConfigPeer>{link});
   const AgentRow* agent = board.agents.Find(link);
   if (agent != nullptr) {
     Decision decision = AgentDecision(*agent, "agent_lost");
@@ -209,22 +210,6 @@
   return changes;
 }
 
-EntryChanges OfferConfig(const EntryBoard& board) {
-  EntryChanges changes;
-  for (const auto& [id, link] : board.links) {
-    if (!link.dialed_address ||
-        link.sent_config_version >= board.config.version) {
-      continue;
-    }
-    LinkRow row = link;
-    row.sent_config_version = board.config.version;
-    changes.Add(Put<LinkRow>{row});
-    changes.Add(
-        SendMessage{id, ConfigOffer{board.config.version, board.config_text}});
-  }
-  return changes;
-}
-
 EntryChanges PingIdleLinks(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   for (const auto& [id, link] : board.links) {
