--- /dev/null
+++ b/tests/pool/entry_evacuation_test.cpp
@@ -0,0 +1,198 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "core/pool/entry/evacuation.h"
+#include "core/pool/entry/submission.h"
+#include "pool/entry_fixture.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+constexpr std::uint64_t kJob = 0x1000000000000001;
+// The fixture's agents are in this data centre.
+constexpr const char* kName = "north";
+constexpr LinkId kPeer{50};
+
+EvacuationsRead Evacuated(std::uint64_t revision) {
+  return {{{{kName, revision, true}}, revision, {}}};
+}
+EvacuationsRead NotEvacuated(std::uint64_t revision) {
+  return {{{}, revision, {}}};
+}
+EvacuationList MakeList(std::uint64_t revision, bool is_active) {
+  return {{{kName, revision, is_active}}};
+}
+
+// Moves the agent of a link to another data centre.
+void Move(EntryFixture* entry, std::uint64_t link, const char* data_centre) {
+  AgentHello hello = *entry->board.agents.Find({link})->hello;
+  hello.data_centre = data_centre;
+  entry->Step({MessageReceived{{link}, hello}});
+}
+
+// Positions of the kinds of messages that are sent over a link.
+template <typename T>
+int PositionOf(const std::vector<EntryEffect>& effects, LinkId link) {
+  const auto sent = SelectEffects<SendMessage>(effects);
+  const auto it = std::find_if(sent.begin(), sent.end(), [&](const auto& s) {
+    return s.link == link && std::holds_alternative<T>(s.message);
+  });
+  return it == sent.end() ? -1 : static_cast<int>(it - sent.begin());
+}
+
+TEST_CASE("Waiting tasks are placed outside evacuated data centres",
+          "[pool][entry][evacuation]") {
+  // Guards against a start in an evacuated data centre, from either source of
+  // the news.
+  const bool is_from_agent = GENERATE(false, true);
+  EntryFixture entry;
+  entry.AddAgent(1, "fast", ResourcesFor(4), -1);
+  entry.AddAgent(2, "slow", ResourcesFor(4));
+  Move(&entry, 2, "south");
+  const auto effects =
+      is_from_agent ? entry.Step({MessageReceived{{1}, MakeList(10, true)}})
+                    : entry.Step({Evacuated(10)});
+  const auto decisions = SelectEffects<Decision>(effects);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].event == "evacuation_started");
+  for (const auto& [link, start] :
+       SelectMessages<StartRun>(entry.Submit(kJob, 6))) {
+    CHECK(link == 2);
+  }
+  CHECK(entry.board.waiting_tasks.size() == 2);
+  // After the end, the fast minion serves the rest.
+  const auto started = SelectMessages<StartRun>(entry.Step({NotEvacuated(20)}));
+  REQUIRE(started.size() == 2);
+  CHECK(started[0].first == 1);
+}
+
+TEST_CASE("A job that only an evacuated data centre can run is refused at once",
+          "[pool][entry][evacuation]") {
+  // Guards against callers that wait for a minion that will not come, against
+  // refusals while other minions can run the job, and against a false claim
+  // that a job has not run.
+  struct Row {
+    const char* name;
+    bool has_other_minion;
+    bool has_other_service;
+    milliseconds age;
+    bool is_refused;
+  };
+  const auto row = GENERATE(values<Row>(
+      {{"only there", false, false, seconds{60}, true},
+       {"also elsewhere", true, false, seconds{60}, false},
+       {"elsewhere another service", false, true, seconds{60}, true},
+       {"the entry has just started", false, false, seconds{1}, false}}));
+  CAPTURE(row.name);
+  EntryFixture entry;
+  entry.board.started_at = entry.now.boot - row.age;
+  entry.AddAgent(1, "m1", ResourcesFor(1));
+  if (row.has_other_minion || row.has_other_service) {
+    entry.AddAgent(2, "m2", ResourcesFor(1));
+    Move(&entry, 2, "south");
+  }
+  if (row.has_other_service) {
+    AgentHello hello = *entry.board.agents.Find({2})->hello;
+    hello.service = "other";
+    entry.Step({MessageReceived{{2}, hello}});
+  }
+  // The first job has begun, the second waits.
+  entry.Submit(kJob, 2);
+  entry.Submit(kJob + 1, 1);
+  const bool has_begun = entry.board.jobs.Find(kJob + 1)->may_have_started;
+  auto replies = SelectEffects<Reply>(entry.Step({Evacuated(10)}));
+  const bool is_second_refused = row.is_refused && !has_begun;
+  REQUIRE(replies.size() == (is_second_refused ? 1 : 0));
+  if (is_second_refused) {
+    CHECK(replies[0].call == CallId{2});
+    CHECK(replies[0].kind == ReplyKind::kNoMinions);
+  }
+  CHECK(entry.board.jobs.Find(kJob)->state == JobState::kActive);
+  replies = SelectEffects<Reply>(entry.Submit(kJob + 2, 1));
+  REQUIRE(replies.size() == (row.is_refused ? 1 : 0));
+  if (row.is_refused) CHECK(replies[0].kind == ReplyKind::kNoMinions);
+}
+
+TEST_CASE("Admission counts only the capacity that is usable",
+          "[pool][entry][evacuation]") {
+  // Guards against accepting jobs for room that an evacuation has taken, and
+  // for room that has not returned yet.
+  struct Row {
+    std::optional<milliseconds> since_end;
+    int backlog_factor;
+  };
+  const auto row = GENERATE(values<Row>(
+      {{{}, 2}, {milliseconds{1'000}, 0}, {milliseconds{3'000}, 1}}));
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", ResourcesFor(4));
+  entry.AddAgent(2, "m2", ResourcesFor(4));
+  Move(&entry, 2, "south");
+  entry.Submit(kJob, 100, seconds{60});
+  const auto full = EstimateBacklogDelay(entry.board, "menus", entry.now);
+  entry.Step({Evacuated(10)});
+  if (row.since_end) {
+    entry.Step({NotEvacuated(20)});
+    entry.now.boot += *row.since_end;
+  }
+  const auto delay = EstimateBacklogDelay(entry.board, "menus", entry.now);
+  if (row.backlog_factor > 0) {
+    CHECK(delay == full * row.backlog_factor);
+  } else {
+    CHECK((delay > full && delay < 2 * full));
+  }
+}
+
+TEST_CASE("Evacuations are sent over each link once, before anything to run",
+          "[pool][entry][evacuation]") {
+  // Guards against a new entry or agent that starts tasks before it hears of an
+  // evacuation, and against messages that repeat for ever.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", ResourcesFor(4));
+  CHECK(SelectMessages<EvacuationList>(entry.Step({Evacuated(10)})).size() ==
+        1);
+  const Endpoint peer{"10.0.0.2", 7000};
+  entry.Step({EntrySeedsRead{{peer}}});
+  auto effects = entry.Step({PeerDialed{peer, kPeer}});
+  const int position = PositionOf<EvacuationList>(effects, kPeer);
+  CHECK(position > PositionOf<EntryHello>(effects, kPeer));
+  CHECK(position < PositionOf<ConfigOffer>(effects, kPeer));
+  CHECK(SelectMessages<EvacuationList>(entry.Step({NotEvacuated(20)})).size() ==
+        2);
+  CHECK(SelectMessages<EvacuationList>(entry.AdvanceTime(seconds{1})).empty());
+  // A newer end of the same evacuation changes nothing.
+  CHECK(SelectMessages<EvacuationList>(entry.Step({NotEvacuated(30)})).empty());
+}
+
+TEST_CASE("A process with old news gets the newer ones",
+          "[pool][entry][evacuation]") {
+  // Guards against a withdrawn evacuation that stays at a process which the
+  // store turns away, and against news that are sent back to where they are
+  // from.
+  struct Row {
+    EvacuationList received;
+    std::size_t answers;
+  };
+  const auto row = GENERATE(values<Row>({{MakeList(10, true), 1},
+                                         {MakeList(20, false), 0},
+                                         {MakeList(30, true), 0}}));
+  EntryFixture entry;
+  entry.Step({Evacuated(10)});
+  entry.Step({NotEvacuated(20)});
+  entry.Step({MessageReceived{kPeer, Ping{}}});
+  const auto effects = entry.Step({MessageReceived{kPeer, row.received}});
+  const auto answers = SelectMessages<EvacuationList>(effects);
+  REQUIRE(answers.size() == row.answers);
+  if (row.answers > 0) CHECK(answers[0].second == MakeList(20, false));
+}
+
+TEST_CASE("Without evacuations nothing is sent", "[pool][entry][evacuation]") {
+  // Guards against messages that cost a deployment which has no such keys.
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", ResourcesFor(4));
+  std::vector<EntryEffect> effects = entry.Step({NotEvacuated(10)});
+  for (auto& it : entry.Step({NotEvacuated(20)})) effects.push_back(it);
+  CHECK(effects.empty());
+}
+
+}  // namespace
+}  // namespace dottereltrack::pool
