--- a/apps/pool_agent/state_dump.cpp
+++ b/apps/pool_agent/state_dump.cpp
@@ -67,6 +67,8 @@
       {"fence", board.fencing_token},
       {"minion", MinionToJson(board, now)},
       {"runs", TableToJson(board.runs, now, &RowToJson)},
+      {"evacuations",
+       TableToJson(board.evacuations.rows, now, &EvacuationToJson)},
       {"links", TableToJson(board.links, now, &RowToJson)},
       {"entries", TableToJson(board.entries, now, &KnownEntryToJson)}};
   return dump.dump() + "\n";
--- a/apps/pool_common/table_json.cpp
+++ b/apps/pool_common/table_json.cpp
@@ -4,6 +4,17 @@
 
 namespace dottereltrack::pool {
 
+nlohmann::json EvacuationToJson(const EvacuationRow& evacuation,
+                                const Now& now) {
+  nlohmann::json row = {{"data_centre", evacuation.state.data_centre},
+                        {"revision", evacuation.state.revision},
+                        {"active", evacuation.state.is_active}};
+  if (evacuation.ended_at) {
+    row["ended_ms_ago"] = AgeMs(*evacuation.ended_at, now);
+  }
+  return row;
+}
+
 nlohmann::json KnownEntryToJson(const KnownEntry& entry, const Now& now) {
   return {{"address", ToText(entry.address)},
           {"registered", entry.registered},
--- a/apps/pool_common/table_json.h
+++ b/apps/pool_common/table_json.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/pool/decision.h"
+#include "core/pool/evacuation.h"
 #include "core/pool/known_entries.h"
 #include "core/table.h"
 #include "core/time.h"
@@ -32,6 +33,8 @@
   return {{"size", table.size()}, {"rows", std::move(rows)}};
 }
 
+nlohmann::json EvacuationToJson(const EvacuationRow& evacuation,
+                                const Now& now);
 nlohmann::json KnownEntryToJson(const KnownEntry& entry, const Now& now);
 
 }  // namespace dottereltrack::pool
--- a/apps/pool_entry/state_dump.cpp
+++ b/apps/pool_entry/state_dump.cpp
@@ -106,6 +106,8 @@
       {"tasks", TableToJson(board.tasks, now, &RowToJson)},
       {"agents", TableToJson(board.agents, now, &RowToJson)},
       {"crashes", TableToJson(board.crashes, now, &RowToJson)},
+      {"evacuations",
+       TableToJson(board.evacuations.rows, now, &EvacuationToJson)},
       {"links", TableToJson(board.links, now, &RowToJson)},
       {"entries", TableToJson(board.peers, now, &KnownEntryToJson)}};
   return dump.dump() + "\n";
