Run an evacuation with real processes

Cause: the virtual clock shows neither the watch of the store nor the order of frames. Change: a scenario evacuates one of two data centres, restarts an entry without the store and takes the evacuation back; the stand-ins record starts in evacuated data centres as violations.

--- a/tests/process/pool/cell.py
+++ b/tests/process/pool/cell.py
@@ -213,6 +213,24 @@
         config = {"version": self.config_version, "routes": routes, "services": []}
         self.store.put("op/config", json.dumps(config))
 
+    def evacuate(self, zone, bound_s):
+        """Evacuates a data centre. Returns the revision of the store; from `bound_s` on
+        no run may start there."""
+        self.store.put(f"op/evacuate/{zone}", "{}")
+        self.run_checker.evacuated_from[zone] = time.monotonic() + bound_s
+        return self.store.revision
+
+    def end_evacuation(self, zone):
+        del self.run_checker.evacuated_from[zone]
+        self.store.remove(f"op/evacuate/{zone}")
+
+    async def restart_without_store(self, daemon):
+        """Restarts a daemon with a store address at which nothing listens."""
+        settings = json.loads(daemon.settings_path.read_text())
+        settings["platform"]["address"] = settings["ip"] + ":1"
+        daemon.settings_path.write_text(json.dumps(settings))
+        await daemon.kill(0.1)
+
     async def start(self):
         await self.store.server.start(self.host_address(0, 0), STORE_PORT)
         self.write_config("q")
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -221,6 +221,43 @@
         await cell.expect_event(daemon, "config_adopted", version=cell.config_version)
 
 
+async def evacuate_data_centre(cell):
+    """One of two data centres is evacuated; then an entry restarts without the store,
+    and the evacuation is taken back."""
+    zone = "z0"
+    checker = cell.run_checker
+    cell.store.put("op/wave/1", "no JSON")
+    cell.store.put("op/evacuate/z1", "no JSON")
+    # The project's target; the operators' bound is 5 s.
+    cell.evacuate(zone, bound_s=1.0)
+    for daemon in cell.entries + cell.agents:
+        await cell.expect_event(daemon, "evacuation_started", data_centre=zone)
+    await cell.expect_event(cell.entries[1], "store_item_refused", key="op/evacuate/z1")
+    await asyncio.sleep(1.5)
+    starts = checker.starts_by_zone[zone]
+    entry = cell.entries[0]
+    await cell.restart_without_store(entry)
+    await asyncio.sleep(1.0)
+    events = entry.read_events()
+    begin = max(n for n, line in enumerate(events) if line["event"] == "started")
+    names = [line["event"] for line in events[begin:]]
+    if "config_adopted" not in names:
+        checker.violations.append("the restarted entry has no configuration")
+    elif "evacuation_started" not in names[:names.index("config_adopted")]:
+        checker.violations.append("the restarted entry has not learned of it in time")
+    if checker.starts_by_zone[zone] != starts:
+        checker.violations.append(f"runs have started in {zone}")
+    cell.end_evacuation(zone)
+    for daemon in cell.entries + cell.agents:
+        await cell.expect_event(daemon, "evacuation_ended", data_centre=zone)
+    await asyncio.sleep(1.0)
+    if checker.starts_by_zone[zone] == starts:
+        checker.violations.append(f"no run has started in {zone} after the end")
+    keys = {line.get("key") for line in cell.entries[1].read_events()}
+    if "op/wave/1" in keys:
+        checker.violations.append("an unused key was logged")
+
+
 async def announce_ends_that_do_not_come(cell):
     """An agent gets leaves of its minion, which goes on; another gets complete reports
     of minions that do not exist. Until their minion's next report, both may be without a
@@ -291,6 +328,7 @@
     "history of the store lost": (lose_store_history, 1.0),
     "minion drains": (drain_minion, 1.0),
     "odd input": (write_odd_input, 0.9),
+    "data centre evacuated": (evacuate_data_centre, 0.9),
     "ends of minions that do not come": (announce_ends_that_do_not_come, 0.9),
     "settings reloaded": (reload_all_settings, 1.0),
     "task crashes minions": (crash_minions_by_a_task, 0.8),
--- a/tests/process/pool/standins.py
+++ b/tests/process/pool/standins.py
@@ -185,11 +185,17 @@
         self.crashes = collections.Counter()
         self.starts_after_crashes = collections.Counter()
         self.violations = []
+        # For each evacuated data centre, the time from which on no run may start.
+        self.evacuated_from = {}
+        self.starts_by_zone = collections.Counter()
         self.starts = 0
         self.started_jobs = set()
 
-    def record_start(self, minion, task, run):
+    def record_start(self, minion, zone, task, run):
         self.starts += 1
+        self.starts_by_zone[zone] += 1
+        if time.monotonic() >= self.evacuated_from.get(zone, float("inf")):
+            self.violations.append(f"task {task} started in {zone}, which is evacuated")
         self.started_jobs.add(task.split(".")[0])
         other = self.active_runs.get(task)
         if other is not None:
@@ -412,7 +418,7 @@
             self.run_checker.violations.append(f"task {task}: second run on one minion")
         self.runs[task] = run
         self.highest_run_number[task] = number
-        self.run_checker.record_start(self.id, task, number)
+        self.run_checker.record_start(self.id, self.zone, task, number)
         if outcome == "crash" and task.endswith(FIRST_TASK):
             crash = asyncio.create_task(self.crash_under(task))
             self.crash_tasks.add(crash)
