Test large configurations with real processes

A configuration of 1,400 queues is written six times at intervals of 0.33 s while the store refuses one of three entries. Each entry must adopt the last version, the refused one after a request to another entry, and must answer a job of a queue that only the last version has.

--- a/tests/process/pool/cell.py
+++ b/tests/process/pool/cell.py
@@ -321,9 +321,8 @@
     def stop(self):
         self.stopped = True
 
-    async def submit(self, submitted_at, timeout_s=3.0):
-        job = f"{self.random.getrandbits(64):016x}"
-        body = {
+    def make_job(self):
+        return {
             "best_effort": True,
             "spec": f"{self.task_duration_s} {TASK_CPU_MILLIS} {self.task_outcome}",
             "steps": [
@@ -335,6 +334,19 @@
                 }
             ],
         }
+
+    async def submit_to(self, n, queue):
+        """Submits a job of a queue to one entry. Returns the status."""
+        job = f"{self.random.getrandbits(64):016x}"
+        address = self.cell.client_addresses[n]
+        status, _ = await call_json(
+            address, "POST", f"/{queue}/{job}", self.make_job(), {"Host": "h"}, 5.0
+        )
+        return status
+
+    async def submit(self, submitted_at, timeout_s=3.0):
+        job = f"{self.random.getrandbits(64):016x}"
+        body = self.make_job()
         order = list(range(len(self.cell.entries)))
         self.random.shuffle(order)
         started = time.monotonic()
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -221,6 +221,32 @@
         await cell.expect_event(daemon, "config_adopted", version=cell.config_version)
 
 
+async def write_large_configs(cell):
+    """The configuration grows to 1,400 queues and changes three times a second. The
+    store refuses one entry, which gets each version from another one. Guards against an
+    entry that stays behind, or that answers by an older version."""
+    refused = cell.entries[2]
+    settings = json.loads(refused.settings_path.read_text())
+    settings["platform"]["address"] = "127.0.0.1:9"
+    refused.settings_path.write_text(json.dumps(settings))
+    await refused.kill(0.2)
+    await cell.expect_event(refused, "config_adopted", version=cell.config_version)
+    for _ in range(6):
+        names = [f"queue-{cell.config_version}-{n}" for n in range(1_399)]
+        cell.write_config("q", *names)
+        await asyncio.sleep(0.33)
+    for daemon in cell.entries:
+        await cell.expect_event(daemon, "config_adopted", version=cell.config_version)
+    await cell.expect_event(refused, "config_requested", version=cell.config_version)
+    client = LoadGenerator(cell, seed=9)
+    for n in range(len(cell.entries)):
+        status = await client.submit_to(n, names[-1])
+        if status != 200:
+            cell.run_checker.violations.append(
+                f"entry {n + 1} answers {status} for a queue of the last version"
+            )
+
+
 async def announce_ends_that_do_not_come(cell):
     """An agent gets leaves of its minion, which goes on; another gets complete reports
     of minions that do not exist. Until their minion's next report, both may be without a
@@ -291,6 +317,7 @@
     "history of the store lost": (lose_store_history, 1.0),
     "minion drains": (drain_minion, 1.0),
     "odd input": (write_odd_input, 0.9),
+    "large configurations": (write_large_configs, 0.9),
     "ends of minions that do not come": (announce_ends_that_do_not_come, 0.9),
     "settings reloaded": (reload_all_settings, 1.0),
     "task crashes minions": (crash_minions_by_a_task, 0.8),
