--- a/src/json/json_stream.cpp
+++ b/src/json/json_stream.cpp
@@ -18,8 +18,6 @@
   bool null() override { return Add(nullptr); }
   bool boolean(bool value) override { return Add(value); }
   bool number_integer(number_integer_t value) override {
-    // -0 is a whole number of at least 0.
-    if (value == 0) return Add(std::uint64_t{0});
     return Add(std::int64_t{value});
   }
   bool number_unsigned(number_unsigned_t value) override {
--- a/src/json/json_stream.h
+++ b/src/json/json_stream.h
@@ -12,8 +12,8 @@
 
 namespace dottereltrack {
 
-// A value that is neither an array nor an object. A number is unsigned if it is
-// a whole number of at least 0, and signed if it is a negative one.
+// A value that is neither an array nor an object. A whole number is unsigned
+// unless it is written with a minus sign.
 using JsonScalar = std::variant<std::nullptr_t, bool, std::uint64_t,
                                 std::int64_t, double, std::string>;
 
