Check base64 digits by table

FromBase64 searched the 64 digits for each character, which took 0.6 of the 0.8 ms for a configuration of 1,400 queues. A table of 256 flags replaces the search; the decoding stays OpenSSL's. bench/config_costs, at 10, 1,400 and 10,000 queues: 5, 782 and 5,878 us before, 1, 175 and 1,311 us now.

--- a/src/json/base64.cpp
+++ b/src/json/base64.cpp
@@ -2,12 +2,33 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
+#include <array>
+#include <string_view>
+
 namespace dottereltrack {
 namespace {
 
-constexpr char kBase64Digits[] =
+constexpr std::string_view kBase64Digits =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
+// Whether a character is a digit, by its code. A table, because a search among
+// the digits for each character takes longer than the decoding.
+constexpr std::array<bool, 256> MakeDigitTable() {
+  std::array<bool, 256> is_digit{};
+  for (const char it : kBase64Digits) {
+    is_digit[static_cast<unsigned char>(it)] = true;
+  }
+  return is_digit;
+}
+constexpr std::array<bool, 256> kIsDigit = MakeDigitTable();
+
+bool HasOnlyDigits(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char it) {
+    return kIsDigit[static_cast<unsigned char>(it)];
+  });
+}
+
 // Number of '=' at the end; 3 or more are not valid padding.
 std::size_t CountPadding(const std::string& text) {
   const std::size_t last = text.find_last_not_of('=');
@@ -31,7 +52,7 @@
   // OpenSSL skips white space, so that several texts would decode to one value.
   const bool is_valid =
       text.size() % 4 == 0 && padding <= 2 &&
-      text.find_first_not_of(kBase64Digits) >= text.size() - padding;
+      HasOnlyDigits(std::string_view(text).substr(0, text.size() - padding));
   if (!is_valid) return std::nullopt;
   std::string bytes(text.size() / 4 * 3, '\0');
   const int n =
