--- a/src/json/base64.cpp
+++ b/src/json/base64.cpp
@@ -30,9 +30,9 @@
 }
 
 // Number of '=' at the end; 3 or more are not valid padding.
-std::size_t CountPadding(const std::string& text) {
+std::size_t CountPadding(std::string_view text) {
   const std::size_t last = text.find_last_not_of('=');
-  return last == std::string::npos ? text.size() : text.size() - last - 1;
+  return last == std::string_view::npos ? text.size() : text.size() - last - 1;
 }
 
 }  // namespace
@@ -47,12 +47,11 @@
   return text;
 }
 
-std::optional<std::string> FromBase64(const std::string& text) {
+std::optional<std::string> FromBase64(std::string_view text) {
   const std::size_t padding = CountPadding(text);
   // OpenSSL skips white space, so that several texts would decode to one value.
-  const bool is_valid =
-      text.size() % 4 == 0 && padding <= 2 &&
-      HasOnlyDigits(std::string_view(text).substr(0, text.size() - padding));
+  const bool is_valid = text.size() % 4 == 0 && padding <= 2 &&
+                        HasOnlyDigits(text.substr(0, text.size() - padding));
   if (!is_valid) return std::nullopt;
   std::string bytes(text.size() / 4 * 3, '\0');
   const int n =
--- a/tests/users_platform/store_test.cpp
+++ b/tests/users_platform/store_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "json/base64.h"
 #include "platform/config.h"
 #include "platform/metadata_store.h"
 #include "platform/settings.h"
@@ -58,6 +59,43 @@
   CHECK(result.view == StoreView{{row.item}, 9});
 }
 
+TEST_CASE("Long values of the store are decoded like short ones",
+          "[platform][store]") {
+  // Guards against a configuration of thousands of queues that is lost, is
+  // mistaken for another key's, or hides a fault of the response.
+  const std::string value(6'000, 'x');
+  const std::string text = ToBase64(value);
+  const auto item = [](const std::string& key, const std::string& content) {
+    return R"({"key":")" + key + R"(", "revision":9,"value" : ")" + content +
+           R"("})";
+  };
+  struct Row {
+    std::string items;
+    std::vector<StoreItem> expected;
+  };
+  const std::string long_key(5'000, 'k');
+  const auto row = GENERATE_COPY(values<Row>({
+      {item("a", text), {{"a", value, 9}}},
+      {item("a", text) + "," + item("b", "eA==") + "," + item("c", text),
+       {{"a", value, 9}, {"b", "x", 9}, {"c", value, 9}}},
+      {item(long_key, "eA=="), {{long_key, "x", 9}}},
+      {item("a\\\"", text), {{"a\"", value, 9}}},
+      {item("a", text + "?"),
+       {{"a", "", 0, false,
+         "items[0].value is not base64; write standard base64 with padding"}}},
+      {item("a", "\\u00000"),
+       {{"a", "", 0, false,
+         "items[0].value is not base64; write standard base64 with padding"}}},
+  }));
+  CAPTURE(row.items.substr(0, 40));
+  const auto result = ParseStoreResponse(
+      Answered(200, R"({"as_of":9,"items":[)" + row.items + "]}"));
+  REQUIRE(result.status == StoreStatus::kOk);
+  CHECK(result.view == StoreView{row.expected, 9});
+  CHECK(ParseStoreResponse(Answered(200, R"({"value":")" + text)).status ==
+        StoreStatus::kUnanswered);
+}
+
 TEST_CASE("A configuration is decoded into queues", "[platform][config]") {
   // Guards against limits and priorities that are dropped.
   const auto config = ParseConfig(
