Append the fields that forwarding between entries needs

Cause: an offer must not count jobs that are still on their way, a peer has to know who asks for offers and in which data centre an offer is made, and the owner of a job has to tell a caller that left from a cancel. Change: EntryLoad carries handled_jobs, is_overloaded and data_centre, CancelJob caller_left, StopRun withholds_lease, and ForwardedOutcome the value Cancelled.

--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -46,6 +46,9 @@
 // Asks an agent to stop a run; answered with RunEnded.
 struct StopRun {
   RunKey run;
+  // The request has passed through several processes, so the agent renews no
+  // lease from its arrival until the minion has accepted the stop.
+  bool withholds_lease = false;
   friend bool operator==(const StopRun&, const StopRun&) = default;
 };
 
@@ -157,9 +160,14 @@
 struct EntryLoad {
   // Share of time, in thousandths, in which its event loop is busy.
   std::uint32_t busy_permille = 0;
-  // Number of further jobs that the sender takes from the receiver.
+  // Number of further jobs that the sender takes from the receiver, not
+  // counting the first `handled_jobs` that it received over this link.
   std::uint32_t offered_jobs = 0;
   std::vector<ServiceBacklog> backlogs{};
+  std::uint64_t handled_jobs = 0;
+  // The sender asks for offers.
+  bool is_overloaded = false;
+  std::string data_centre{};
   friend bool operator==(const EntryLoad&, const EntryLoad&) = default;
 };
 
@@ -188,6 +196,8 @@
   kRefused,
   // The job may have begun and was given up.
   kGivenUp,
+  // Another caller has cancelled the job.
+  kCancelled,
 };
 
 struct ForwardedJobEnded {
@@ -204,6 +214,9 @@
   // Chosen by the sender; the answer repeats it.
   std::uint64_t request = 0;
   std::uint64_t job = 0;
+  // The sender, which has forwarded the job, does not wait for it any more. The
+  // job is only cancelled if nobody else waits for it.
+  bool caller_left = false;
   friend bool operator==(const CancelJob&, const CancelJob&) = default;
 };
 
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -178,7 +178,8 @@
 
 Body Write(Builder* builder, const StopRun& it) {
   const auto run = ToWire(it.run);
-  return {wire::Body::StopRun, wire::CreateStopRun(*builder, &run).Union()};
+  return {wire::Body::StopRun,
+          wire::CreateStopRun(*builder, &run, it.withholds_lease).Union()};
 }
 
 Body Write(Builder* builder, const Ping&) {
@@ -270,9 +271,11 @@
         *builder, service, row.waiting_core_ms, row.expected_delay.count()));
   }
   const auto backlogs = builder->CreateVector(offsets);
+  const auto data_centre = builder->CreateString(it.data_centre);
   return {wire::Body::EntryLoad,
           wire::CreateEntryLoad(*builder, it.busy_permille, it.offered_jobs,
-                                backlogs)
+                                backlogs, it.handled_jobs, it.is_overloaded,
+                                data_centre)
               .Union()};
 }
 
@@ -299,7 +302,8 @@
 
 Body Write(Builder* builder, const CancelJob& it) {
   return {wire::Body::CancelJob,
-          wire::CreateCancelJob(*builder, it.request, it.job).Union()};
+          wire::CreateCancelJob(*builder, it.request, it.job, it.caller_left)
+              .Union()};
 }
 
 Body Write(Builder* builder, const JobCancelled& it) {
@@ -323,7 +327,9 @@
                   it.is_suspect()};
 }
 
-Message Read(const wire::StopRun& it) { return StopRun{FromWire(*it.run())}; }
+Message Read(const wire::StopRun& it) {
+  return StopRun{FromWire(*it.run()), it.withholds_lease()};
+}
 
 Message Read(const wire::Ping&) { return Ping{}; }
 
@@ -381,7 +387,9 @@
 }
 
 Message Read(const wire::EntryLoad& it) {
-  EntryLoad load{it.busy_permille(), it.offered_jobs(), {}};
+  EntryLoad load{
+      it.busy_permille(), it.offered_jobs(),  {},
+      it.handled_jobs(),  it.is_overloaded(), FromWire(it.data_centre())};
   if (it.backlogs() == nullptr) return load;
   for (const wire::ServiceBacklog* row : *it.backlogs()) {
     load.backlogs.push_back({FromWire(row->service()), row->waiting_core_ms(),
@@ -411,7 +419,7 @@
 }
 
 Message Read(const wire::CancelJob& it) {
-  return CancelJob{it.request(), it.job()};
+  return CancelJob{it.request(), it.job(), it.caller_left()};
 }
 
 Message Read(const wire::JobCancelled& it) {
--- a/tests/pool/codec_test.cpp
+++ b/tests/pool/codec_test.cpp
@@ -70,14 +70,15 @@
     case 12:
       return ConfigRequest{9};
     case 13:
-      return EntryLoad{740, 5, {{"menus", 12'000, milliseconds{30}}}};
+      return EntryLoad{740, 5,    {{"menus", 12'000, milliseconds{30}}},
+                       17,  true, "north"};
     case 14:
       return SampleForwardedJob();
     case 15:
       return ForwardedJobEnded{3, ForwardedOutcome::kRefused,
                                milliseconds{1'500}};
     case 16:
-      return CancelJob{4, 3};
+      return CancelJob{4, 3, true};
     default:
       return JobCancelled{4, 3, true};
   }
