Forward jobs of an overloaded entry to peers that offer capacity

Cause: one entry with 0.12 core serves 184 jobs a second while others are idle, so its callers get late answers. Change: an entry decides with hysteresis whether its loop is overloaded, announces it to its peers, gets offers, and forwards a share of its unstarted jobs that grows with the load. The owner takes the job by the decision for clients; the first entry keeps the callers and relays the outcome. A lost link, a refusal, a cancel and a caller that leaves are handled on both sides.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -1,10 +1,12 @@
 #include "apps/pool_entry/pool_entry.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <csignal>
 #include <utility>
 
 #include "apps/pool_entry/state_dump.h"
+#include "core/pool/entry/entry_load.h"
 #include "core/pool/pause.h"
 #include "platform/config.h"
 #include "pool_wire/codec.h"
@@ -66,13 +68,27 @@
        [&board] { return static_cast<double>(board.agents.size()); }},
       {"dottereltrack_entry_config_version",
        "Version of the configuration in force",
-       [&board] { return static_cast<double>(board.config.version); }}};
+       [&board] { return static_cast<double>(board.config.version); }},
+      {"dottereltrack_entry_busy_share",
+       "Load of the event loop, from 0 to 1, averaged over a second",
+       [&board] { return board.overload.pressure; }},
+      {"dottereltrack_entry_overloaded", "1 if the entry counts as overloaded",
+       [&board] { return board.overload.is_overloaded ? 1.0 : 0.0; }},
+      {"dottereltrack_entry_forwarded_jobs_out",
+       "Open jobs that another entry owns",
+       [&board] { return static_cast<double>(CountForwardedJobs(board)); }},
+      {"dottereltrack_entry_forwarded_jobs_in",
+       "Open jobs that another entry has forwarded",
+       [&board] { return static_cast<double>(board.forwarded_calls.size()); }},
+      {"dottereltrack_entry_offered_jobs", "Jobs that peers still take",
+       [&board] { return static_cast<double>(CountOfferedJobs(board)); }}};
 }
 
 EntryBoard MakeBoard(const users_platform::NodeSettings& node_settings) {
   EntryBoard board;
   board.settings.id = RandomId();
   board.settings.address = node_settings.internal_address;
+  board.settings.data_centre = node_settings.data_centre;
   board.started_at = BootNow();
   return board;
 }
@@ -133,6 +149,7 @@
                       [this](const users_platform::NodeSettings& new_settings) {
                         Post(EntrySeedsRead{new_settings.seeds});
                       }),
+      busy_meter_(BusyMeter::Clock::now()),
       tick_timer_(loop),
       exit_timer_(loop),
       signals_(loop, SIGTERM, SIGINT, SIGHUP),
@@ -183,7 +200,16 @@
 
 void PoolEntry::Post(EntryEvent event) { event_queue_.Post(std::move(event)); }
 
+void PoolEntry::BeginWork() { busy_meter_.Begin(BusyMeter::Clock::now()); }
+
+// The writes that a turn causes are posted after it and count as work.
+void PoolEntry::EndWorkAfterWrites(bool has_effects) {
+  if (!has_effects) return busy_meter_.End(BusyMeter::Clock::now());
+  asio::post(loop_, [this] { busy_meter_.End(BusyMeter::Clock::now()); });
+}
+
 void PoolEntry::ProcessEvents(std::vector<EntryEvent> events) {
+  BeginWork();
   const Now now = ReadClocks();
   const milliseconds pause = PauseDuration(
       std::exchange(last_iteration_at_, now.boot), now.boot, kTickInterval);
@@ -192,9 +218,18 @@
   for (const EntryEffect& effect : effects) {
     std::visit([this](const auto& it) { Execute(it); }, effect);
   }
+  EndWorkAfterWrites(!effects.empty());
 }
 
 void PoolEntry::Tick() {
+  BeginWork();
+  const auto now = BusyMeter::Clock::now();
+  // The timer has no expiry before the first tick.
+  if (last_iteration_at_ != BootTime{0}) {
+    busy_meter_.RecordTick(now - tick_timer_.expiry());
+  }
+  Post(
+      LoopLoadMeasured{busy_meter_.BusyShare(now), busy_meter_.TickLateness()});
   Post(EntryTick{});
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const asio::error_code& ec) {
@@ -218,6 +253,7 @@
 Now PoolEntry::ReadClocks() const { return {BootNow(), WallNow(), 0}; }
 
 void PoolEntry::OnFrame(LinkId link, const std::string& frame) {
+  BeginWork();
   auto message = DecodeFrame(frame);
   if (!message) {
     Execute(MakeRefusal("frame_refused", message.error().message));
@@ -246,6 +282,7 @@
 
 void PoolEntry::OnClientRequest(const HttpRequest& request,
                                 const HttpReplier& reply) {
+  BeginWork();
   const auto call = users_platform::ParseClientCall(request);
   if (!call) return reply(users_platform::UnknownCallResponse());
   switch (call->kind) {
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -14,6 +14,7 @@
 #include "platform/job.h"
 #include "platform/metadata_store.h"
 #include "platform/settings.h"
+#include "runtime/busy_meter.h"
 #include "runtime/http/http_server.h"
 #include "runtime/link_hub.h"
 #include "runtime/turn_queue.h"
@@ -43,6 +44,8 @@
   bool Listen();
   void Post(EntryEvent event);
   void ProcessEvents(std::vector<EntryEvent> events);
+  void BeginWork();
+  void EndWorkAfterWrites(bool has_effects);
   void Tick();
   void AwaitSignal();
   Now ReadClocks() const;
@@ -77,6 +80,7 @@
   PrefixWatch entry_watch_;
   PoolMetrics metrics_;
   SettingsWatch settings_watch_;
+  BusyMeter busy_meter_;
   asio::steady_timer tick_timer_;
   asio::steady_timer exit_timer_;
   asio::signal_set signals_;
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -138,9 +138,12 @@
   AgentChanges changes;
   const RunRow* run = board.runs.Find(message.run);
   if (run == nullptr) return changes;
+  const BootTime limit =
+      message.withholds_lease
+          ? now.boot
+          : now.boot + board.settings.max_requested_stop_time;
   changes.Add(Put<RunRow>{
-      WithStopLimit(WithStopRequested(*run, RunEnd::kStopped, now),
-                    now.boot + board.settings.max_requested_stop_time)});
+      WithStopLimit(WithStopRequested(*run, RunEnd::kStopped, now), limit)});
   return changes;
 }
 
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "core/pool/entry/crashes.h"
+#include "core/pool/entry/entry_load.h"
+#include "core/pool/entry/forwarding.h"
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/placement.h"
@@ -23,10 +25,14 @@
   }
 
   void RunControllers() {
+    DropCalls(CallsOfSilentPeers(*board_, now_), "the first entry is silent");
     ApplyChanges(EndCrashingJobs(*board_, now_));
+    ApplyChanges(ForwardJobs(*board_, now_));
     ApplyChanges(PlaceTasks(*board_, now_));
     ApplyChanges(DialPeers(*board_, now_));
     ApplyChanges(OfferConfig(*board_));
+    ApplyChanges(AnnounceOverload(*board_));
+    ApplyChanges(OfferCapacity(*board_, now_));
   }
 
   std::vector<EntryEffect> TakeEffects() { return std::move(effects_); }
@@ -35,7 +41,23 @@
   void ApplyChanges(EntryChanges changes) {
     Apply(board_, changes);
     for (EntryEffect& effect : changes.effects) {
-      effects_.push_back(std::move(effect));
+      const auto* reply = std::get_if<Reply>(&effect);
+      if (reply != nullptr && IsForwardedCall(reply->call)) {
+        ApplyChanges(SendForwardedReply(*board_, *reply));
+      } else {
+        effects_.push_back(std::move(effect));
+      }
+    }
+  }
+
+  void DropCalls(const std::vector<ForwardedCall>& calls,
+                 const std::string& reason) {
+    for (const ForwardedCall& call : calls) {
+      EntryChanges changes = DropForwardedCall(*board_, call, reason, now_);
+      // A first entry that still lives does not wait for the job any longer.
+      changes.Add(SendMessage{
+          call.link, ForwardedJobEnded{call.job, ForwardedOutcome::kGivenUp}});
+      ApplyChanges(std::move(changes));
     }
   }
 
@@ -52,6 +74,8 @@
     ApplyChanges(RecordLinkActivity(*board_, e.link, now_));
   }
   void OnEvent(const LinkClosed& e) {
+    DropCalls(CallsOverLink(*board_, e.link), "the first entry is lost");
+    ApplyChanges(GiveUpForwardedJobs(*board_, e.link, now_));
     ApplyChanges(HandleLinkClosed(*board_, e.link, now_));
   }
   void OnEvent(const MessageReceived& e) {
@@ -89,6 +113,9 @@
     ApplyChanges(PingIdleLinks(*board_, now_));
     ExitWhenIdle();
   }
+  void OnEvent(const LoopLoadMeasured& e) {
+    ApplyChanges(HandleLoopLoad(*board_, e));
+  }
   void OnEvent(const EntryStopRequested&) {
     if (board_->stopping) return;
     EntryChanges changes;
@@ -131,10 +158,21 @@
   void OnMessage(LinkId, const EvacuationList&) {}
   void OnMessage(LinkId, const ConfigAnnouncement&) {}
   void OnMessage(LinkId, const ConfigRequest&) {}
-  void OnMessage(LinkId, const EntryLoad&) {}
-  void OnMessage(LinkId, const ForwardJob&) {}
-  void OnMessage(LinkId, const ForwardedJobEnded&) {}
-  void OnMessage(LinkId, const CancelJob&) {}
+  void OnMessage(LinkId link, const EntryLoad& message) {
+    ApplyChanges(HandleEntryLoad(*board_, link, message));
+  }
+  void OnMessage(LinkId link, const ForwardJob& message) {
+    EntryChanges changes;
+    const auto job = AcceptForwardedJob(*board_, link, message, &changes);
+    ApplyChanges(std::move(changes));
+    if (job) ApplyChanges(HandleSubmission(*board_, *job, now_));
+  }
+  void OnMessage(LinkId link, const ForwardedJobEnded& message) {
+    ApplyChanges(HandleForwardedJobEnded(*board_, link, message, now_));
+  }
+  void OnMessage(LinkId link, const CancelJob& message) {
+    ApplyChanges(HandlePeerCancel(*board_, link, message, now_));
+  }
   void OnMessage(LinkId, const JobCancelled&) {}
   // Sent to agents only.
   void OnMessage(LinkId, const StartRun&) {}
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "core/pool/entry/changes.h"
 
 namespace dottereltrack::pool {
@@ -86,6 +88,25 @@
     RemoveFromCrashCounts(board, it.key);
     board->crashes.Erase(it.key);
   }
+  void operator()(const Put<OfferRow>& it) const { board->offers.Put(it.row); }
+  void operator()(const Erase<OfferRow>& it) const {
+    board->offers.Erase(it.key);
+  }
+  void operator()(const Put<DemandRow>& it) const {
+    board->demands.Put(it.row);
+  }
+  void operator()(const Erase<DemandRow>& it) const {
+    board->demands.Erase(it.key);
+  }
+  void operator()(const Put<ForwardedCall>& it) const {
+    board->forwarded_calls.Put(it.row);
+    board->next_forwarded_call =
+        std::max(board->next_forwarded_call, it.row.call.value + 1);
+  }
+  void operator()(const Erase<ForwardedCall>& it) const {
+    board->forwarded_calls.Erase(it.key);
+  }
+  void operator()(const SetOverload& it) const { board->overload = it.state; }
   void operator()(const SetConfig& it) const {
     board->config = it.config;
     board->config_text = it.text;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -11,6 +11,7 @@
 #include "core/cell.h"
 #include "core/ids.h"
 #include "core/pool/config.h"
+#include "core/pool/entry/load_rows.h"
 #include "core/pool/entry/settings.h"
 #include "core/pool/known_entries.h"
 #include "core/pool/messages.h"
@@ -46,6 +47,14 @@
   // A start has been sent to an agent, so the job may have begun.
   bool may_have_started = false;
   BootTime ended_at{0};
+  // Link to the entry that owns the job; empty if this entry does. A forwarded
+  // job has no task rows.
+  std::optional<LinkId> forwarded_to;
+  std::vector<StepSpec> forwarded_steps;
+  // Another entry has forwarded the job to this one.
+  bool is_from_peer = false;
+  // The job is not to be forwarded, or not again.
+  bool is_kept = false;
 
   std::uint64_t Key() const { return id; }
   friend bool operator==(const JobRow&, const JobRow&) = default;
@@ -140,6 +149,11 @@
   Table<KnownEntry> peers;
   // Recent crashes of minions, also those with runs of other entries.
   Table<MinionCrash> crashes;
+  OverloadState overload;
+  Table<OfferRow> offers;
+  Table<DemandRow> demands;
+  Table<ForwardedCall> forwarded_calls;
+  std::uint64_t next_forwarded_call = kFirstForwardedCall;
   // Indexes that `Apply` derives from the tables.
   std::set<std::uint64_t> active_jobs;
   std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -16,12 +16,16 @@
 struct SetEntryStopping {
   BootTime since{0};
 };
+struct SetOverload {
+  OverloadState state;
+};
 
-using EntryRowChange =
-    std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
-                 Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
-                 Put<KnownEntry>, Erase<KnownEntry>, Put<MinionCrash>,
-                 Erase<MinionCrash>, SetConfig, SetEntryStopping>;
+using EntryRowChange = std::variant<
+    Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>, Put<AgentRow>,
+    Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>, Put<KnownEntry>,
+    Erase<KnownEntry>, Put<MinionCrash>, Erase<MinionCrash>, Put<OfferRow>,
+    Erase<OfferRow>, Put<DemandRow>, Erase<DemandRow>, Put<ForwardedCall>,
+    Erase<ForwardedCall>, SetOverload, SetConfig, SetEntryStopping>;
 
 // Kind of the reply to a client.
 enum class ReplyKind {
--- a/src/core/pool/entry/events.h
+++ b/src/core/pool/entry/events.h
@@ -19,6 +19,9 @@
   JobSpec job;
   // How long the client waits for the reply.
   milliseconds client_timeout{0};
+  // Set if another entry has forwarded the job, which it received `age` ago.
+  bool is_from_peer = false;
+  milliseconds age{0};
 };
 // The client of a call has closed its connection.
 struct CallerDisconnected {
@@ -57,6 +60,12 @@
   std::vector<Endpoint> entries;
 };
 struct EntryTick {};
+// Load of the event loop, averaged over about a second.
+struct LoopLoadMeasured {
+  // Share of time, from 0 to 1, in which the loop runs handlers.
+  double busy_share = 0;
+  milliseconds tick_lateness{0};
+};
 struct EntryStopRequested {};
 // The process was paused for a while; what it knows of others is out of date.
 struct EntryPaused {
@@ -67,6 +76,6 @@
     std::variant<JobSubmitted, CallerDisconnected, JobCancelRequested,
                  LinkOpened, LinkClosed, MessageReceived, PeerDialed,
                  ConfigRead, EntriesListed, EntrySeedsRead, EntryTick,
-                 EntryStopRequested, EntryPaused>;
+                 LoopLoadMeasured, EntryStopRequested, EntryPaused>;
 
 }  // namespace dottereltrack::pool
--- /dev/null
+++ b/src/core/pool/entry/forwarding.cpp
@@ -0,0 +1,418 @@
+#include "core/pool/entry/forwarding.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "core/pool/entry/entry_load.h"
+#include "core/pool/entry/outcomes.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+// Delay after which a refused peer may try again.
+constexpr milliseconds kRetryAfter{1'000};
+
+// A peer whose link has been silent for longer than two pings may be down; a
+// job forwarded to it would be lost.
+constexpr int kMaxSilentPings = 2;
+
+struct Offer {
+  const OfferRow* row = nullptr;
+  bool is_near = false;
+  std::uint64_t remaining = 0;
+  std::uint64_t used = 0;
+};
+
+std::vector<Offer> CollectOffers(const EntryBoard& board, const Now& now) {
+  std::vector<Offer> offers;
+  const auto max_silence = kMaxSilentPings * board.settings.ping_interval;
+  for (const auto& [id, row] : board.offers) {
+    const LinkRow* link = board.links.Find(id);
+    if (link == nullptr || row.Remaining() == 0) continue;
+    if (now.boot - link->last_received_at > max_silence) continue;
+    offers.push_back({&row, row.data_centre == board.settings.data_centre,
+                      row.Remaining(), 0});
+  }
+  return offers;
+}
+
+// Prefers a peer in the same data centre, then the largest offer.
+Offer* ChooseOffer(std::vector<Offer>* offers) {
+  const auto it = std::max_element(
+      offers->begin(), offers->end(), [](const Offer& a, const Offer& b) {
+        return std::tuple(a.remaining > 0, a.is_near, a.remaining) <
+               std::tuple(b.remaining > 0, b.is_near, b.remaining);
+      });
+  return it == offers->end() || it->remaining == 0 ? nullptr : &*it;
+}
+
+bool MayForward(const JobRow& job) {
+  return job.state == JobState::kActive && !job.may_have_started &&
+         !job.forwarded_to && !job.is_from_peer && !job.is_kept;
+}
+
+const QueueConfig* FindQueueByName(const PoolConfig& config,
+                                   const std::string& name) {
+  const auto it = std::find_if(
+      config.queues.begin(), config.queues.end(),
+      [&](const QueueConfig& queue) { return queue.name == name; });
+  return it == config.queues.end() ? nullptr : &*it;
+}
+
+// Returns the steps of a job as submitted; empty if a task of it has been
+// started by an earlier submission.
+std::vector<StepSpec> StepsOf(const EntryBoard& board, const JobRow& job) {
+  std::vector<StepSpec> steps;
+  const auto [begin, end] = TasksOf(board, job.id);
+  for (auto it = begin; it != end; ++it) {
+    const TaskRow& task = it->second;
+    if (task.state != TaskState::kWaiting || task.run_number != 0) return {};
+    if (task.key.step >= steps.size()) steps.resize(task.key.step + 1);
+    StepSpec& step = steps[task.key.step];
+    step = {step.count + 1, task.needs, task.estimate};
+  }
+  return steps;
+}
+
+Decision ForwardDecision(const JobRow& job, Severity severity,
+                         std::string event, const std::string& reason,
+                         const Now& now) {
+  Decision decision{severity,
+                    std::move(event),
+                    job.id,
+                    {{"queue", job.queue}, {"request", job.request_id}},
+                    {{"age_ms", ToMilliseconds(now.boot - job.arrived_at)}}};
+  if (!reason.empty()) decision.texts.emplace_back("reason", reason);
+  return decision;
+}
+
+// Returns the time left, rounded down.
+milliseconds TimeLeft(const JobRow& job, const Now& now) {
+  return std::chrono::duration_cast<milliseconds>(job.deadline_at - now.boot);
+}
+
+// Adds the changes that forward a job. Returns false if it cannot be forwarded.
+bool ForwardJobTo(const EntryBoard& board, const JobRow& job,
+                  const OfferRow& offer, const Now& now,
+                  EntryChanges* changes) {
+  const QueueConfig* queue = FindQueueByName(board.config, job.queue);
+  std::vector<StepSpec> steps = StepsOf(board, job);
+  if (queue == nullptr || steps.empty()) return false;
+  ForwardJob message;
+  message.job = {job.id, job.payload, steps};
+  message.request_id = job.request_id;
+  message.host = queue->host;
+  message.path = queue->path_prefix;
+  message.config_version = board.config.version;
+  message.age =
+      std::chrono::duration_cast<milliseconds>(now.boot - job.arrived_at);
+  message.client_timeout = TimeLeft(job, now);
+  const auto [begin, end] = TasksOf(board, job.id);
+  for (auto it = begin; it != end; ++it) {
+    changes->Add(Erase<TaskRow>{it->first});
+  }
+  JobRow row = job;
+  row.forwarded_to = offer.link;
+  row.forwarded_steps = std::move(steps);
+  row.may_have_started = true;
+  changes->Add(Put<JobRow>{std::move(row)});
+  Decision decision =
+      ForwardDecision(job, Severity::kRoutine, "job_forwarded", "", now);
+  if (const LinkRow* link = board.links.Find(offer.link)) {
+    decision.texts.emplace_back("owner", link->dialed_address->host);
+  }
+  changes->Add(std::move(decision));
+  changes->Add(SendMessage{offer.link, std::move(message)});
+  return true;
+}
+
+// Adds the rows of a forwarded job's tasks in the given state.
+void AddTasks(const JobRow& job, const TaskRow& sample, EntryChanges* changes) {
+  for (std::uint32_t step = 0; step < job.forwarded_steps.size(); ++step) {
+    const StepSpec& spec = job.forwarded_steps[step];
+    for (std::uint32_t n = 0; n < spec.count; ++n) {
+      TaskRow task = sample;
+      task.key = {job.id, step, n};
+      task.needs = spec.needs;
+      task.estimate = spec.estimate;
+      changes->Add(Put<TaskRow>{std::move(task)});
+    }
+  }
+}
+
+// Adds the tasks of a forwarded job, whose runs may live on at its owner.
+void AddLostTasks(const EntryBoard& board, const JobRow& job, const Now& now,
+                  EntryChanges* changes) {
+  TaskRow lost;
+  lost.state = TaskState::kLost;
+  lost.lost_run_ends_by = now.boot + board.settings.max_forwarded_run_time;
+  AddTasks(job, lost, changes);
+}
+
+// Ends a job that its owner has ended without an outcome.
+EntryChanges AbandonEndedJob(const EntryBoard& board, const JobRow& job,
+                             ReplyKind kind, const std::string& reason,
+                             const Now& now) {
+  JobRow ended = job;
+  ended.forwarded_to.reset();
+  EntryChanges changes = AbandonJob(board, ended, kind, reason, now);
+  AddLostTasks(board, job, now, &changes);
+  return changes;
+}
+
+// Runs a job that its owner has refused, or passes the refusal on.
+EntryChanges TakeJobBack(const EntryBoard& board, const JobRow& job,
+                         const Now& now) {
+  JobRow row = job;
+  row.forwarded_to.reset();
+  row.may_have_started = false;
+  row.is_kept = true;
+  milliseconds longest{0};
+  for (const StepSpec& step : job.forwarded_steps) {
+    longest = std::max(longest, step.estimate);
+  }
+  if (board.stopping || longest > TimeLeft(job, now)) {
+    return AbandonJob(
+        board, row,
+        board.stopping ? ReplyKind::kStopping : ReplyKind::kOverloaded,
+        "the owner has refused the job", now);
+  }
+  EntryChanges changes;
+  changes.Add(ForwardDecision(job, Severity::kFailure, "forward_refused",
+                              "this entry runs the job", now));
+  AddTasks(job, TaskRow{}, &changes);
+  row.forwarded_steps.clear();
+  changes.Add(Put<JobRow>{std::move(row)});
+  return changes;
+}
+
+ForwardedOutcome OutcomeOf(ReplyKind kind) {
+  switch (kind) {
+    case ReplyKind::kCompleted:
+      return ForwardedOutcome::kCompleted;
+    case ReplyKind::kFailed:
+      return ForwardedOutcome::kFailed;
+    case ReplyKind::kCancelled:
+      return ForwardedOutcome::kCancelled;
+    case ReplyKind::kGivenUp:
+    case ReplyKind::kUnknownJob:
+      return ForwardedOutcome::kGivenUp;
+    case ReplyKind::kNoQueue:
+    case ReplyKind::kNoConfig:
+    case ReplyKind::kOverloaded:
+    case ReplyKind::kNoMinions:
+    case ReplyKind::kStopping:
+    case ReplyKind::kUnsupported:
+      return ForwardedOutcome::kRefused;
+  }
+  return ForwardedOutcome::kGivenUp;
+}
+
+// Why this entry does not take a forwarded job; empty if it does.
+std::string FindRefusalReason(const EntryBoard& board,
+                              const ForwardJob& message) {
+  if (board.stopping) return "this process is stopping";
+  if (message.config_version > board.config.version) {
+    return "the configuration is older than the sender's";
+  }
+  if (board.overload.is_overloaded) return "this entry is overloaded";
+  const JobRow* known = board.jobs.Find(message.job.id);
+  // Two entries that have forwarded the job to each other would wait for ever.
+  if (known != nullptr && known->forwarded_to) {
+    return "this entry has forwarded the job itself";
+  }
+  return "";
+}
+
+}  // namespace
+
+EntryChanges ForwardJobs(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  if (!board.overload.is_overloaded || board.stopping ||
+      board.waiting_tasks.empty()) {
+    return changes;
+  }
+  std::vector<Offer> offers = CollectOffers(board, now);
+  const double share = ForwardShare(board.overload.pressure, board.settings);
+  OverloadState state = board.overload;
+  std::optional<std::uint64_t> last_job;
+  for (const TaskKey& key : board.waiting_tasks) {
+    if (last_job == key.job) continue;
+    last_job = key.job;
+    const JobRow* job = board.jobs.Find(key.job);
+    if (job == nullptr || !MayForward(*job)) continue;
+    state.due_jobs = std::min(state.due_jobs + share, 1.0);
+    Offer* offer = state.due_jobs >= 1 ? ChooseOffer(&offers) : nullptr;
+    if (offer != nullptr &&
+        ForwardJobTo(board, *job, *offer->row, now, &changes)) {
+      state.due_jobs -= 1;
+      --offer->remaining;
+      ++offer->used;
+      continue;
+    }
+    JobRow kept = *job;
+    kept.is_kept = true;
+    changes.Add(Put<JobRow>{std::move(kept)});
+  }
+  for (const Offer& it : offers) {
+    if (it.used == 0) continue;
+    OfferRow row = *it.row;
+    row.sent_jobs += it.used;
+    changes.Add(Put<OfferRow>{std::move(row)});
+  }
+  changes.Add(SetOverload{state});
+  return changes;
+}
+
+std::optional<JobSubmitted> AcceptForwardedJob(const EntryBoard& board,
+                                               LinkId link,
+                                               const ForwardJob& message,
+                                               EntryChanges* changes) {
+  const DemandRow* known = board.demands.Find(link);
+  DemandRow demand = known == nullptr ? DemandRow{} : *known;
+  demand.link = link;
+  ++demand.received_jobs;
+  changes->Add(Put<DemandRow>{demand});
+  const std::string reason = FindRefusalReason(board, message);
+  if (!reason.empty()) {
+    changes->Add(SendMessage{
+        link, ForwardedJobEnded{message.job.id, ForwardedOutcome::kRefused,
+                                kRetryAfter}});
+    changes->Add(Decision{Severity::kFailure,
+                          "job_refused",
+                          message.job.id,
+                          {{"reason", reason}, {"request", message.request_id}},
+                          {}});
+    return std::nullopt;
+  }
+  const CallId call{board.next_forwarded_call};
+  changes->Add(Put<ForwardedCall>{{call, link, message.job.id}});
+  JobSubmitted submitted{call,         message.request_id,
+                         message.host, message.path,
+                         message.job,  message.client_timeout};
+  submitted.is_from_peer = true;
+  submitted.age = message.age;
+  return submitted;
+}
+
+EntryChanges SendForwardedReply(const EntryBoard& board, const Reply& reply) {
+  EntryChanges changes;
+  const ForwardedCall* call = board.forwarded_calls.Find(reply.call);
+  if (call == nullptr) return changes;
+  changes.Add(Erase<ForwardedCall>{reply.call});
+  changes.Add(SendMessage{
+      call->link,
+      ForwardedJobEnded{call->job, OutcomeOf(reply.kind), reply.retry_after}});
+  return changes;
+}
+
+EntryChanges HandleForwardedJobEnded(const EntryBoard& board, LinkId link,
+                                     const ForwardedJobEnded& message,
+                                     const Now& now) {
+  const JobRow* job = board.jobs.Find(message.job);
+  if (job == nullptr || job->state != JobState::kActive ||
+      job->forwarded_to != link) {
+    return {};
+  }
+  JobRow ended = *job;
+  ended.forwarded_to.reset();
+  switch (message.outcome) {
+    case ForwardedOutcome::kCompleted:
+      return CompleteJob(board, ended, now);
+    case ForwardedOutcome::kFailed:
+      return FailJob(board, ended, "the job failed at its owner", now);
+    case ForwardedOutcome::kRefused:
+      return TakeJobBack(board, *job, now);
+    case ForwardedOutcome::kCancelled:
+      return AbandonEndedJob(board, *job, ReplyKind::kCancelled,
+                             "cancelled at its owner", now);
+    case ForwardedOutcome::kGivenUp:
+      return AbandonEndedJob(board, *job, ReplyKind::kGivenUp,
+                             "given up by its owner", now);
+  }
+  return {};
+}
+
+EntryChanges HandlePeerCancel(const EntryBoard& board, LinkId link,
+                              const CancelJob& message, const Now& now) {
+  if (message.caller_left) {
+    EntryChanges changes;
+    for (const ForwardedCall& call : CallsOverLink(board, link)) {
+      if (call.job != message.job) continue;
+      changes.Append(DropForwardedCall(
+          board, call, "the caller closed its connection", now));
+      break;
+    }
+    return changes;
+  }
+  const JobRow* job = board.jobs.Find(message.job);
+  const bool is_known = job != nullptr && job->state == JobState::kActive;
+  EntryChanges changes;
+  if (is_known) {
+    changes = AbandonJob(board, *job, ReplyKind::kCancelled, "cancelled", now);
+  }
+  changes.Add(
+      SendMessage{link, JobCancelled{message.request, message.job, is_known}});
+  return changes;
+}
+
+EntryChanges DropForwardedCall(const EntryBoard& board,
+                               const ForwardedCall& call,
+                               const std::string& reason, const Now& now) {
+  EntryChanges changes;
+  changes.Add(Erase<ForwardedCall>{call.call});
+  if (const JobRow* job = board.jobs.Find(call.job)) {
+    changes.Append(RemoveWaiter(board, *job, call.call, reason, now));
+  }
+  return changes;
+}
+
+std::vector<ForwardedCall> CallsOverLink(const EntryBoard& board, LinkId link) {
+  std::vector<ForwardedCall> calls;
+  for (const auto& [id, call] : board.forwarded_calls) {
+    if (call.link == link) calls.push_back(call);
+  }
+  return calls;
+}
+
+std::vector<ForwardedCall> CallsOfSilentPeers(const EntryBoard& board,
+                                              const Now& now) {
+  std::vector<ForwardedCall> calls;
+  for (const auto& [id, call] : board.forwarded_calls) {
+    const LinkRow* link = board.links.Find(call.link);
+    if (link == nullptr || now.boot - link->last_received_at >=
+                               board.settings.forwarded_job_timeout) {
+      calls.push_back(call);
+    }
+  }
+  return calls;
+}
+
+EntryChanges GiveUpForwardedJobs(const EntryBoard& board, LinkId link,
+                                 const Now& now) {
+  EntryChanges changes;
+  // A link without forwarded jobs has no offer.
+  if (board.offers.Find(link) == nullptr) return changes;
+  for (const std::uint64_t id : board.active_jobs) {
+    const JobRow& job = *board.jobs.Find(id);
+    if (job.forwarded_to != link) continue;
+    changes.Append(AbandonJob(board, job, ReplyKind::kGivenUp,
+                              "the link to the job's owner is lost", now));
+  }
+  changes.Add(Erase<OfferRow>{link});
+  return changes;
+}
+
+EntryChanges WithdrawJob(const EntryBoard& board, const JobRow& job,
+                         ReplyKind kind, const Now& now) {
+  EntryChanges changes;
+  if (!job.forwarded_to) return changes;
+  const bool caller_left = kind != ReplyKind::kCancelled;
+  changes.Add(
+      SendMessage{*job.forwarded_to, CancelJob{0, job.id, caller_left}});
+  AddLostTasks(board, job, now, &changes);
+  return changes;
+}
+
+}  // namespace dottereltrack::pool
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -24,7 +24,7 @@
                      EntryChanges* changes) {
   for (const TaskKey& key : board.lost_tasks) {
     const TaskRow& task = *board.tasks.Find(key);
-    if (task.minion != minion) continue;
+    if (task.minion != minion || task.minion.empty()) continue;
     TaskRow waiting = task;
     waiting.state = TaskState::kWaiting;
     changes->Add(Put<TaskRow>{waiting});
@@ -98,6 +98,7 @@
                               const Now& now) {
   EntryChanges changes;
   changes.Add(Erase<LinkRow>{link});
+  changes.Add(Erase<DemandRow>{link});
   const AgentRow* agent = board.agents.Find(link);
   if (agent != nullptr) {
     Decision decision = AgentDecision(*agent, "agent_lost");
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/pool/entry/crashes.h"
+#include "core/pool/entry/forwarding.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -40,13 +41,14 @@
   }
 }
 
-void StopRuns(const EntryBoard& board, std::uint64_t job,
+void StopRuns(const EntryBoard& board, const JobRow& job,
               EntryChanges* changes) {
-  const auto [begin, end] = TasksOf(board, job);
+  const auto [begin, end] = TasksOf(board, job.id);
   for (auto it = begin; it != end; ++it) {
     const TaskRow& task = it->second;
     if (task.state != TaskState::kPlaced) continue;
-    changes->Add(SendMessage{task.link, StopRun{{task.key, task.run_number}}});
+    changes->Add(SendMessage{
+        task.link, StopRun{{task.key, task.run_number}, job.is_from_peer}});
     TaskRow stopping = task;
     stopping.state = TaskState::kStopping;
     changes->Add(Put<TaskRow>{stopping});
@@ -56,7 +58,9 @@
 void EndJob(const EntryBoard& board, JobRow job, JobState state, ReplyKind kind,
             const Now& now, EntryChanges* changes) {
   ReplyToWaiters(job, kind, changes);
-  StopRuns(board, job.id, changes);
+  StopRuns(board, job, changes);
+  changes->Append(WithdrawJob(board, job, kind, now));
+  job.forwarded_to.reset();
   job.waiters.clear();
   job.state = state;
   job.ended_at = now.boot;
@@ -108,12 +112,7 @@
     changes->Add(Put<JobRow>{job});
     return;
   }
-  const bool is_late = now.boot > job.goal_at;
-  changes->Add(JobDecision(job,
-                           is_late ? Severity::kFailure : Severity::kRoutine,
-                           is_late ? "job_late" : "job_completed", "", now));
-  EndJob(board, job, JobState::kCompleted, ReplyKind::kCompleted, now, changes);
-  EraseTasks(board, job.id, changes);
+  changes->Append(CompleteJob(board, job, now));
 }
 
 bool HasExhaustedAttempts(const TaskRow& task, const JobRow& job) {
@@ -233,6 +232,34 @@
   return changes;
 }
 
+EntryChanges CompleteJob(const EntryBoard& board, const JobRow& job,
+                         const Now& now) {
+  EntryChanges changes;
+  const bool is_late = now.boot > job.goal_at;
+  changes.Add(JobDecision(job,
+                          is_late ? Severity::kFailure : Severity::kRoutine,
+                          is_late ? "job_late" : "job_completed", "", now));
+  EndJob(board, job, JobState::kCompleted, ReplyKind::kCompleted, now,
+         &changes);
+  EraseTasks(board, job.id, &changes);
+  return changes;
+}
+
+EntryChanges RemoveWaiter(const EntryBoard& board, const JobRow& job,
+                          CallId call, const std::string& reason,
+                          const Now& now) {
+  EntryChanges changes;
+  const auto it = std::find(job.waiters.begin(), job.waiters.end(), call);
+  if (it == job.waiters.end()) return changes;
+  JobRow updated = job;
+  updated.waiters.erase(updated.waiters.begin() + (it - job.waiters.begin()));
+  if (updated.waiters.empty() && updated.state == JobState::kActive) {
+    return AbandonJob(board, updated, ReplyKind::kGivenUp, reason, now);
+  }
+  changes.Add(Put<JobRow>{updated});
+  return changes;
+}
+
 EntryChanges FailJob(const EntryBoard& board, const JobRow& job,
                      const std::string& reason, const Now& now) {
   EntryChanges changes;
@@ -246,17 +273,11 @@
   for (const std::uint64_t id : board.active_jobs) {
     const JobRow& job = *board.jobs.Find(id);
     const auto& waiters = job.waiters;
-    const auto it = std::find(waiters.begin(), waiters.end(), call);
-    if (it == waiters.end()) continue;
-    JobRow updated = job;
-    updated.waiters.erase(updated.waiters.begin() + (it - waiters.begin()));
-    if (updated.waiters.empty() && updated.state == JobState::kActive) {
-      return AbandonJob(board, updated, ReplyKind::kGivenUp,
-                        "the caller closed its connection", now);
+    if (std::find(waiters.begin(), waiters.end(), call) == waiters.end()) {
+      continue;
     }
-    EntryChanges changes;
-    changes.Add(Put<JobRow>{updated});
-    return changes;
+    return RemoveWaiter(board, job, call, "the caller closed its connection",
+                        now);
   }
   return {};
 }
--- a/src/core/pool/entry/outcomes.h
+++ b/src/core/pool/entry/outcomes.h
@@ -22,6 +22,15 @@
 EntryChanges FailJob(const EntryBoard& board, const JobRow& job,
                      const std::string& reason, const Now& now);
 
+// Replies to the job's callers that it has completed.
+EntryChanges CompleteJob(const EntryBoard& board, const JobRow& job,
+                         const Now& now);
+
+// Removes a caller of a job. If it was the last one, the job is abandoned.
+EntryChanges RemoveWaiter(const EntryBoard& board, const JobRow& job,
+                          CallId call, const std::string& reason,
+                          const Now& now);
+
 // Handle a caller that closed its connection or cancels its job.
 EntryChanges HandleCallerDisconnected(const EntryBoard& board, CallId call,
                                       const Now& now);
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "core/cell.h"
@@ -56,6 +57,35 @@
   // minions are missing or busy: their agents need up to a report interval
   // of 1.5 s to reconnect.
   milliseconds warm_up_time{2'000};
+
+  std::string data_centre;
+  // Share of time in which the event loop is busy, from which on this entry
+  // counts as overloaded, and below which it does not any more. At 0.6 an event
+  // waits 1.5 times its own processing time on average, at 0.85 six times.
+  double overload_enter_share = 0.6;
+  double overload_leave_share = 0.4;
+  // An overloaded entry forwards a share of its jobs that grows linearly from 0
+  // at `overload_leave_share` to 1 here. A step from none to all would make the
+  // load oscillate with the period of its average.
+  double full_forward_share = 0.85;
+  // Mean lateness of the tick timer that counts as a fully busy loop. At 60 ms,
+  // the usual target latency of a queue is used up.
+  milliseconds full_tick_lateness{100};
+  // Offers shrink linearly with the load and are 0 from this busy share on.
+  double offer_limit_share = 0.5;
+  // Jobs that an idle entry offers to all overloaded peers together in an
+  // offer interval.
+  std::uint32_t max_offered_jobs = 32;
+  milliseconds min_offer_interval{50};
+  milliseconds max_offer_interval{1'000};
+  // The owner of a forwarded job gives it up if the link to the first entry is
+  // silent for this long. It is shorter than link_timeout, so that the runs
+  // have ended before the client submits the job again, even if the owner is
+  // cut off at that moment.
+  milliseconds forwarded_job_timeout{350};
+  // All runs of a forwarded job have ended this long after the first entry has
+  // withdrawn it or has lost the link to its owner.
+  milliseconds max_forwarded_run_time{1'300};
   friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
 };
 
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -75,12 +75,13 @@
   job.service = queue.service;
   job.max_attempts = queue.max_attempts;
   job.waiters = {e.call};
-  job.arrived_at = now.boot;
+  job.arrived_at = now.boot - e.age;
   const double stretched_estimate_ms =
       queue.stretch * static_cast<double>(LongestEstimate(e.job).count());
-  job.goal_at = now.boot + queue.target_latency +
+  job.goal_at = job.arrived_at + queue.target_latency +
                 milliseconds{std::llround(stretched_estimate_ms)};
   job.deadline_at = now.boot + e.client_timeout;
+  job.is_from_peer = e.is_from_peer;
   return job;
 }
 
