Test forwarding on the virtual clock

Cause: an entry that forwards must neither oscillate nor let a task run twice when one of both entries fails.

--- a/tests/support/pool_schedule.cpp
+++ b/tests/support/pool_schedule.cpp
@@ -33,7 +33,8 @@
                                   "failing",        "slow",
                                   "drain",          "lose_answers",
                                   "delay_calls",    "store_down",
-                                  "store_up",       "change_config"};
+                                  "store_up",       "change_config",
+                                  "overload"};
 static_assert(std::size(kStepNames) == kPoolStepKinds);
 
 bool IsRefusal(ReplyKind kind) {
@@ -225,6 +226,10 @@
         return pool_.SetStoreDown(false);
       case PoolStepKind::kChangeConfig:
         return ChangeConfig();
+      case PoolStepKind::kOverload:
+        return pool_.SetLoopLoad(
+            static_cast<int>(step.operand_a % schedule_.entries),
+            step.operand_b % 4 != 0 ? 1.0 : 0.0);
     }
   }
 
--- a/tests/support/pool_schedule.h
+++ b/tests/support/pool_schedule.h
@@ -37,10 +37,12 @@
   kStoreDown,
   kStoreUp,
   kChangeConfig,
+  // The entry forwards all jobs that its peers take, or stops forwarding.
+  kOverload,
 };
 
 inline constexpr int kPoolStepKinds =
-    static_cast<int>(PoolStepKind::kChangeConfig) + 1;
+    static_cast<int>(PoolStepKind::kOverload) + 1;
 
 // One step. `operand_a` and `operand_b` select processes, minions, jobs and
 // sizes, modulo their number.
--- a/tests/support/test_pool.cpp
+++ b/tests/support/test_pool.cpp
@@ -114,6 +114,11 @@
     it.entry.settings.id = random_();
     it.entry.settings.max_entry_links = options_.max_entry_links;
     it.entry.settings.address = AddressOf(process);
+    it.entry.settings.full_forward_share = options_.full_forward_share;
+    if (!options_.entry_data_centres.empty()) {
+      it.entry.settings.data_centre =
+          ValueAtOrLast(options_.entry_data_centres, process);
+    }
     it.entry.started_at = clock_.now();
   }
   ReadStore(process, incarnation);
@@ -154,6 +159,10 @@
   });
 }
 
+void TestPool::SetLoopLoad(int entry, double busy_share) {
+  processes_[entry].busy_share = busy_share;
+}
+
 void TestPool::SetConfig(const PoolConfig& config) { config_ = config; }
 
 void TestPool::ReportMinion(int agent, std::uint64_t incarnation) {
@@ -178,6 +187,8 @@
     if (IsAgent(process)) {
       Post(process, AgentEvent{AgentTick{}});
     } else {
+      Post(process, EntryEvent{LoopLoadMeasured{processes_[process].busy_share,
+                                                milliseconds{0}}});
       Post(process, EntryEvent{EntryTick{}});
     }
   }
--- a/tests/support/test_pool.h
+++ b/tests/support/test_pool.h
@@ -33,6 +33,10 @@
   // Number of entries that a process links to.
   std::size_t max_entry_links = pool::AgentSettings{}.max_entry_links;
   std::uint64_t seed = 1;
+  // Data centre of each entry; empty if all are in one.
+  std::vector<std::string> entry_data_centres;
+  // Forwarding at every entry that is overloaded, and never elsewhere.
+  double full_forward_share = pool::EntrySettings{}.full_forward_share;
 
   static pool::QueueConfig DefaultQueue();
 };
@@ -100,6 +104,8 @@
   void Cut(int process, int other, bool is_cut);
   // Resets all connections between two processes.
   void ResetLinks(int process, int other);
+  // Sets the load of an entry's event loop, which has no other load.
+  void SetLoopLoad(int entry, double busy_share);
   void SetStoreDown(bool down) { store_down_ = down; }
   void SetConfig(const pool::PoolConfig& config);
   FakeMinion& minion(int agent) { return *minions_[agent]; }
@@ -126,6 +132,7 @@
     std::vector<pool::EntryEvent> pending_entry_events;
     std::vector<pool::AgentEvent> pending_agent_events;
     std::set<CallId> calls;
+    double busy_share = 0;
   };
   // A connection. Each side is closed separately.
   struct Link {
