Let the settings name the load from which on an entry forwards jobs

Cause: tests with real processes need an entry that forwards at any load, and an operator may want another threshold than 0.6. Change: limits.overload_share sets the share to enter overload, the other thresholds follow in proportion; one scenario and the soak have such an entry.

--- a/apps/pool_common/settings_watch.cpp
+++ b/apps/pool_common/settings_watch.cpp
@@ -38,6 +38,7 @@
           {"cpu_cores", settings.cpu_cores},
           {"memory_mb", settings.memory_mb},
           {"link_mbps", settings.link_mbps},
+          {"overload_share", settings.overload_share},
           {"remote_factor", settings.remote_factor},
           {"data_centres", settings.data_centres}};
 }
--- a/src/core/pool/entry/entry_load.cpp
+++ b/src/core/pool/entry/entry_load.cpp
@@ -77,6 +77,13 @@
       idle_share * settings.max_offered_jobs / static_cast<double>(peers)));
 }
 
+void SetOverloadShare(double share, EntrySettings* settings) {
+  const double factor = share / settings->overload_enter_share;
+  settings->overload_enter_share = share;
+  settings->overload_leave_share *= factor;
+  settings->full_forward_share *= factor;
+}
+
 EntryChanges HandleLoopLoad(const EntryBoard& board,
                             const LoopLoadMeasured& e) {
   EntryChanges changes;
--- a/src/core/pool/entry/entry_load.h
+++ b/src/core/pool/entry/entry_load.h
@@ -26,6 +26,10 @@
 EntryChanges HandleEntryLoad(const EntryBoard& board, LinkId link,
                              const EntryLoad& message);
 
+// Sets the share from which on the entry counts as overloaded, and the other
+// thresholds in proportion.
+void SetOverloadShare(double share, EntrySettings* settings);
+
 // Number of open jobs that another entry owns.
 std::size_t CountForwardedJobs(const EntryBoard& board);
 // Number of jobs that the peers still take.
--- a/tests/process/pool/cell.py
+++ b/tests/process/pool/cell.py
@@ -23,6 +23,8 @@
 MINION_CPU_MILLIS = 24_000
 TASK_CPU_MILLIS = 6_000
 RESEND_DELAY_S = 1.3
+# Any turn of the event loop makes it busy for a larger share of the time.
+MIN_OVERLOAD_SHARE = 1e-6
 DOCS = pathlib.Path(__file__).resolve().parents[3] / "docs"
 
 
@@ -104,9 +106,11 @@
     """Entries, agents with their minions, and the store. All addresses are in one /16
     of the loopback range, so that several cells can run side by side. If `use_proxies`
     is set, the store (for each process), the minions and the entries are reached
-    through proxies."""
+    through proxies. The `overloaded_entries`, by number, forward jobs at any load."""
 
-    def __init__(self, build, number, entries=3, agents=4, use_proxies=False):
+    def __init__(self, build, number, entries=3, agents=4, use_proxies=False,
+                 overloaded_entries=()):
+        self.overloaded_entries = overloaded_entries
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="pool-"))
         self.run_checker = RunChecker()
         self.store = Store()
@@ -177,6 +181,8 @@
         settings = self.make_settings(
             name, self.host_address(1, n), f"z{n % 2}", listen
         )
+        if n in self.overloaded_entries:
+            settings["limits"] = {"overload_share": MIN_OVERLOAD_SHARE}
         program = self.build / "apps/pool_entry/dotterel-pool-entry"
         return Daemon(self, name, program, settings)
 
--- a/tests/process/pool/run_scenario.py
+++ b/tests/process/pool/run_scenario.py
@@ -5,7 +5,7 @@
 import time
 
 from cell import LoadGenerator, Cell
-from scenarios import SCENARIOS
+from scenarios import OVERLOADED_ENTRIES, SCENARIOS
 
 # Number of the first scenario's cell. The soak uses the numbers below, so that both can
 # run at the same time.
@@ -74,7 +74,10 @@
 
 def main():
     name = sys.argv[2]
-    cell = Cell(sys.argv[1], FIRST_CELL + list(SCENARIOS).index(name))
+    cell = Cell(
+        sys.argv[1], FIRST_CELL + list(SCENARIOS).index(name),
+        overloaded_entries=OVERLOADED_ENTRIES.get(name, ())
+    )
     problems = asyncio.run(run(cell, name))
     if not problems:
         return 0
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -269,6 +269,26 @@
     return False
 
 
+async def forward_and_kill_owner(cell):
+    """An overloaded entry forwards jobs; then the first and the second entry are killed
+    in turn, each of which may own or have forwarded some of the open jobs."""
+    first = cell.entries[0]
+    await cell.expect_event(first, "overload_entered")
+    await cell.expect_event(first, "job_forwarded")
+    client = LoadGenerator(cell, seed=9, tasks_per_job=2, task_duration_s=1.0)
+    jobs = [asyncio.create_task(client.submit(0, timeout_s=8.0)) for _ in range(8)]
+    await asyncio.sleep(0.4)
+    await cell.entries[1].kill(0.5)
+    await asyncio.sleep(1.0)
+    await first.kill(0.5)
+    await asyncio.gather(*jobs)
+    # The restarted entry finds its peers again and forwards as before.
+    await cell.expect_event(first, "overload_entered")
+
+
+# Numbers of the entries that forward jobs at any load, by scenario.
+OVERLOADED_ENTRIES = {"overloaded entry": (0,)}
+
 SCENARIOS = {
     "calm": (no_fault, 1.0),
     "agent killed": (kill_agent, 0.95),
@@ -294,6 +314,7 @@
     "ends of minions that do not come": (announce_ends_that_do_not_come, 0.9),
     "settings reloaded": (reload_all_settings, 1.0),
     "task crashes minions": (crash_minions_by_a_task, 0.8),
+    "overloaded entry": (forward_and_kill_owner, 0.8),
 }
 
 if __name__ == "__main__":
--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -260,7 +260,9 @@
     seconds = float(sys.argv[3]) if len(sys.argv) > 3 else DEFAULT_SECONDS
     # Cells of different seeds use different addresses, so that they can run side by
     # side.
-    cell = Cell(sys.argv[1], 20 + seed % 100, use_proxies=True)
+    cell = Cell(
+        sys.argv[1], 20 + seed % 100, use_proxies=True, overloaded_entries=(0,)
+    )
     problems, fault_injector = asyncio.run(run(cell, seed, seconds))
     if not problems:
         return 0
--- a/tests/users_platform/store_test.cpp
+++ b/tests/users_platform/store_test.cpp
@@ -90,7 +90,8 @@
       R"("internal_ports":[7720,7735],"seeds":["10.2.0.30:8166"],)"
       R"("app":"10.1.0.14:8165","service":"s","unknown":{},)"
       R"("limits":{"file_descriptors":8192,"cpu_share":0.25,"cores":2,)"
-      R"("memory_mb":160,"link_mbps":25.0},"zones":{"a":"r","b":"r"},)"
+      R"("memory_mb":160,"link_mbps":25.0,"overload_share":0.7},)"
+      R"("zones":{"a":"r","b":"r"},)"
       R"("bounds":{"remote_factor":1.5,"fencing_enforced":false},)"
       R"("platform":{"address":"10.200.1.7:8169"}})");
   REQUIRE(settings);
@@ -107,6 +108,7 @@
   expected.cpu_cores = 0.5;
   expected.memory_mb = 160;
   expected.link_mbps = 25;
+  expected.overload_share = 0.7;
   expected.remote_factor = 1.5;
   expected.data_centres = {"a", "b"};
   CHECK(settings.value() == expected);
