Ask agents for fewer load reports and skip needless pings

Cause: up to 1,250 load reports a second wake up each entry, which costs one of 0.12 core a third of its turns, and each link got a ping every 100 ms even if it carried starts. Change: an entry whose processor is small or whose loop is overloaded asks its agents for a longer interval (EntryHello.report_interval), within 300 ms; agents apply it to that link, report refusals and accepting changes at once as before, and ping less often there. Until the next report the entry counts the ends of its runs itself. A ping is sent only on a link that carries nothing else.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -89,6 +89,7 @@
   board.settings.id = RandomId();
   board.settings.address = node_settings.internal_address;
   board.settings.data_centre = node_settings.data_centre;
+  board.settings.cpu_cores = node_settings.cpu_cores;
   if (node_settings.overload_share > 0) {
     SetOverloadShare(node_settings.overload_share, &board.settings);
   }
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -103,6 +103,9 @@
   std::optional<LoadReport> last_report;
   // A start was refused or a run ended since the last report.
   bool report_due = false;
+  // Shortest interval between two load reports that the entry has asked for; 0
+  // if it has asked for none.
+  milliseconds report_interval{0};
   // Since when the link is not needed; the entry is told to send no starts.
   std::optional<BootTime> surplus_since;
 
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -42,6 +42,7 @@
   }
   const AgentSettings& settings = board.settings;
   const BootTime age = now.boot - link.reported_at;
+  if (age < link.report_interval) return false;
   if (age >= settings.max_report_interval) return true;
   const auto links = static_cast<std::int64_t>(board.links.size());
   if (age < settings.min_report_interval * links) return false;
@@ -177,6 +178,13 @@
   const EntryLinkRow* known = board.links.Find(link);
   if (known == nullptr) return changes;
   EntryLinkRow row = *known;
+  row.report_interval = std::min(message.report_interval,
+                                 board.settings.max_requested_report_interval);
+  // A repeated hello only changes the interval.
+  if (row.entry == message.entry) {
+    changes.Add(Put<EntryLinkRow>{row});
+    return changes;
+  }
   row.entry = message.entry;
   row.report_due = true;
   changes.Add(Put<EntryLinkRow>{row});
@@ -220,8 +228,12 @@
 
 AgentChanges PingIdleEntryLinks(const AgentBoard& board, const Now& now) {
   AgentChanges changes;
+  const AgentSettings& settings = board.settings;
   for (const auto& [id, link] : board.links) {
-    if (now.boot - link.last_sent_at < board.settings.ping_interval) continue;
+    const milliseconds interval =
+        std::clamp(link.report_interval, settings.ping_interval,
+                   settings.max_ping_interval);
+    if (now.boot - link.last_sent_at < interval) continue;
     EntryLinkRow row = link;
     row.last_sent_at = now.boot;
     changes.Add(Put<EntryLinkRow>{row});
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -289,7 +289,10 @@
       std::chrono::duration_cast<milliseconds>(now.boot - run.started_at);
   if (board.links.Contains(run.link)) {
     changes.Add(SendToEntry{run.link, RunEnded{run.key, end, duration}});
-    MarkReportDue(board, run.link, &changes);
+    // An entry that has asked for fewer reports counts the end itself.
+    if (board.links.Find(run.link)->report_interval.count() == 0) {
+      MarkReportDue(board, run.link, &changes);
+    }
   }
   HealthUpdate update = UpdateHealth(board, *health, run, end, now);
   *health = update.health;
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -65,6 +65,13 @@
   // only every `max_report_interval`.
   double min_reported_share = 0.1;
   milliseconds max_report_interval{100};
+  // Upper bound of the report interval that an entry may ask for. Its view of
+  // the minion is that old, and each start that the minion has no room for
+  // costs a round trip.
+  milliseconds max_requested_report_interval{300};
+  // Interval of the pings to an entry that has asked for reports at longer
+  // intervals. One may be lost before the link counts as dead.
+  milliseconds max_ping_interval{200};
   // A run has stalled if it makes no progress for this long, or for
   // `stall_estimate_share` of its estimate if that is longer.
   milliseconds min_stall_time{300};
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -45,11 +45,19 @@
       if (reply != nullptr && IsForwardedCall(reply->call)) {
         ApplyChanges(SendForwardedReply(*board_, *reply));
       } else {
+        RecordSent(effect);
         effects_.push_back(std::move(effect));
       }
     }
   }
 
+  // A link that carries other messages needs no ping.
+  void RecordSent(const EntryEffect& effect) {
+    const auto* sent = std::get_if<SendMessage>(&effect);
+    if (sent == nullptr) return;
+    Apply(board_, RecordLinkSend(*board_, sent->link, now_));
+  }
+
   void DropCalls(const std::vector<ForwardedCall>& calls,
                  const std::string& reason) {
     for (const ForwardedCall& call : calls) {
@@ -115,6 +123,7 @@
   }
   void OnEvent(const LoopLoadMeasured& e) {
     ApplyChanges(HandleLoopLoad(*board_, e));
+    ApplyChanges(AdjustReportIntervals(*board_));
   }
   void OnEvent(const EntryStopRequested&) {
     if (board_->stopping) return;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -110,6 +110,8 @@
   Resources free;
   std::vector<UnreportedStart> unreported_starts;
   std::uint64_t starts_sent = 0;
+  // Interval of load reports that the agent has been asked for.
+  milliseconds report_interval{0};
 
   const LinkId& Key() const { return link; }
   friend bool operator==(const AgentRow&, const AgentRow&) = default;
--- a/src/core/pool/entry/entry_load.cpp
+++ b/src/core/pool/entry/entry_load.cpp
@@ -6,6 +6,9 @@
 namespace dottereltrack::pool {
 namespace {
 
+// Requested report intervals are multiples of this.
+constexpr milliseconds kReportIntervalStep{50};
+
 std::uint32_t ToPermille(double share) {
   return static_cast<std::uint32_t>(std::lround(1'000 * share));
 }
@@ -84,6 +87,45 @@
   settings->full_forward_share *= factor;
 }
 
+milliseconds WantedReportInterval(std::size_t agents, bool is_overloaded,
+                                  const EntrySettings& settings) {
+  milliseconds interval{0};
+  if (settings.cpu_cores > 0) {
+    const double reports_per_second =
+        settings.cpu_cores * settings.report_processor_share /
+        std::chrono::duration<double>(settings.report_cost).count();
+    const double interval_ms =
+        1'000 * static_cast<double>(agents) / reports_per_second;
+    // Rounded, so that an agent that comes or goes changes nothing.
+    interval = kReportIntervalStep *
+               std::lround(interval_ms / kReportIntervalStep.count());
+  }
+  if (interval < settings.min_requested_report_interval) {
+    interval = milliseconds{0};
+  }
+  if (!is_overloaded) return interval;
+  return std::max(2 * interval, settings.overload_report_interval);
+}
+
+EntryChanges AdjustReportIntervals(const EntryBoard& board) {
+  EntryChanges changes;
+  const milliseconds wanted = WantedReportInterval(
+      board.agents.size(), board.overload.is_overloaded, board.settings);
+  for (const auto& [link, agent] : board.agents) {
+    if (agent.report_interval == wanted) continue;
+    const bool is_small_change =
+        agent.report_interval.count() > 0 && wanted.count() > 0 &&
+        std::chrono::abs(agent.report_interval - wanted) <= kReportIntervalStep;
+    if (is_small_change) continue;
+    AgentRow row = agent;
+    row.report_interval = wanted;
+    changes.Add(Put<AgentRow>{std::move(row)});
+    changes.Add(
+        SendMessage{link, EntryHello{board.settings.id, {}, {}, wanted}});
+  }
+  return changes;
+}
+
 EntryChanges HandleLoopLoad(const EntryBoard& board,
                             const LoopLoadMeasured& e) {
   EntryChanges changes;
--- a/src/core/pool/entry/entry_load.h
+++ b/src/core/pool/entry/entry_load.h
@@ -30,6 +30,14 @@
 // thresholds in proportion.
 void SetOverloadShare(double share, EntrySettings* settings);
 
+// Interval between two load reports of an agent that this entry asks for; 0 if
+// the agents' own interval is short enough for its processor.
+milliseconds WantedReportInterval(std::size_t agents, bool is_overloaded,
+                                  const EntrySettings& settings);
+// Asks agents for fewer load reports if the processor is small or overloaded,
+// and for their usual ones when it is not any more.
+EntryChanges AdjustReportIntervals(const EntryBoard& board);
+
 // Number of open jobs that another entry owns.
 std::size_t CountForwardedJobs(const EntryBoard& board);
 // Number of jobs that the peers still take.
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -55,6 +55,18 @@
   return changes;
 }
 
+EntryChanges RecordLinkSend(const EntryBoard& board, LinkId link,
+                            const Now& now) {
+  EntryChanges changes;
+  const LinkRow* known = board.links.Find(link);
+  // All messages of a turn are sent together.
+  if (known == nullptr || known->last_sent_at == now.boot) return changes;
+  LinkRow row = *known;
+  row.last_sent_at = now.boot;
+  changes.Add(Put<LinkRow>{std::move(row)});
+  return changes;
+}
+
 EntryChanges HandleAgentHello(const EntryBoard& board, LinkId link,
                               const AgentHello& message, const Now&) {
   EntryChanges changes;
--- a/src/core/pool/entry/links.h
+++ b/src/core/pool/entry/links.h
@@ -29,6 +29,9 @@
 // Aborts all links after a pause of the process.
 EntryChanges AbortAllLinks(const EntryBoard& board, milliseconds pause);
 
+// Records that a message is sent over a link.
+EntryChanges RecordLinkSend(const EntryBoard& board, LinkId link,
+                            const Now& now);
 // Dials entries without a link.
 EntryChanges DialPeers(const EntryBoard& board, const Now& now);
 // Sends the configuration to entries that have not been sent this version.
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -143,6 +143,17 @@
   changes->Add(Put<TaskRow>{failed});
 }
 
+// Adds the resources of a run that has ended to the free ones of its agent,
+// unless a load report follows at once.
+void CountFreedResources(const EntryBoard& board, const TaskRow& task,
+                         EntryChanges* changes) {
+  const AgentRow* agent = board.agents.Find(task.link);
+  if (agent == nullptr || agent->report_interval.count() == 0) return;
+  AgentRow row = *agent;
+  row.free += task.needs;
+  changes->Add(Put<AgentRow>{std::move(row)});
+}
+
 void ReturnToWaiting(const TaskRow& task, EntryChanges* changes) {
   TaskRow waiting = task;
   waiting.state = TaskState::kWaiting;
@@ -179,6 +190,7 @@
   EntryChanges changes;
   const TaskRow* task = FindTaskOfRun(board, link, message.run);
   if (task == nullptr) return changes;
+  CountFreedResources(board, *task, &changes);
   if (message.end == RunEnd::kDone) {
     CompleteTask(board, *task, now, &changes);
     return changes;
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -59,6 +59,17 @@
   milliseconds warm_up_time{2'000};
 
   std::string data_centre;
+  // Processor share of this machine in cores; 0 if it is not known.
+  double cpu_cores = 0;
+  // Processor time of one load report: a wake-up, its system calls and a turn.
+  // Share of the processor that load reports may take, from which the interval
+  // follows that agents are asked for.
+  microseconds report_cost{30};
+  double report_processor_share = 0.1;
+  // Agents are asked for no interval that is shorter than their own.
+  milliseconds min_requested_report_interval{100};
+  // Smallest interval that an overloaded entry asks for.
+  milliseconds overload_report_interval{200};
   // Share of time in which the event loop is busy, from which on this entry
   // counts as overloaded, and below which it does not any more. At 0.6 an event
   // waits 1.5 times its own processing time on average, at 0.85 six times.
