--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -139,9 +139,12 @@
   AgentChanges changes;
   const RunRow* run = board.runs.Find(message.run);
   if (run == nullptr) return changes;
+  const BootTime limit =
+      message.withholds_lease
+          ? now.boot
+          : now.boot + board.settings.max_requested_stop_time;
   changes.Add(Put<RunRow>{
-      WithStopLimit(WithStopRequested(*run, RunEnd::kStopped, now),
-                    now.boot + board.settings.max_requested_stop_time)});
+      WithStopLimit(WithStopRequested(*run, RunEnd::kStopped, now), limit)});
   return changes;
 }
 
@@ -287,7 +290,10 @@
       std::chrono::duration_cast<milliseconds>(now.boot - run.started_at);
   if (board.links.Contains(run.link)) {
     changes.Add(SendToEntry{run.link, RunEnded{run.key, end, duration}});
-    MarkReportDue(board, run.link, &changes);
+    // An entry that has asked for fewer reports counts the end itself.
+    if (board.links.Find(run.link)->report_interval.count() == 0) {
+      MarkReportDue(board, run.link, &changes);
+    }
   }
   HealthUpdate update = UpdateHealth(board, *health, run, end, now);
   *health = update.health;
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -25,14 +25,19 @@
 struct SetEntryStopping {
   BootTime since{0};
 };
+struct SetOverload {
+  OverloadState state;
+};
 
 using EntryRowChange =
     std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
                  Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
                  Put<KnownEntry>, Erase<KnownEntry>, Put<MinionCrash>,
-                 Erase<MinionCrash>, SetEvacuations, Put<ConfigPeer>,
-                 Erase<ConfigPeer>, SetConfig, SetConfigFetch, SetConfigUpload,
-                 SetEntryStopping>;
+                 Erase<MinionCrash>, Put<OfferRow>, Erase<OfferRow>,
+                 Put<DemandRow>, Erase<DemandRow>, Put<ForwardedCall>,
+                 Erase<ForwardedCall>, SetOverload, SetEvacuations,
+                 Put<ConfigPeer>, Erase<ConfigPeer>, SetConfig, SetConfigFetch,
+                 SetConfigUpload, SetEntryStopping>;
 
 // Kind of the reply to a client.
 enum class ReplyKind {
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -24,7 +24,7 @@
                      EntryChanges* changes) {
   for (const TaskKey& key : board.lost_tasks) {
     const TaskRow& task = *board.tasks.Find(key);
-    if (task.minion != minion) continue;
+    if (task.minion != minion || task.minion.empty()) continue;
     TaskRow waiting = task;
     waiting.state = TaskState::kWaiting;
     changes->Add(Put<TaskRow>{waiting});
@@ -55,6 +55,18 @@
   return changes;
 }
 
+EntryChanges RecordLinkSend(const EntryBoard& board, LinkId link,
+                            const Now& now) {
+  EntryChanges changes;
+  const LinkRow* known = board.links.Find(link);
+  // All messages of a turn are sent together.
+  if (known == nullptr || known->last_sent_at == now.boot) return changes;
+  LinkRow row = *known;
+  row.last_sent_at = now.boot;
+  changes.Add(Put<LinkRow>{std::move(row)});
+  return changes;
+}
+
 EntryChanges HandleAgentHello(const EntryBoard& board, LinkId link,
                               const AgentHello& message, const Now&) {
   EntryChanges changes;
@@ -99,6 +111,7 @@
   EntryChanges changes;
   changes.Add(Erase<LinkRow>{link});
   changes.Add(Erase<ConfigPeer>{link});
+  changes.Add(Erase<DemandRow>{link});
   const AgentRow* agent = board.agents.Find(link);
   if (agent != nullptr) {
     Decision decision = AgentDecision(*agent, "agent_lost");
--- a/tests/pool/entry_evacuation_test.cpp
+++ b/tests/pool/entry_evacuation_test.cpp
@@ -155,7 +155,7 @@
   auto effects = entry.Step({PeerDialed{peer, kPeer}});
   const int position = PositionOf<EvacuationList>(effects, kPeer);
   CHECK(position > PositionOf<EntryHello>(effects, kPeer));
-  CHECK(position < PositionOf<ConfigOffer>(effects, kPeer));
+  CHECK(position < PositionOf<ConfigAnnouncement>(effects, kPeer));
   CHECK(SelectMessages<EvacuationList>(entry.Step({NotEvacuated(20)})).size() ==
         2);
   CHECK(SelectMessages<EvacuationList>(entry.AdvanceTime(seconds{1})).empty());
