Show by mutations that the tests of evacuations are strict, and soak one

Cause: a decision without a test that fails without it may be lost unnoticed; one such was found, the refusal of a submission, which the refusal of waiting jobs hid. Change: twelve mutations, and a check that a refused job leaves no row. The soak evacuates both data centres in turn, with a generator of its own, and checks that none is started in the one that stays evacuated after the faults have ended.

--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -8,6 +8,7 @@
 
 ENTRY = "src/core/entry/"
 AGENT = "src/core/agent/"
+POOL = "src/core/pool/"
 POOL_ENTRY = "src/core/pool/entry/"
 POOL_AGENT = "src/core/pool/agent/"
 
@@ -131,6 +132,37 @@
         ("if (start.is_suspect && HasSuspect(board)) {", "if (false) {")]),
     ("pool_crash_reports", POOL_AGENT + "crashes.cpp", [
         ("hello.crashes = {MakeCrashReport(crash, now)};", "")]),
+    ("pool_evacuation_revisions", POOL + "evacuation.cpp", [
+        ("return std::tuple(a.revision, a.is_active) > "
+         "std::tuple(b.revision, b.is_active);", "return a != b;")]),
+    ("pool_evacuations_absent_from_a_list", POOL + "evacuation.cpp", [
+        ("is_covered ? registers.read_at : 0", "0")]),
+    ("pool_evacuation_of_other_settings", POOL + "evacuation.cpp", [
+        ("!Covers(view.data_centres, data_centre) ||", "")]),
+    ("pool_answers_to_old_evacuations", POOL_ENTRY + "evacuation.cpp", [
+        ("if (update.is_sender_outdated) row.known_evacuation_changes = 0;", "")]),
+    ("pool_placement_in_evacuations", POOL_ENTRY + "evacuation.cpp", [
+        ("agent.load.accepting && "
+         "!IsEvacuated(board.evacuations, agent.hello->data_centre);",
+         "agent.load.accepting;")]),
+    ("pool_true_refusals_in_evacuations", POOL_ENTRY + "evacuation.cpp", [
+        ("if (job.may_have_started || !services.contains(job.service)) continue;",
+         "if (!services.contains(job.service)) continue;")]),
+    ("pool_admission_after_evacuations", POOL_ENTRY + "evacuation.cpp", [
+        ("return ShareOf(agent.hello->capacity, share);",
+         "return agent.hello->capacity;")]),
+    ("pool_refusal_in_evacuations", POOL_ENTRY + "submission.cpp", [
+        ("if (HasOnlyEvacuatedMinions(board, queue->service, now)) {",
+         "if (false) {")]),
+    ("pool_evacuations_of_new_links", POOL_ENTRY + "advance.cpp", [
+        ("ApplyChanges(SendEvacuations(*board_));", "")]),
+    ("pool_starts_in_evacuations", POOL_AGENT + "capacity.cpp", [
+        ("if (IsEvacuated(board)) return false;", "")]),
+    ("pool_relay_of_evacuations", POOL_AGENT + "evacuation.cpp", [
+        ("if (link.known_evacuation_changes >= current) continue;", "continue;")]),
+    ("pool_room_after_evacuations", POOL_AGENT + "capacity.cpp", [
+        ("if (share <= 0 || share >= 1) return FreeResources(board);",
+         "return FreeResources(board);")]),
     ("stale_pending_table", ENTRY + "table_store.cpp", [
         ("changes.Add(DropPendingTable{});", "")]),
 ]
--- a/tests/pool/entry_evacuation_test.cpp
+++ b/tests/pool/entry_evacuation_test.cpp
@@ -111,6 +111,8 @@
   replies = SelectEffects<Reply>(entry.Submit(kJob + 2, 1));
   REQUIRE(replies.size() == (row.is_refused ? 1 : 0));
   if (row.is_refused) CHECK(replies[0].kind == ReplyKind::kNoMinions);
+  // It is refused before it is accepted, and leaves nothing.
+  CHECK(entry.board.jobs.Contains(kJob + 2) == !row.is_refused);
 }
 
 TEST_CASE("Admission counts only the capacity that is usable",
--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -27,6 +27,10 @@
 # Half of the minions' capacity.
 JOBS_PER_S = 25
 RECOVERY_S = 3.0
+# An evacuation is in force 5 s after its write, and 6 s later while faults go on.
+EVACUATION_BOUND_S = 11.0
+# No run may start in the evacuated data centre for this long after the recovery.
+EVACUATION_CHECK_S = 1.0
 LOAD_AFTER_RECOVERY_S = 2.0
 DEFAULT_SECONDS = 15.0
 
@@ -218,6 +222,24 @@
     proxy.reset_connections()
 
 
+async def evacuate_meanwhile(cell, seed, seconds):
+    """Evacuates a data centre early in the run, once the store accepts writes, and
+    another one for a while. Returns the one that stays evacuated."""
+    # A generator of its own keeps the faults that the soak's seeds draw.
+    generator = random.Random(f"evacuation {seed}")
+    zones = ["z0", "z1"]
+    generator.shuffle(zones)
+    for n, zone in enumerate(zones):
+        await asyncio.sleep(generator.uniform(0.1, seconds / 6))
+        while cell.store.mode != "up":
+            await asyncio.sleep(0.05)
+        cell.evacuate(zone, EVACUATION_BOUND_S)
+        if n == 0:
+            await asyncio.sleep(generator.uniform(0.1, seconds / 6))
+            cell.end_evacuation(zone)
+    return zones[1]
+
+
 def find_problems(cell, load_generator, recovered_at):
     problems = list(cell.run_checker.violations) + cell.find_undocumented_events()
     for daemon in cell.entries + cell.agents:
@@ -244,7 +266,13 @@
         load_generator = LoadGenerator(cell, seed, jobs_per_s=JOBS_PER_S)
         begin = time.monotonic()
         load_task = asyncio.create_task(load_generator.run(10 * seconds + 60))
-        await fault_injector.run(seconds)
+        zone, _ = await asyncio.gather(
+            evacuate_meanwhile(cell, seed, seconds), fault_injector.run(seconds)
+        )
+        await asyncio.sleep(RECOVERY_S)
+        cell.run_checker.evacuated_from[zone] = time.monotonic()
+        await asyncio.sleep(EVACUATION_CHECK_S)
+        cell.end_evacuation(zone)
         await asyncio.sleep(RECOVERY_S)
         recovered_at = time.monotonic() - begin
         await asyncio.sleep(LOAD_AFTER_RECOVERY_S)
