Keep a copy of the configuration at the agents

If all entries lost their memory while the store was unavailable, they refused all jobs until it returned. Agents now keep the newest text of an entry whose link has at least 100 Mbit/s: they request it 5 to 10 s after a version was announced and at most every 30 to 60 s, keep one text of up to 1 MB and do not read it. Entries announce to agents every 5 s at most, and version 0 at once; an agent with a newer version than announced answers with its own, and the entry requests the text like that of another entry.

The scenario 'entries restarted without the store' passes: three entries that are killed while the store is down get the configuration back from the agents within 2 s.

--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -41,13 +41,22 @@
            }},
           {"dottereltrack_agent_entries", "Entries with a link",
            [&board] { return static_cast<double>(board.links.size()); }},
+          {"dottereltrack_agent_config_version",
+           "Version of the configuration that is kept for entries",
+           [&board] { return static_cast<double>(board.kept_config.version); }},
+          {"dottereltrack_agent_config_bytes",
+           "Size of the configuration that is kept for entries",
+           [&board] {
+             return static_cast<double>(board.kept_config.text->size());
+           }},
           {"dottereltrack_agent_failure_share",
            "Share of failed runs, exponential average",
            [&board] { return board.health.failure_share; }}};
 }
 
-AgentBoard MakeBoard() {
+AgentBoard MakeBoard(const users_platform::NodeSettings& node_settings) {
   AgentBoard board;
+  board.settings.config_transfer.link_mbps = node_settings.link_mbps;
   board.settings.id = RandomId();
   board.fencing_token = WallNow().count();
   return board;
@@ -60,7 +69,7 @@
     : loop_(loop),
       node_settings_(file.settings),
       log_(log),
-      board_(MakeBoard()),
+      board_(MakeBoard(node_settings_)),
       links_(loop, InternalLinkLimits(),
              {[this](LinkId link, const std::string& frame) {
                 OnFrame(link, frame);
--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/pool/agent/config_copies.h"
 #include "core/pool/agent/crashes.h"
 #include "core/pool/agent/instances.h"
 #include "core/pool/agent/links.h"
@@ -82,6 +83,7 @@
     ApplyChanges(CloseSurplusLinks(*board_, now_));
     ApplyChanges(StopStalledRuns(*board_, now_));
     ApplyChanges(ForgetOldCrashes(*board_, now_));
+    ApplyChanges(RequestConfigCopy(*board_, now_));
     ApplyChanges(PingIdleEntryLinks(*board_, now_));
     ExitWhenIdle();
   }
@@ -116,16 +118,22 @@
     ApplyChanges(
         AddEntries(*board_, message.entries, EntrySource::kHint, now_));
   }
+  void OnMessage(LinkId link, const ConfigAnnouncement& message) {
+    ApplyChanges(HandleConfigAnnouncement(*board_, link, message));
+  }
+  void OnMessage(LinkId link, const ConfigRequest&) {
+    ApplyChanges(HandleConfigRequest(*board_, link));
+  }
+  void OnMessage(LinkId link, const ConfigOffer& message) {
+    ApplyChanges(HandleConfigOffer(*board_, link, message, now_));
+  }
   void OnMessage(LinkId, const Ping&) {}
   // Sent to entries only.
-  void OnMessage(LinkId, const ConfigOffer&) {}
   void OnMessage(LinkId, const AgentHello&) {}
   void OnMessage(LinkId, const LoadReport&) {}
   void OnMessage(LinkId, const StartRefused&) {}
   void OnMessage(LinkId, const RunEnded&) {}
   void OnMessage(LinkId, const EvacuationList&) {}
-  void OnMessage(LinkId, const ConfigAnnouncement&) {}
-  void OnMessage(LinkId, const ConfigRequest&) {}
   void OnMessage(LinkId, const EntryLoad&) {}
   void OnMessage(LinkId, const ForwardJob&) {}
   void OnMessage(LinkId, const ForwardedJobEnded&) {}
--- a/src/core/pool/agent/apply.cpp
+++ b/src/core/pool/agent/apply.cpp
@@ -26,6 +26,15 @@
   void operator()(const Erase<KnownEntry>& it) const {
     board->entries.Erase(it.key);
   }
+  void operator()(const Put<ConfigSource>& it) const {
+    board->config_sources.Put(it.row);
+  }
+  void operator()(const Erase<ConfigSource>& it) const {
+    board->config_sources.Erase(it.key);
+  }
+  void operator()(const SetKeptConfig& it) const {
+    board->kept_config = it.kept;
+  }
   void operator()(const SetMinion& it) const {
     board->minion = it.minion;
     board->minion_has_left = it.has_left;
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -7,6 +7,7 @@
 
 #include "core/cell.h"
 #include "core/ids.h"
+#include "core/pool/agent/kept_config.h"
 #include "core/pool/agent/settings.h"
 #include "core/pool/known_entries.h"
 #include "core/pool/messages.h"
@@ -174,6 +175,8 @@
   Table<MinionCrash> crashes;
   Table<EntryLinkRow> links;
   Table<KnownEntry> entries;
+  Table<ConfigSource> config_sources;
+  KeptConfig kept_config;
   bool stopping = false;
   BootTime stopping_since{0};
 };
--- a/src/core/pool/agent/changes.h
+++ b/src/core/pool/agent/changes.h
@@ -29,6 +29,9 @@
 struct SetFencingToken {
   std::uint64_t token = 0;
 };
+struct SetKeptConfig {
+  KeptConfig kept;
+};
 struct SetAgentStopping {
   BootTime since{0};
 };
@@ -36,7 +39,8 @@
 using AgentRowChange =
     std::variant<Put<RunRow>, Erase<RunRow>, Put<MinionCrash>,
                  Erase<MinionCrash>, Put<EntryLinkRow>, Erase<EntryLinkRow>,
-                 Put<KnownEntry>, Erase<KnownEntry>, SetMinion, SetSuccessor,
+                 Put<KnownEntry>, Erase<KnownEntry>, Put<ConfigSource>,
+                 Erase<ConfigSource>, SetKeptConfig, SetMinion, SetSuccessor,
                  SetClock, SetPollState, SetHealth, SetFencingToken,
                  SetAgentStopping>;
 
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -155,6 +155,7 @@
   const EntryLinkRow* known = board.links.Find(link);
   if (known == nullptr) return changes;
   changes.Add(Erase<EntryLinkRow>{link});
+  changes.Add(Erase<ConfigSource>{link});
   if (const KnownEntry* entry = board.entries.Find(known->address)) {
     changes.Add(Put<KnownEntry>{
         WithLinkClosed(*entry, board.settings.dial_retry_delay, now)});
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/cell.h"
+#include "core/pool/config_transfer.h"
 #include "core/time.h"
 
 namespace dottereltrack::pool {
@@ -79,6 +80,7 @@
   // The process exits at the latest this long after a stop request, before the
   // platform's grace period of 6 s expires.
   milliseconds max_shutdown_time{5'500};
+  ConfigTransferSettings config_transfer{};
   friend bool operator==(const AgentSettings&, const AgentSettings&) = default;
 };
 
--- a/src/core/pool/config_transfer.h
+++ b/src/core/pool/config_transfer.h
@@ -33,8 +33,19 @@
   // A text that was received is read in 20 ms by the slowest machine; one that
   // has not been read after this time was replaced by another one.
   milliseconds max_read_time{500};
-  // Links of at least this rate are preferred, and only these provide agents.
+  // Links of at least this rate are preferred, and only entries with such a
+  // link provide agents.
   double fast_link_mbps = 100;
+  // An entry with a fast link tells agents of a new version at most this often.
+  milliseconds agent_announcement_interval{5'000};
+  // An agent requests a version 1 to 2 times the first delay after it was
+  // announced, and 1 to 2 times the second one after its last copy, so that
+  // texts of 220 kB that change all the time are at most 7 kB a second on its
+  // link.
+  milliseconds keep_delay{5'000};
+  milliseconds renew_interval{30'000};
+  // A larger text is not kept. The store takes up to 262,144 bytes.
+  std::uint64_t max_kept_bytes = 1U << 20;
   friend bool operator==(const ConfigTransferSettings&,
                          const ConfigTransferSettings&) = default;
 };
--- a/src/core/pool/entry/config_exchange.cpp
+++ b/src/core/pool/entry/config_exchange.cpp
@@ -29,16 +29,24 @@
           static_cast<std::uint32_t>(SettingsOf(board).link_mbps)};
 }
 
-// Whether the other end of the link has to be told the version in force: on
-// links that this entry has dialed, and on others if the other end has
-// announced an older version.
+// Whether the other end of the link has to be told the version in force:
+// entries on links that this entry has dialed; agents if they may keep a copy
+// or have to give one back; and others that have announced an older version.
 bool IsAnnouncementDue(const EntryBoard& board, const LinkRow& link,
-                       const ConfigPeer* peer) {
+                       const ConfigPeer* peer, const Now& now) {
   const std::uint64_t version = board.config.version;
   const bool is_told = peer != nullptr && peer->told_version == version;
   if (is_told) return false;
   if (link.dialed_address) return true;
-  return peer != nullptr && peer->version < version;
+  if (!board.agents.Contains(link.id)) {
+    return peer != nullptr && peer->version < version;
+  }
+  const ConfigTransferSettings& settings = SettingsOf(board);
+  if (version != 0 && settings.link_mbps < settings.fast_link_mbps) {
+    return false;
+  }
+  return peer == nullptr ||
+         now.boot - peer->told_at >= settings.agent_announcement_interval;
 }
 
 bool IsNewer(const EntryBoard& board, const ConfigPeer& peer) {
@@ -199,7 +207,8 @@
 EntryChanges AnnounceConfig(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   for (const auto& [id, link] : board.links) {
-    if (!IsAnnouncementDue(board, link, board.config_peers.Find(id))) continue;
+    if (!IsAnnouncementDue(board, link, board.config_peers.Find(id), now))
+      continue;
     ConfigPeer peer = PeerOf(board, id);
     peer.told_version = board.config.version;
     peer.told_at = now.boot;
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -247,6 +247,33 @@
             )
 
 
+def has_config_since_start(daemon):
+    events = [line["event"] for line in daemon.read_events()]
+    return "config_adopted" in events[len(events) - events[::-1].index("started"):]
+
+
+async def restart_entries_without_store(cell):
+    """All entries lose their memory while the store is unavailable, after the agents
+    have had time to copy the configuration. Guards against a pool that refuses all jobs
+    until the store returns."""
+    for daemon in cell.entries:
+        settings = json.loads(daemon.settings_path.read_text())
+        settings["limits"] = {"link_mbps": 200}
+        daemon.settings_path.write_text(json.dumps(settings))
+        await daemon.kill(0.0)
+    for daemon in cell.agents:
+        await cell.expect_event(daemon, "config_kept", 15.0, version=cell.config_version)
+    cell.store.mode = "down"
+    await asyncio.gather(*(daemon.kill(0.2) for daemon in cell.entries))
+    for _ in range(20):
+        await asyncio.sleep(0.1)
+        if all(has_config_since_start(daemon) for daemon in cell.entries):
+            break
+    else:
+        cell.run_checker.violations.append("an entry has got no configuration")
+    cell.store.mode = "up"
+
+
 async def announce_ends_that_do_not_come(cell):
     """An agent gets leaves of its minion, which goes on; another gets complete reports
     of minions that do not exist. Until their minion's next report, both may be without a
@@ -318,6 +345,7 @@
     "minion drains": (drain_minion, 1.0),
     "odd input": (write_odd_input, 0.9),
     "large configurations": (write_large_configs, 0.9),
+    "entries restarted without the store": (restart_entries_without_store, 0.8),
     "ends of minions that do not come": (announce_ends_that_do_not_come, 0.9),
     "settings reloaded": (reload_all_settings, 1.0),
     "task crashes minions": (crash_minions_by_a_task, 0.8),
