--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -7,6 +7,7 @@
 
 #include "core/cell.h"
 #include "core/ids.h"
+#include "core/pool/agent/kept_config.h"
 #include "core/pool/agent/settings.h"
 #include "core/pool/evacuation.h"
 #include "core/pool/known_entries.h"
@@ -190,6 +191,8 @@
   EvacuationRegisters evacuations;
   Table<EntryLinkRow> links;
   Table<KnownEntry> entries;
+  Table<ConfigSource> config_sources;
+  KeptConfig kept_config;
   bool stopping = false;
   BootTime stopping_since{0};
 };
--- a/src/core/pool/agent/changes.h
+++ b/src/core/pool/agent/changes.h
@@ -32,6 +32,9 @@
 struct SetAgentEvacuations {
   EvacuationRegisters evacuations;
 };
+struct SetKeptConfig {
+  KeptConfig kept;
+};
 struct SetAgentStopping {
   BootTime since{0};
 };
@@ -39,7 +42,8 @@
 using AgentRowChange =
     std::variant<Put<RunRow>, Erase<RunRow>, Put<MinionCrash>,
                  Erase<MinionCrash>, Put<EntryLinkRow>, Erase<EntryLinkRow>,
-                 Put<KnownEntry>, Erase<KnownEntry>, SetMinion, SetSuccessor,
+                 Put<KnownEntry>, Erase<KnownEntry>, Put<ConfigSource>,
+                 Erase<ConfigSource>, SetKeptConfig, SetMinion, SetSuccessor,
                  SetClock, SetPollState, SetHealth, SetFencingToken,
                  SetAgentEvacuations, SetAgentStopping>;
 
