Check callers' connections right before a job's first start

Change: HttpServer::IsConnected polls the socket once; Advance asks it for the callers of each job that would start for the first time, drops those that have gone and places again. RESTinio gives no access to sockets, so the server uses a socket type that notes its descriptor when it is moved into a connection.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -188,7 +188,9 @@
   const milliseconds pause = PauseDuration(
       std::exchange(last_iteration_at_, now.boot), now.boot, kTickInterval);
   if (pause.count() > 0) events.insert(events.begin(), EntryPaused{pause});
-  const auto effects = Advance(&board_, events, now);
+  const auto effects =
+      Advance(&board_, events, now,
+              [this](const CallId& call) { return IsCallerConnected(call); });
   for (const EntryEffect& effect : effects) {
     std::visit([this](const auto& it) { Execute(it); }, effect);
   }
@@ -290,6 +292,12 @@
   return users_platform::PendingResponse(CountPending(board_, queue->name));
 }
 
+bool PoolEntry::IsCallerConnected(const CallId& call) const {
+  const auto it = open_calls_.find(call);
+  return it != open_calls_.end() &&
+         client_server_.IsConnected(it->second.connection);
+}
+
 void PoolEntry::OnClientDisconnected(std::uint64_t connection) {
   for (auto it = open_calls_.begin(); it != open_calls_.end();) {
     if (it->second.connection != connection) {
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -50,6 +50,7 @@
   void OnFrame(LinkId link, const std::string& frame);
   void OnClientRequest(const HttpRequest& request, const HttpReplier& reply);
   void OnClientDisconnected(std::uint64_t connection);
+  bool IsCallerConnected(const CallId& call) const;
   void Submit(const users_platform::ClientCall& call,
               const HttpRequest& request, const HttpReplier& reply);
   HttpResponse ReadState(const users_platform::ClientCall& call) const;
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -15,8 +15,9 @@
 // board before the next one reads it, and collects their effects.
 class ControllerRunner {
  public:
-  ControllerRunner(EntryBoard* board, const Now& now)
-      : board_(board), now_(now) {}
+  ControllerRunner(EntryBoard* board, const Now& now,
+                   const CallerCheck& is_connected)
+      : board_(board), now_(now), is_connected_(is_connected) {}
 
   void Handle(const EntryEvent& event) {
     std::visit([this](const auto& e) { OnEvent(e); }, event);
@@ -24,7 +25,7 @@
 
   void RunControllers() {
     ApplyChanges(EndCrashingJobs(*board_, now_));
-    ApplyChanges(PlaceTasks(*board_, now_));
+    StartTasks();
     ApplyChanges(DialPeers(*board_, now_));
     ApplyChanges(OfferConfig(*board_));
   }
@@ -39,6 +40,21 @@
     }
   }
 
+  // Places tasks. A job is not started for callers that have disconnected: one
+  // that has lost its connection may submit the job to another entry at once.
+  void StartTasks() {
+    EntryChanges placement = PlaceTasks(*board_, now_);
+    auto gone = FindDisconnectedCallers(*board_, placement, is_connected_);
+    while (!gone.empty()) {
+      for (const CallId& call : gone) {
+        ApplyChanges(HandleCallerDisconnected(*board_, call, now_));
+      }
+      placement = PlaceTasks(*board_, now_);
+      gone = FindDisconnectedCallers(*board_, placement, is_connected_);
+    }
+    ApplyChanges(std::move(placement));
+  }
+
   void OnEvent(const JobSubmitted& e) {
     ApplyChanges(HandleSubmission(*board_, e, now_));
   }
@@ -168,6 +184,7 @@
 
   EntryBoard* board_;
   Now now_;
+  const CallerCheck& is_connected_;
   std::vector<EntryEffect> effects_;
 };
 
@@ -175,8 +192,9 @@
 
 std::vector<EntryEffect> Advance(EntryBoard* board,
                                  const std::vector<EntryEvent>& events,
-                                 const Now& now) {
-  ControllerRunner runner(board, now);
+                                 const Now& now,
+                                 const CallerCheck& is_connected) {
+  ControllerRunner runner(board, now, is_connected);
   for (const EntryEvent& event : events) runner.Handle(event);
   runner.RunControllers();
   return runner.TakeEffects();
--- a/src/core/pool/entry/advance.h
+++ b/src/core/pool/entry/advance.h
@@ -2,6 +2,7 @@
 
 #include "core/pool/entry/changes.h"
 #include "core/pool/entry/events.h"
+#include "core/pool/entry/first_starts.h"
 
 namespace dottereltrack::pool {
 
@@ -9,7 +10,8 @@
 // execute, in order.
 std::vector<EntryEffect> Advance(EntryBoard* board,
                                  const std::vector<EntryEvent>& events,
-                                 const Now& now);
+                                 const Now& now,
+                                 const CallerCheck& is_connected = {});
 
 // Whether the entry is ready for new clients: a configuration is known, some
 // minion accepts runs, and the process is not stopping.
--- a/src/runtime/http/http_server.cpp
+++ b/src/runtime/http/http_server.cpp
@@ -6,6 +6,8 @@
 #include <restinio/all.hpp>
 #include <utility>
 
+#include "runtime/http/connection_sockets.h"
+
 namespace dottereltrack {
 namespace {
 
@@ -17,17 +19,22 @@
 // write.
 constexpr std::size_t kMaxPipelinedRequests = 4;
 
-// Calls `on_closed` with the id of each closed connection.
-struct CloseListener {
+// Tracks the sockets of open connections, and calls `on_closed` with the id of
+// each closed connection.
+struct ConnectionListener {
   std::function<void(std::uint64_t)> on_closed;
+  std::shared_ptr<ConnectionSockets> sockets;
 
   void state_changed(
       const restinio::connection_state::notice_t& notice) noexcept {
-    if (!on_closed) return;
     const auto cause = notice.cause();
-    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
+    if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
             cause)) {
-      on_closed(notice.connection_id());
+      sockets->AddLastMoved(notice.connection_id());
+    } else if (restinio::holds_alternative<
+                   restinio::connection_state::closed_t>(cause)) {
+      sockets->Remove(notice.connection_id());
+      if (on_closed) on_closed(notice.connection_id());
     }
   }
 };
@@ -36,7 +43,9 @@
   // RESTinio requires this name.
   // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool use_connection_count_limiter = true;
-  using connection_state_listener_t = CloseListener;
+  using connection_state_listener_t = ConnectionListener;
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  using stream_socket_t = TrackedSocket;
   using request_handler_t = std::function<restinio::request_handling_status_t(
       restinio::request_handle_t)>;
 };
@@ -168,6 +177,10 @@
     if (server_) server_->close_sync();
   }
 
+  bool IsConnected(std::uint64_t connection) const {
+    return sockets_->IsOpen(connection);
+  }
+
   void NotifyWhenAllSent(std::function<void()> done) {
     pending_responses_->on_all_sent = std::move(done);
     NotifyIfAllSent(*pending_responses_);
@@ -194,8 +207,8 @@
         .acceptor_post_bind_hook([port](asio::ip::tcp::acceptor& acceptor) {
           *port = acceptor.local_endpoint().port();
         })
-        .connection_state_listener(std::make_shared<CloseListener>(
-            CloseListener{handlers_.on_disconnect}))
+        .connection_state_listener(std::make_shared<ConnectionListener>(
+            ConnectionListener{handlers_.on_disconnect, sockets_}))
         .request_handler([this](const restinio::request_handle_t& request) {
           return HandleRequest(request);
         });
@@ -233,6 +246,8 @@
   HttpHandlers handlers_;
   std::shared_ptr<PendingResponses> pending_responses_ =
       std::make_shared<PendingResponses>();
+  std::shared_ptr<ConnectionSockets> sockets_ =
+      std::make_shared<ConnectionSockets>();
   std::unique_ptr<restinio::http_server_t<Traits>> server_;
 };
 
@@ -248,6 +263,10 @@
 
 void HttpServer::StopListening() { impl_->StopListening(); }
 
+bool HttpServer::IsConnected(std::uint64_t connection) const {
+  return impl_->IsConnected(connection);
+}
+
 void HttpServer::NotifyWhenAllSent(std::function<void()> done) {
   impl_->NotifyWhenAllSent(std::move(done));
 }
--- a/src/runtime/http/http_server.h
+++ b/src/runtime/http/http_server.h
@@ -88,6 +88,10 @@
   std::optional<std::uint16_t> Listen(const Endpoint& address);
   // Stops accepting connections; open connections continue.
   void StopListening();
+  // Whether a connection is open as far as the kernel knows: no reset and no
+  // end of the client's stream has arrived. `on_disconnect` reports either only
+  // once all data before it have been read. Costs one system call.
+  bool IsConnected(std::uint64_t connection) const;
   // Calls `done` once, when every pending response has been sent or its
   // connection has been closed.
   void NotifyWhenAllSent(std::function<void()> done);
--- a/tests/runtime/http_server_test.cpp
+++ b/tests/runtime/http_server_test.cpp
@@ -127,6 +127,50 @@
   it.repliers[0]({});
 }
 
+// Guards against work for a caller whose connection has ended before its
+// request is read: the request is handed on, and the end is reported only by a
+// later read. Connections that the client has half closed are closed by the
+// server.
+TEST_CASE("a connection that has ended is known when its request is read",
+          "[http][twice]") {
+  struct Row {
+    const char* name;
+    void (*end)(tcp::socket* socket);
+    bool is_connected;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"open", [](tcp::socket*) {}, true},
+      {"more data",
+       [](tcp::socket* it) { asio::write(*it, asio::buffer("P", 1)); }, true},
+      {"reset",
+       [](tcp::socket* it) {
+         it->set_option(asio::socket_base::linger(true, 0));
+         it->close();
+       },
+       false},
+      {"closed", [](tcp::socket* it) { it->close(); }, false},
+      {"half closed",
+       [](tcp::socket* it) { it->shutdown(tcp::socket::shutdown_send); },
+       false},
+  }));
+  CAPTURE(row.name);
+  Fixture it;
+  tcp::socket socket = it.Connect();
+  // The server accepts the connection.
+  while (it.loop.poll() > 0) continue;
+  asio::write(
+      socket,
+      asio::buffer(std::string("GET /v1/jobs HTTP/1.1\r\nHost: a\r\n\r\n")));
+  row.end(&socket);
+  REQUIRE(it.RunUntil([&] { return it.requests.size() == 1; }));
+  // The server has not noticed the end of the connection yet.
+  REQUIRE(it.disconnected.empty());
+  CHECK(it.server.IsConnected(it.requests[0].connection) == row.is_connected);
+  if (row.is_connected) return;
+  CHECK(it.RunUntil([&] { return it.disconnected.size() == 1; }));
+  CHECK_FALSE(it.server.IsConnected(it.requests[0].connection));
+}
+
 // Guards against a process that exits before its last response has been sent,
 // and against one that waits for a response to a disconnected caller.
 TEST_CASE("the server reports when all responses are sent", "[http]") {
