Remember crashes of minions by number instead of for a minute

Change: crashes have no age limit; a process keeps at most 512, and forgets those of tasks with few crashes first, then the oldest.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -60,7 +60,7 @@
       {"dottereltrack_entry_lost_tasks", "Tasks whose lost run may still live",
        [&board] { return static_cast<double>(board.lost_tasks.size()); }},
       {"dottereltrack_entry_recent_crashes",
-       "Crashes of minions in the last minute",
+       "Crashes of minions that are remembered",
        [&board] { return static_cast<double>(board.crashes.size()); }},
       {"dottereltrack_entry_agents", "Agents with a link",
        [&board] { return static_cast<double>(board.agents.size()); }},
--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -81,7 +81,7 @@
     ApplyChanges(AbortSilentEntryLinks(*board_, now_));
     ApplyChanges(CloseSurplusLinks(*board_, now_));
     ApplyChanges(StopStalledRuns(*board_, now_));
-    ApplyChanges(ForgetOldCrashes(*board_, now_));
+    ApplyChanges(ForgetExcessCrashes(*board_));
     ApplyChanges(PingIdleEntryLinks(*board_, now_));
     ExitWhenIdle();
   }
--- a/src/core/pool/agent/crashes.cpp
+++ b/src/core/pool/agent/crashes.cpp
@@ -76,10 +76,10 @@
   return changes;
 }
 
-AgentChanges ForgetOldCrashes(const AgentBoard& board, const Now& now) {
+AgentChanges ForgetExcessCrashes(const AgentBoard& board) {
   AgentChanges changes;
   for (const MinionInstance& minion :
-       FindOldCrashes(board.crashes, board.settings.crash_retention, now)) {
+       FindExcessCrashes(board.crashes, board.settings.max_crashes)) {
     changes.Add(Erase<MinionCrash>{minion});
   }
   return changes;
--- a/src/core/pool/agent/crashes.h
+++ b/src/core/pool/agent/crashes.h
@@ -18,6 +18,6 @@
 AgentChanges RecordCrash(const AgentBoard& board, CrashEvidence evidence,
                          const Now& now);
 
-AgentChanges ForgetOldCrashes(const AgentBoard& board, const Now& now);
+AgentChanges ForgetExcessCrashes(const AgentBoard& board);
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/cell.h"
+#include "core/pool/minion_crash.h"
 #include "core/time.h"
 
 namespace dottereltrack::pool {
@@ -75,7 +76,7 @@
   milliseconds first_suspension_duration{500};
   milliseconds max_suspension_duration{4'000};
   // As in EntrySettings.
-  milliseconds crash_retention{60'000};
+  std::size_t max_crashes = kMaxCrashes;
   // The process exits at the latest this long after a stop request, before the
   // platform's grace period of 6 s expires.
   milliseconds max_shutdown_time{5'500};
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -101,7 +101,7 @@
   void OnEvent(const EntryTick&) {
     ApplyChanges(AbortSilentLinks(*board_, now_));
     ApplyChanges(CheckTimeLimits(*board_, now_));
-    ApplyChanges(ForgetOldCrashes(*board_, now_));
+    ApplyChanges(ForgetExcessCrashes(*board_));
     ApplyChanges(PingIdleLinks(*board_, now_));
     ExitWhenIdle();
   }
--- a/src/core/pool/entry/crashes.cpp
+++ b/src/core/pool/entry/crashes.cpp
@@ -19,6 +19,16 @@
   }
 }
 
+// Whether a report is older than all crashes of a full table. Such reports
+// would circulate among entries that have forgotten different crashes.
+bool WouldBeForgotten(const EntryBoard& board, const MinionCrash& crash) {
+  const auto& crashes = board.crashes;
+  return crashes.size() >= board.settings.max_crashes &&
+         std::all_of(crashes.begin(), crashes.end(), [&](const auto& it) {
+           return crash.crashed_at < it.second.crashed_at;
+         });
+}
+
 }  // namespace
 
 CrashCount CountCrashes(const EntryBoard& board, const TaskKey& task) {
@@ -44,10 +54,10 @@
   EntryChanges changes;
   std::vector<CrashReport> news;
   for (const CrashReport& report : reports) {
-    if (report.age >= board.settings.crash_retention) continue;
     const MinionCrash* known = board.crashes.Find(report.minion);
     const MinionCrash crash = MergeCrashReport(known, report, now);
     if (known != nullptr && *known == crash) continue;
+    if (known == nullptr && WouldBeForgotten(board, crash)) continue;
     news.push_back(report);
     changes.Add(Decision{
         Severity::kStateChange,
@@ -94,10 +104,10 @@
   return changes;
 }
 
-EntryChanges ForgetOldCrashes(const EntryBoard& board, const Now& now) {
+EntryChanges ForgetExcessCrashes(const EntryBoard& board) {
   EntryChanges changes;
   for (const MinionInstance& minion :
-       FindOldCrashes(board.crashes, board.settings.crash_retention, now)) {
+       FindExcessCrashes(board.crashes, board.settings.max_crashes)) {
     changes.Add(Erase<MinionCrash>{minion});
   }
   return changes;
--- a/src/core/pool/entry/crashes.h
+++ b/src/core/pool/entry/crashes.h
@@ -30,6 +30,6 @@
 // outcome if some are only possible.
 EntryChanges EndCrashingJobs(const EntryBoard& board, const Now& now);
 
-EntryChanges ForgetOldCrashes(const EntryBoard& board, const Now& now);
+EntryChanges ForgetExcessCrashes(const EntryBoard& board);
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/cell.h"
+#include "core/pool/minion_crash.h"
 #include "core/time.h"
 
 namespace dottereltrack::pool {
@@ -46,8 +47,8 @@
   // A job is given up, without an outcome, when one of its tasks has this many
   // crashes, certain or possible. The platform allows five.
   int max_possible_crashes_of_a_task = 4;
-  // Crashes are kept this long. A client submits a job again within seconds.
-  milliseconds crash_retention{60'000};
+  // Number of crashes that are remembered; see kMaxCrashes.
+  std::size_t max_crashes = kMaxCrashes;
   // Delay between two attempts to connect to an entry.
   milliseconds dial_retry_delay{50};
   // As in AgentSettings.
--- a/src/core/pool/minion_crash.h
+++ b/src/core/pool/minion_crash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -57,9 +58,16 @@
 MinionCrash MergeCrashReport(const MinionCrash* known,
                              const CrashReport& report, const Now& now);
 
-// Returns the crashes that are older than the retention period.
-std::vector<MinionInstance> FindOldCrashes(const Table<MinionCrash>& crashes,
-                                           milliseconds retention,
-                                           const Now& now);
+// Number of crashes that a process remembers. A task that crashes its minions
+// is not started after its fourth crash, so these are at least 128 such tasks.
+// An entry needs up to 3 KB for a crash of a minion with 36 runs.
+inline constexpr std::size_t kMaxCrashes = 512;
+
+// Returns the crashes to forget so that at most `max_crashes` are left. Time
+// does not matter, since a client may submit its job again for as long as it
+// likes. Crashes of tasks with few crashes go first, then the oldest, so that
+// bystanders are forgotten before tasks that crash minion after minion.
+std::vector<MinionInstance> FindExcessCrashes(const Table<MinionCrash>& crashes,
+                                              std::size_t max_crashes);
 
 }  // namespace dottereltrack::pool
