Take the effects of a change set only by applying it

Change: the changes and effects are appended together; ChangeSet is a class whose effects only ApplyTo hands out, and the four Apply functions return them. No other place in both designs took one part alone.

--- a/src/core/agent/advance.cpp
+++ b/src/core/agent/advance.cpp
@@ -22,8 +22,7 @@
       : board_(board), seeds_(seeds), now_(now) {}
 
   void ApplyAndCollect(AgentChanges changes) {
-    Apply(board_, changes);
-    for (AgentEffect& effect : changes.effects) {
+    for (AgentEffect& effect : Apply(board_, std::move(changes))) {
       effects_.push_back(std::move(effect));
     }
   }
--- a/src/core/agent/apply.cpp
+++ b/src/core/agent/apply.cpp
@@ -88,10 +88,10 @@
 
 }  // namespace
 
-void Apply(AgentBoard* board, const AgentChanges& changes) {
-  for (const AgentBoardChange& change : changes.board_changes) {
+std::vector<AgentEffect> Apply(AgentBoard* board, AgentChanges changes) {
+  return std::move(changes).ApplyTo([&](const AgentBoardChange& change) {
     std::visit(Applier{board}, change);
-  }
+  });
 }
 
 }  // namespace dottereltrack
--- a/src/core/agent/changes.h
+++ b/src/core/agent/changes.h
@@ -72,7 +72,8 @@
 // The board changes and effects that a controller of the agent requests.
 using AgentChanges = ChangeSet<AgentBoardChange, AgentEffect>;
 
-// Applies the board changes in order and updates the indexes.
-void Apply(AgentBoard* board, const AgentChanges& changes);
+// Applies the board changes in order and updates the indexes. Returns the
+// effects, which the caller executes.
+std::vector<AgentEffect> Apply(AgentBoard* board, AgentChanges changes);
 
 }  // namespace dottereltrack
--- a/src/core/entry/advance.cpp
+++ b/src/core/entry/advance.cpp
@@ -35,8 +35,7 @@
       : board_(board), now_(now) {}
 
   void Run(EntryChanges changes) {
-    Apply(board_, changes);
-    for (EntryEffect& effect : changes.effects) {
+    for (EntryEffect& effect : Apply(board_, std::move(changes))) {
       effects_.push_back(std::move(effect));
     }
   }
@@ -287,7 +286,7 @@
 
   void Resolve(const SubmissionId& id) {
     EntryChanges changes = ResolveSubmission(*board_, id, now_);
-    while (!changes.board_changes.empty()) {
+    while (!changes.board_changes().empty()) {
       Run(std::move(changes));
       changes = ResolveSubmission(*board_, id, now_);
     }
@@ -299,7 +298,7 @@
   // same call of Advance.
   void ResumeSubmission(const SubmissionId& id) {
     EntryChanges changes = ResumeAfterWitnesses(*board_, id, now_);
-    while (!changes.board_changes.empty()) {
+    while (!changes.board_changes().empty()) {
       Run(std::move(changes));
       changes = ResumeAfterWitnesses(*board_, id, now_);
     }
--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -340,10 +340,10 @@
 
 }  // namespace
 
-void Apply(EntryBoard* board, const EntryChanges& changes) {
-  for (const EntryRowChange& change : changes.board_changes) {
+std::vector<EntryEffect> Apply(EntryBoard* board, EntryChanges changes) {
+  return std::move(changes).ApplyTo([&](const EntryRowChange& change) {
     std::visit(Applier{board}, change);
-  }
+  });
 }
 
 }  // namespace dottereltrack
--- a/src/core/entry/changes.h
+++ b/src/core/entry/changes.h
@@ -101,8 +101,8 @@
 // The board changes and effects that a controller returns.
 using EntryChanges = ChangeSet<EntryRowChange, EntryEffect>;
 
-// Applies the row changes in order and updates the indexes. Carrying out the
-// effects is up to the caller.
-void Apply(EntryBoard* board, const EntryChanges& changes);
+// Applies the row changes in order and updates the indexes. Returns the
+// effects, which the caller executes.
+std::vector<EntryEffect> Apply(EntryBoard* board, EntryChanges changes);
 
 }  // namespace dottereltrack
--- a/src/core/entry/takeover.cpp
+++ b/src/core/entry/takeover.cpp
@@ -238,7 +238,7 @@
     const Fence fence{authority.generation, authority.next_session++};
     changes.Append(FenceAgent(agent, fence, now));
   }
-  if (!changes.board_changes.empty()) changes.Add(SetAuthority{authority});
+  if (!changes.board_changes().empty()) changes.Add(SetAuthority{authority});
   return changes;
 }
 
@@ -355,7 +355,7 @@
   // The changes to queued and running tasks are applied first, so that a failed
   // task of the job also ends the queued ones.
   const bool must_apply_first =
-      !changes.board_changes.empty() && !decisions.empty();
+      !changes.board_changes().empty() && !decisions.empty();
   if (must_apply_first) return changes;
   changes.Append(FinishTasks(board, decisions));
   if (job->state == JobState::kWitnessing) {
--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -36,8 +36,7 @@
 
  private:
   void ApplyChanges(AgentChanges changes) {
-    Apply(board_, changes);
-    for (AgentEffect& effect : changes.effects) {
+    for (AgentEffect& effect : Apply(board_, std::move(changes))) {
       effects_.push_back(std::move(effect));
     }
   }
--- a/src/core/pool/agent/apply.cpp
+++ b/src/core/pool/agent/apply.cpp
@@ -47,10 +47,10 @@
 
 }  // namespace
 
-void Apply(AgentBoard* board, const AgentChanges& changes) {
-  for (const AgentRowChange& change : changes.board_changes) {
+std::vector<AgentEffect> Apply(AgentBoard* board, AgentChanges changes) {
+  return std::move(changes).ApplyTo([&](const AgentRowChange& change) {
     std::visit(Applier{board}, change);
-  }
+  });
 }
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/agent/changes.h
+++ b/src/core/pool/agent/changes.h
@@ -87,7 +87,8 @@
 // Row changes and effects that a controller of the agent requests.
 using AgentChanges = ChangeSet<AgentRowChange, AgentEffect>;
 
-// Applies the row changes in order.
-void Apply(AgentBoard* board, const AgentChanges& changes);
+// Applies the row changes in order and returns the effects, which the caller
+// executes.
+std::vector<AgentEffect> Apply(AgentBoard* board, AgentChanges changes);
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -34,8 +34,7 @@
 
  private:
   void ApplyChanges(EntryChanges changes) {
-    Apply(board_, changes);
-    for (EntryEffect& effect : changes.effects) {
+    for (EntryEffect& effect : Apply(board_, std::move(changes))) {
       effects_.push_back(std::move(effect));
     }
   }
@@ -170,13 +169,10 @@
     EntryChanges changes;
     for (const std::uint64_t id : board_->active_jobs) {
       const JobRow& job = *board_->jobs.Find(id);
-      EntryChanges given_up = AbandonJob(
+      changes.Append(AbandonJob(
           *board_, job,
           job.may_have_started ? ReplyKind::kGivenUp : ReplyKind::kStopping,
-          "this process ends", now_);
-      for (auto& effect : given_up.effects) {
-        changes.effects.push_back(std::move(effect));
-      }
+          "this process ends", now_));
     }
     changes.Add(ExitEntry{});
     ApplyChanges(std::move(changes));
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -66,7 +66,8 @@
 // Row changes and effects that a controller of the entry requests.
 using EntryChanges = ChangeSet<EntryRowChange, EntryEffect>;
 
-// Applies the row changes in order.
-void Apply(EntryBoard* board, const EntryChanges& changes);
+// Applies the row changes in order and returns the effects, which the caller
+// executes.
+std::vector<EntryEffect> Apply(EntryBoard* board, EntryChanges changes);
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/first_starts.cpp
+++ b/src/core/pool/entry/first_starts.cpp
@@ -7,7 +7,7 @@
                                             const CallerCheck& is_connected) {
   std::vector<CallId> disconnected;
   if (!is_connected) return disconnected;
-  for (const EntryRowChange& change : placement.board_changes) {
+  for (const EntryRowChange& change : placement.board_changes()) {
     const auto* put = std::get_if<Put<JobRow>>(&change);
     if (put == nullptr || !put->row.may_have_started) continue;
     const JobRow* job = board.jobs.Find(put->row.id);
