Remember how jobs have ended for a minute

A job whose only run was done after its caller had left had no open task, and got 429 'was not run' at its next deadline. Change: PastJob keeps the end of each job for 60 s, at most 16,384 of them. A copy gets the answer of a completed, failed or cancelled job; a job that may have begun is answered 504 where it would be refused as not run; an abandoned job whose last task is done is completed. Memory is computed, not measured: 150 bytes a row, 0.8 MB at 93 jobs a second.

--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -5,6 +5,7 @@
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
+#include "core/pool/entry/past_jobs.h"
 #include "core/pool/entry/placement.h"
 #include "core/pool/entry/submission.h"
 
@@ -100,6 +101,7 @@
   void OnEvent(const EntryTick&) {
     ApplyChanges(AbortSilentLinks(*board_, now_));
     ApplyChanges(CheckTimeLimits(*board_, now_));
+    ApplyChanges(ForgetPastJobs(*board_, now_));
     ApplyChanges(ForgetExcessCrashes(*board_));
     ApplyChanges(PingIdleLinks(*board_, now_));
     ExitWhenIdle();
@@ -169,10 +171,9 @@
     EntryChanges changes;
     for (const std::uint64_t id : board_->active_jobs) {
       const JobRow& job = *board_->jobs.Find(id);
-      changes.Append(AbandonJob(
-          *board_, job,
-          job.may_have_started ? ReplyKind::kGivenUp : ReplyKind::kStopping,
-          "this process ends", now_));
+      changes.Append(AbandonJob(*board_, job,
+                                RefusalOf(job, ReplyKind::kStopping),
+                                "this process ends", now_));
     }
     changes.Add(ExitEntry{});
     ApplyChanges(std::move(changes));
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -41,6 +41,11 @@
   if (crash != nullptr) AddToCrashCounts(board, crash->suspects, -1);
 }
 
+void RemoveFromPastJobIndex(EntryBoard* board, std::uint64_t id) {
+  const PastJob* past = board->past_jobs.Find(id);
+  if (past != nullptr) board->past_jobs_by_age.erase({past->ended_at, id});
+}
+
 struct Applier {
   EntryBoard* board;
 
@@ -86,6 +91,15 @@
     RemoveFromCrashCounts(board, it.key);
     board->crashes.Erase(it.key);
   }
+  void operator()(const Put<PastJob>& it) const {
+    RemoveFromPastJobIndex(board, it.row.id);
+    board->past_jobs_by_age.emplace(it.row.ended_at, it.row.id);
+    board->past_jobs.Put(it.row);
+  }
+  void operator()(const Erase<PastJob>& it) const {
+    RemoveFromPastJobIndex(board, it.key);
+    board->past_jobs.Erase(it.key);
+  }
   void operator()(const SetConfig& it) const {
     board->config = it.config;
     board->config_text = it.text;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -11,6 +11,7 @@
 #include "core/cell.h"
 #include "core/ids.h"
 #include "core/pool/config.h"
+#include "core/pool/entry/past_job.h"
 #include "core/pool/entry/settings.h"
 #include "core/pool/known_entries.h"
 #include "core/pool/messages.h"
@@ -45,6 +46,8 @@
   std::uint32_t open_tasks = 0;
   // A start has been sent to an agent, so the job may have begun.
   bool may_have_started = false;
+  // An earlier submission of the job may have begun.
+  bool may_have_run_before = false;
   BootTime ended_at{0};
 
   std::uint64_t Key() const { return id; }
@@ -140,9 +143,12 @@
   Table<KnownEntry> peers;
   // Recent crashes of minions, also those with runs of other entries.
   Table<MinionCrash> crashes;
+  // Ends of jobs of the last minute.
+  Table<PastJob> past_jobs;
   // Indexes that `Apply` derives from the tables.
   std::set<std::uint64_t> active_jobs;
   std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
+  std::set<std::pair<BootTime, std::uint64_t>> past_jobs_by_age;
   std::set<TaskKey> waiting_tasks;
   std::set<TaskKey> lost_tasks;
   std::map<TaskKey, CrashCount> crash_counts;
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -21,7 +21,8 @@
     std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
                  Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
                  Put<KnownEntry>, Erase<KnownEntry>, Put<MinionCrash>,
-                 Erase<MinionCrash>, SetConfig, SetEntryStopping>;
+                 Erase<MinionCrash>, Put<PastJob>, Erase<PastJob>, SetConfig,
+                 SetEntryStopping>;
 
 // Kind of the reply to a client.
 enum class ReplyKind {
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -1,9 +1,11 @@
 #include "core/pool/entry/outcomes.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "core/pool/entry/crashes.h"
+#include "core/pool/entry/past_jobs.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -53,6 +55,22 @@
   }
 }
 
+// Returns what is remembered of a job that ends with this reply.
+std::optional<JobEnd> EndOf(const JobRow& job, ReplyKind kind) {
+  switch (kind) {
+    case ReplyKind::kCompleted:
+      return JobEnd::kCompleted;
+    case ReplyKind::kFailed:
+      return JobEnd::kFailed;
+    case ReplyKind::kCancelled:
+      return JobEnd::kCancelled;
+    default:
+      break;
+  }
+  if (!job.may_have_started && !job.may_have_run_before) return std::nullopt;
+  return JobEnd::kGivenUp;
+}
+
 void EndJob(const EntryBoard& board, JobRow job, JobState state, ReplyKind kind,
             const Now& now, EntryChanges* changes) {
   ReplyToWaiters(job, kind, changes);
@@ -61,6 +79,8 @@
   job.state = state;
   job.ended_at = now.boot;
   changes->Add(Put<JobRow>{job});
+  const auto end = EndOf(job, kind);
+  if (end) changes->Add(Put<PastJob>{{job.id, *end, now.boot}});
 }
 
 // Returns the task whose current run a message of an agent refers to; null if
@@ -105,6 +125,11 @@
   JobRow job = *found;
   --job.open_tasks;
   if (job.state != JobState::kActive || job.open_tasks > 0) {
+    // The last run of an abandoned job may be done before its stop arrives.
+    if (job.open_tasks == 0 && MayHaveRunBefore(board, job.id)) {
+      job.state = JobState::kCompleted;
+      changes->Add(Put<PastJob>{{job.id, JobEnd::kCompleted, now.boot}});
+    }
     changes->Add(Put<JobRow>{job});
     return;
   }
@@ -241,6 +266,11 @@
   return changes;
 }
 
+ReplyKind RefusalOf(const JobRow& job, ReplyKind refusal) {
+  const bool may_have_run = job.may_have_started || job.may_have_run_before;
+  return may_have_run ? ReplyKind::kGivenUp : refusal;
+}
+
 EntryChanges HandleCallerDisconnected(const EntryBoard& board, CallId call,
                                       const Now& now) {
   for (const std::uint64_t id : board.active_jobs) {
@@ -279,9 +309,9 @@
   for (const std::uint64_t id : board.active_jobs) {
     const JobRow& job = *board.jobs.Find(id);
     if (now.boot >= job.deadline_at) {
-      const ReplyKind reply =
-          job.may_have_started ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;
-      changes.Append(AbandonJob(board, job, reply, "deadline reached", now));
+      changes.Append(AbandonJob(board, job,
+                                RefusalOf(job, ReplyKind::kOverloaded),
+                                "deadline reached", now));
       continue;
     }
     const auto goal = job.goal_at - job.arrived_at;
@@ -291,7 +321,8 @@
     if (is_warmed_up && !job.may_have_started &&
         now.boot - job.arrived_at >= refusal_delay &&
         !HasAcceptingAgent(board, job.service)) {
-      changes.Append(AbandonJob(board, job, ReplyKind::kNoMinions,
+      changes.Append(AbandonJob(board, job,
+                                RefusalOf(job, ReplyKind::kNoMinions),
                                 "no minion takes runs", now));
     }
   }
--- a/src/core/pool/entry/outcomes.h
+++ b/src/core/pool/entry/outcomes.h
@@ -22,6 +22,10 @@
 EntryChanges FailJob(const EntryBoard& board, const JobRow& job,
                      const std::string& reason, const Now& now);
 
+// Returns the reply to a job that can't be served: `refusal` if it is true that
+// the job was not run, else kGivenUp.
+ReplyKind RefusalOf(const JobRow& job, ReplyKind refusal);
+
 // Handle a caller that closed its connection or cancels its job.
 EntryChanges HandleCallerDisconnected(const EntryBoard& board, CallId call,
                                       const Now& now);
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -41,6 +41,11 @@
   milliseconds max_shutdown_time{5'600};
   // Outcomes of ended jobs are kept this long for repeated submissions.
   milliseconds outcome_retention{10'000};
+  // Ends of jobs are kept this long for copies of a submission that arrive
+  // seconds later. A row takes about 150 bytes: 0.8 MB for the 93 jobs per
+  // second of an entry, and at most 2.5 MB for `max_past_jobs`.
+  milliseconds past_job_retention{60'000};
+  std::size_t max_past_jobs = 16'384;
   // A job fails when this many minions have certainly crashed with a run of one
   // of its tasks. A single crash may have another cause.
   int max_crashes_of_a_task = 2;
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 
 #include "core/pool/entry/crashes.h"
-#include "core/pool/entry/outcomes.h"
+#include "core/pool/entry/past_jobs.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -14,9 +14,14 @@
 constexpr milliseconds kOverloadRetryAfter{2'000};
 constexpr milliseconds kRetryAfter{1'000};
 
-EntryChanges RefuseJob(const JobSubmitted& e, ReplyKind kind,
-                       milliseconds retry_after, Decision reason) {
+EntryChanges RefuseJob(const EntryBoard& board, const JobSubmitted& e,
+                       ReplyKind kind, milliseconds retry_after,
+                       Decision reason) {
   EntryChanges changes;
+  if (MayHaveRunBefore(board, e.job.id)) {
+    kind = ReplyKind::kGivenUp;
+    retry_after = milliseconds{0};
+  }
   changes.Add(Reply{e.call, kind, retry_after});
   reason.severity = Severity::kFailure;
   reason.event = "job_refused";
@@ -91,6 +96,7 @@
                        const QueueConfig& queue, const Now& now) {
   EntryChanges changes;
   JobRow job = MakeJobRow(e, queue, now);
+  job.may_have_run_before = MayHaveRunBefore(board, e.job.id);
   for (std::uint32_t step = 0; step < e.job.steps.size(); ++step) {
     for (std::uint32_t n = 0; n < e.job.steps[step].count; ++n) {
       const TaskKey key{job.id, step, n};
@@ -131,6 +137,19 @@
   return changes;
 }
 
+// Handles the submission of a job that has ended and must not run again.
+EntryChanges ReplyToPastJob(const JobSubmitted& e, ReplyKind reply) {
+  EntryChanges changes;
+  changes.Add(Reply{e.call, reply});
+  changes.Add(Decision{Severity::kFailure,
+                       "job_repeated",
+                       e.job.id,
+                       {{"reason", "the job has ended or was cancelled"},
+                        {"request", e.request_id}},
+                       {}});
+  return changes;
+}
+
 }  // namespace
 
 milliseconds EstimateBacklogDelay(const EntryBoard& board,
@@ -165,35 +184,37 @@
 
 EntryChanges HandleSubmission(const EntryBoard& board, const JobSubmitted& e,
                               const Now& now) {
+  const JobRow* known = board.jobs.Find(e.job.id);
+  if (known != nullptr && known->state != JobState::kAbandoned) {
+    return HandleRepeatedSubmission(*known, e, now);
+  }
+  const auto past_reply = FindReplyToPastJob(board, e.job.id);
+  if (past_reply) return ReplyToPastJob(e, *past_reply);
   if (board.config.version == 0) {
-    return RefuseJob(e, ReplyKind::kNoConfig, kRetryAfter,
+    return RefuseJob(board, e, ReplyKind::kNoConfig, kRetryAfter,
                      {.texts = {{"reason", "no configuration has been read"}}});
   }
   const QueueConfig* queue = FindQueue(board.config, e.host, e.path);
   const auto version = static_cast<std::int64_t>(board.config.version);
   if (queue == nullptr) {
-    return RefuseJob(e, ReplyKind::kNoQueue, milliseconds{0},
+    return RefuseJob(board, e, ReplyKind::kNoQueue, milliseconds{0},
                      {.texts = {{"reason", "no queue for this host and path"}},
                       .numbers = {{"config_version", version}}});
   }
   if (!e.job.unsupported.empty()) {
-    return RefuseJob(e, ReplyKind::kUnsupported, milliseconds{0},
+    return RefuseJob(board, e, ReplyKind::kUnsupported, milliseconds{0},
                      {.texts = {{"reason", e.job.unsupported}}});
   }
-  const JobRow* known = board.jobs.Find(e.job.id);
-  if (known != nullptr && known->state != JobState::kAbandoned) {
-    return HandleRepeatedSubmission(*known, e, now);
-  }
   if (IsCrashingJob(board, e.job.id)) return FailAtOnce(e, *queue);
   if (board.stopping && !CanEndBeforeExit(board, e.job, now)) {
-    return RefuseJob(e, ReplyKind::kStopping, kRetryAfter,
+    return RefuseJob(board, e, ReplyKind::kStopping, kRetryAfter,
                      {.texts = {{"reason", "this process is stopping"}}});
   }
   const milliseconds backlog = EstimateBacklogDelay(board, queue->service);
   const bool is_warmed_up =
       now.boot >= board.started_at + board.settings.warm_up_time;
   if (is_warmed_up && backlog + LongestEstimate(e.job) > e.client_timeout) {
-    return RefuseJob(e, ReplyKind::kOverloaded, kOverloadRetryAfter,
+    return RefuseJob(board, e, ReplyKind::kOverloaded, kOverloadRetryAfter,
                      {.texts = {{"reason", "the backlog exceeds the deadline"}},
                       .numbers = {{"backlog_ms", backlog.count()},
                                   {"patience_ms", e.client_timeout.count()}}});
