Ask the other entries before a cancel of an unknown job is answered

Change: CancelJob goes to all linked entries; the client gets 200 if one owned the job, 410 if all answer that they don't, and 503 with Retry-After if one can't be asked or 600 ms have passed. Entries remember a cancel for 60 s and don't run the job if it arrives later; new links get the cancels of the last 10 s. CancelJob has the field is_final, so that the runs of a caller that has only disconnected can be ended without it.

--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/pool/entry/cancels.h"
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
@@ -69,6 +70,7 @@
   }
   void OnEvent(const LinkClosed& e) {
     ApplyChanges(HandleLinkClosed(*board_, e.link, now_));
+    ApplyChanges(EndCancelsOfLink(*board_, e.link));
   }
   void OnEvent(const MessageReceived& e) {
     ApplyChanges(RecordLinkActivity(*board_, e.link, now_));
@@ -77,6 +79,7 @@
   }
   void OnEvent(const PeerDialed& e) {
     ApplyChanges(HandlePeerDialed(*board_, e, now_));
+    if (e.link) ApplyChanges(TellRecentCancels(*board_, *e.link, now_));
   }
   void OnEvent(const ConfigRead& e) {
     if (e.config.version <= board_->config.version) return;
@@ -101,6 +104,7 @@
   void OnEvent(const EntryTick&) {
     ApplyChanges(AbortSilentLinks(*board_, now_));
     ApplyChanges(CheckTimeLimits(*board_, now_));
+    ApplyChanges(EndOverdueCancels(*board_, now_));
     ApplyChanges(ForgetPastJobs(*board_, now_));
     ApplyChanges(ForgetExcessCrashes(*board_));
     ApplyChanges(PingIdleLinks(*board_, now_));
@@ -151,8 +155,12 @@
   void OnMessage(LinkId, const EntryLoad&) {}
   void OnMessage(LinkId, const ForwardJob&) {}
   void OnMessage(LinkId, const ForwardedJobEnded&) {}
-  void OnMessage(LinkId, const CancelJob&) {}
-  void OnMessage(LinkId, const JobCancelled&) {}
+  void OnMessage(LinkId link, const CancelJob& message) {
+    ApplyChanges(HandleCancelJob(*board_, link, message, now_));
+  }
+  void OnMessage(LinkId link, const JobCancelled& message) {
+    ApplyChanges(HandleJobCancelled(*board_, link, message));
+  }
   // Sent to agents only.
   void OnMessage(LinkId, const StartRun&) {}
   void OnMessage(LinkId, const StopRun&) {}
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -100,6 +100,12 @@
     RemoveFromPastJobIndex(board, it.key);
     board->past_jobs.Erase(it.key);
   }
+  void operator()(const Put<PendingCancel>& it) const {
+    board->pending_cancels.Put(it.row);
+  }
+  void operator()(const Erase<PendingCancel>& it) const {
+    board->pending_cancels.Erase(it.key);
+  }
   void operator()(const SetConfig& it) const {
     board->config = it.config;
     board->config_text = it.text;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -12,6 +12,7 @@
 #include "core/ids.h"
 #include "core/pool/config.h"
 #include "core/pool/entry/past_job.h"
+#include "core/pool/entry/pending_cancel.h"
 #include "core/pool/entry/settings.h"
 #include "core/pool/known_entries.h"
 #include "core/pool/messages.h"
@@ -143,8 +144,9 @@
   Table<KnownEntry> peers;
   // Recent crashes of minions, also those with runs of other entries.
   Table<MinionCrash> crashes;
-  // Ends of jobs of the last minute.
+  // Ends of jobs and cancels of the last minute.
   Table<PastJob> past_jobs;
+  Table<PendingCancel> pending_cancels;
   // Indexes that `Apply` derives from the tables.
   std::set<std::uint64_t> active_jobs;
   std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -21,7 +21,8 @@
     std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
                  Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
                  Put<KnownEntry>, Erase<KnownEntry>, Put<MinionCrash>,
-                 Erase<MinionCrash>, Put<PastJob>, Erase<PastJob>, SetConfig,
+                 Erase<MinionCrash>, Put<PastJob>, Erase<PastJob>,
+                 Put<PendingCancel>, Erase<PendingCancel>, SetConfig,
                  SetEntryStopping>;
 
 // Kind of the reply to a client.
@@ -39,6 +40,8 @@
   // The job may have begun and was given up; its runs are stopped.
   kGivenUp,
   kUnknownJob,
+  // Not all entries that may own the job could be asked to cancel it.
+  kCancelUndecided,
 };
 
 struct Reply {
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -291,19 +291,6 @@
   return {};
 }
 
-EntryChanges HandleCancel(const EntryBoard& board, const JobCancelRequested& e,
-                          const Now& now) {
-  const JobRow* job = board.jobs.Find(e.job);
-  EntryChanges changes;
-  if (job == nullptr || job->state != JobState::kActive) {
-    changes.Add(Reply{e.call, ReplyKind::kUnknownJob});
-    return changes;
-  }
-  changes = AbandonJob(board, *job, ReplyKind::kCancelled, "cancelled", now);
-  changes.Add(Reply{e.call, ReplyKind::kCancelled});
-  return changes;
-}
-
 EntryChanges CheckTimeLimits(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   for (const std::uint64_t id : board.active_jobs) {
--- a/src/core/pool/entry/outcomes.h
+++ b/src/core/pool/entry/outcomes.h
@@ -26,11 +26,9 @@
 // the job was not run, else kGivenUp.
 ReplyKind RefusalOf(const JobRow& job, ReplyKind refusal);
 
-// Handle a caller that closed its connection or cancels its job.
+// Handles a caller that closed its connection.
 EntryChanges HandleCallerDisconnected(const EntryBoard& board, CallId call,
                                       const Now& now);
-EntryChanges HandleCancel(const EntryBoard& board, const JobCancelRequested& e,
-                          const Now& now);
 
 // Abandons jobs past their deadline and jobs for which no minion accepts runs,
 // returns tasks to the waiting state once their lost runs have certainly ended,
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -46,6 +46,9 @@
   // second of an entry, and at most 2.5 MB for `max_past_jobs`.
   milliseconds past_job_retention{60'000};
   std::size_t max_past_jobs = 16'384;
+  // A cancel waits this long for the answers of other entries, longer than
+  // `link_timeout`. The callers' bound for an acknowledgement is 6 s.
+  milliseconds cancel_timeout{600};
   // A job fails when this many minions have certainly crashed with a run of one
   // of its tasks. A single crash may have another cause.
   int max_crashes_of_a_task = 2;
--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -204,6 +204,10 @@
   // Chosen by the sender; the answer repeats it.
   std::uint64_t request = 0;
   std::uint64_t job = 0;
+  // A client has cancelled the job, so it must not run if it arrives later. If
+  // false, only its current runs are to end, such as those of a caller that has
+  // disconnected and may submit the job again.
+  bool is_final = false;
   friend bool operator==(const CancelJob&, const CancelJob&) = default;
 };
 
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -298,8 +298,9 @@
 }
 
 Body Write(Builder* builder, const CancelJob& it) {
-  return {wire::Body::CancelJob,
-          wire::CreateCancelJob(*builder, it.request, it.job).Union()};
+  return {
+      wire::Body::CancelJob,
+      wire::CreateCancelJob(*builder, it.request, it.job, it.is_final).Union()};
 }
 
 Body Write(Builder* builder, const JobCancelled& it) {
@@ -411,7 +412,7 @@
 }
 
 Message Read(const wire::CancelJob& it) {
-  return CancelJob{it.request(), it.job()};
+  return CancelJob{it.request(), it.job(), it.is_final()};
 }
 
 Message Read(const wire::JobCancelled& it) {
--- a/tests/pool/codec_test.cpp
+++ b/tests/pool/codec_test.cpp
@@ -77,7 +77,7 @@
       return ForwardedJobEnded{3, ForwardedOutcome::kRefused,
                                milliseconds{1'500}};
     case 16:
-      return CancelJob{4, 3};
+      return CancelJob{4, 3, true};
     default:
       return JobCancelled{4, 3, true};
   }
--- a/tests/users_platform/job_test.cpp
+++ b/tests/users_platform/job_test.cpp
@@ -145,6 +145,7 @@
                             {ReplyKind::kStopping, 503, true},
                             {ReplyKind::kOverloaded, 429, true},
                             {ReplyKind::kUnsupported, 503, false},
+                            {ReplyKind::kCancelUndecided, 503, true},
                             {ReplyKind::kGivenUp, 504, false},
                             {ReplyKind::kUnknownJob, 410, false}}));
   CAPTURE(static_cast<int>(row.kind));
