Test evacuations through failures of processes, links and the store

Cause: the tables of single decisions do not show that a pool stays consistent when a process, a link or the store fails between the write and its end.

--- a/tests/support/fake_minion.cpp
+++ b/tests/support/fake_minion.cpp
@@ -48,6 +48,7 @@
 
 void RunLedger::Begin(const RunKey& run, const std::string& minion) {
   ++starts;
+  ++starts_by_minion[minion];
   ++begun_jobs_[run.task.job];
   const auto it = live.find(run.task);
   if (it != live.end()) {
@@ -100,6 +101,7 @@
   report.started_ms = started_wall_ms_;
   report.address = options_.address;
   report.service = options_.service;
+  report.data_centre = options_.data_centre;
   report.capacity = options_.capacity;
   report.draining = draining_;
   report.sequence = ++sequence_;
--- a/tests/support/fake_minion.h
+++ b/tests/support/fake_minion.h
@@ -23,6 +23,7 @@
   std::map<pool::TaskKey, LiveRun> live;
   // Number of minions that each task has crashed.
   std::map<pool::TaskKey, int> crashes;
+  std::map<std::string, int> starts_by_minion;
   std::uint64_t starts = 0;
   std::vector<std::string> violations;
 
@@ -40,6 +41,7 @@
   std::string name;
   Endpoint address;
   std::string service;
+  std::string data_centre;
   pool::Resources capacity;
   // Ratio of the actual run time to the time in the payload.
   double time_ratio = 1.0;
--- a/tests/support/test_pool.cpp
+++ b/tests/support/test_pool.cpp
@@ -68,6 +68,7 @@
     minion.service = options_.queue.service;
     minion.capacity = options_.capacity;
     minion.time_ratio = ValueAtOrLast(options_.time_ratios, n);
+    minion.data_centre = ValueAtOrLast(options_.data_centres, n);
     minion.clock_rate = ValueAtOrLast(options_.clock_rates, n);
     minion.seed = random_();
     minions_.push_back(std::make_unique<FakeMinion>(&clock_, &ledger_, minion));
@@ -128,9 +129,10 @@
 void TestPool::ReadStore(int process, std::uint64_t incarnation) {
   Process& it = processes_[process];
   if (it.incarnation != incarnation) return;
-  if (!store_down_) {
+  if (!store_down_ && store_cuts_.count(process) == 0) {
     clock_.ScheduleAfter(kStoreDelay, [this, process, incarnation,
-                                       config = config_] {
+                                       config = config_,
+                                       evacuations = evacuations_] {
       Process& reader = processes_[process];
       if (reader.incarnation != incarnation ||
           reader.state == ProcessState::kEnded)
@@ -145,6 +147,9 @@
         Post(process, AgentEvent{EntriesRegistered{entries}});
       } else {
         Post(process, EntryEvent{EntriesListed{entries}});
+        if (evacuations) {
+          Post(process, EntryEvent{EvacuationsRead{*evacuations}});
+        }
         Post(process, EntryEvent{ConfigRead{config, std::string("config")}});
       }
     });
@@ -156,6 +161,23 @@
 
 void TestPool::SetConfig(const PoolConfig& config) { config_ = config; }
 
+void TestPool::SetStoreCut(int entry, bool is_cut) {
+  if (is_cut) {
+    store_cuts_.insert(entry);
+  } else {
+    store_cuts_.erase(entry);
+  }
+}
+
+void TestPool::SetEvacuations(const std::vector<std::string>& data_centres) {
+  EvacuationView view;
+  view.as_of = evacuations_ ? evacuations_->as_of + 1 : 1;
+  for (const std::string& name : data_centres) {
+    view.active.push_back({name, view.as_of, true});
+  }
+  evacuations_ = view;
+}
+
 void TestPool::ReportMinion(int agent, std::uint64_t incarnation) {
   const int process = AgentProcess(agent);
   if (processes_[process].incarnation != incarnation) return;
--- a/tests/support/test_pool.h
+++ b/tests/support/test_pool.h
@@ -27,6 +27,8 @@
   // Rate of the clock of each minion; the last value applies to all further
   // minions.
   std::vector<double> clock_rates{1.0};
+  // Data centre of each minion; the last value applies to all further minions.
+  std::vector<std::string> data_centres{""};
   // One-way delay between two processes; entries are numbered before agents.
   std::function<BootTime(int process, int other)> delay;
   pool::QueueConfig queue = DefaultQueue();
@@ -101,7 +103,11 @@
   // Resets all connections between two processes.
   void ResetLinks(int process, int other);
   void SetStoreDown(bool down) { store_down_ = down; }
+  // Cuts one entry off from the store.
+  void SetStoreCut(int entry, bool is_cut);
   void SetConfig(const pool::PoolConfig& config);
+  // Writes the keys of these evacuations to the store, in place of all others.
+  void SetEvacuations(const std::vector<std::string>& data_centres);
   FakeMinion& minion(int agent) { return *minions_[agent]; }
 
   const pool::EntryBoard& entry(int n) const { return processes_[n].entry; }
@@ -198,6 +204,9 @@
   std::map<CallId, CallState> calls_;
   pool::PoolConfig config_;
   bool store_down_ = false;
+  std::set<int> store_cuts_;
+  // Unset until the first evacuation.
+  std::optional<pool::EvacuationView> evacuations_;
   std::uint64_t next_id_ = 1;
   PoolMessageCounts message_counts_;
   int config_regressions_ = 0;
