Pass on the revision of an evacuation that was written again

Cause: a key that is removed and written again between two reads changed no state, so its revision was not passed on; a process with the old revision would have taken the end in between as newer, from one that had missed the second write. Change: a higher revision of an active row counts as a change, and a sender with an older one does not count as informed.

--- a/src/core/pool/evacuation.cpp
+++ b/src/core/pool/evacuation.cpp
@@ -56,19 +56,23 @@
   EvacuationRow row{state, {}};
   if (known != nullptr && !state.is_active) row.ended_at = known->ended_at;
   if (was_active && !state.is_active) row.ended_at = now.boot;
-  // A higher revision of the same state changes no decision.
-  if (known == nullptr || was_active != state.is_active) ++registers.changes;
+  // A key that was written again is passed on, since a process that missed it
+  // would take the end before it as newer. A higher revision of an end is not:
+  // each entry reads its own, and old news only delay starts until corrected.
+  if (known == nullptr || was_active || state.is_active) ++registers.changes;
   if (was_active != state.is_active) update->switched.push_back(state);
   registers.rows.Put(std::move(row));
 }
 
-// Whether the rows have the same states as `registers`.
+// Whether the rows have the states of `registers`, and active ones are as new.
 bool HasSameStates(const EvacuationRegisters& registers,
                    const std::vector<Evacuation>& received) {
   return std::all_of(
       registers.rows.begin(), registers.rows.end(), [&](const auto& it) {
         const Evacuation* row = FindIn(received, it.first);
-        return row != nullptr && row->is_active == it.second.state.is_active;
+        const Evacuation& own = it.second.state;
+        return row != nullptr && row->is_active == own.is_active &&
+               (!own.is_active || row->revision >= own.revision);
       });
 }
 
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -139,6 +139,11 @@
         ("is_covered ? registers.read_at : 0", "0")]),
     ("pool_evacuation_of_other_settings", POOL + "evacuation.cpp", [
         ("!Covers(view.data_centres, data_centre) ||", "")]),
+    ("pool_evacuation_keys_written_again", POOL + "evacuation.cpp", [
+        ("if (known == nullptr || was_active || state.is_active) "
+         "++registers.changes;",
+         "if (known == nullptr || was_active != state.is_active) "
+         "++registers.changes;")]),
     ("pool_answers_to_old_evacuations", POOL_ENTRY + "evacuation.cpp", [
         ("if (update.is_sender_outdated) row.known_evacuation_changes = 0;", "")]),
     ("pool_placement_in_evacuations", POOL_ENTRY + "evacuation.cpp", [
--- a/tests/pool/entry_evacuation_test.cpp
+++ b/tests/pool/entry_evacuation_test.cpp
@@ -152,6 +152,10 @@
   entry.AddAgent(1, "m1", ResourcesFor(4));
   CHECK(SelectMessages<EvacuationList>(entry.Step({Evacuated(10)})).size() ==
         1);
+  CHECK(SelectMessages<EvacuationList>(entry.Step({Evacuated(10)})).empty());
+  // The key was removed and written again.
+  CHECK(SelectMessages<EvacuationList>(entry.Step({Evacuated(15)})).size() ==
+        1);
   const Endpoint peer{"10.0.0.2", 7000};
   entry.Step({EntrySeedsRead{{peer}}});
   auto effects = entry.Step({PeerDialed{peer, kPeer}});
--- a/tests/pool/evacuation_test.cpp
+++ b/tests/pool/evacuation_test.cpp
@@ -120,6 +120,28 @@
   } while (std::next_permutation(order.begin(), order.end()));
 }
 
+TEST_CASE("A list tells whether its sender knows all", "[pool][evacuation]") {
+  // Guards against a process that is not told, and against lists that are sent
+  // back to where they are from.
+  struct Case {
+    const char* name;
+    std::vector<Evacuation> received;
+    bool is_complete;
+  };
+  const auto row = GENERATE(
+      values<Case>({{"same", {Row(10, true), {"south", 5, false}}, true},
+                    {"newer", {Row(12, true), {"south", 5, false}}, true},
+                    {"older key", {Row(9, true), {"south", 5, false}}, false},
+                    {"older end", {Row(10, true), {"south", 4, false}}, true},
+                    {"one is missing", {Row(10, true)}, false},
+                    {"nothing", {}, false}}));
+  CAPTURE(row.name);
+  const auto known =
+      MergeEvacuations({}, {Row(10, true), {"south", 5, false}}, kNow);
+  const auto update = MergeEvacuations(known.registers, row.received, kNow);
+  CHECK(update.is_sender_complete == row.is_complete);
+}
+
 TEST_CASE("After an evacuation the capacity returns step by step",
           "[pool][evacuation]") {
   // Guards against a burst of starts on cold minions, and against capacity that
