Keep a link alive while a large frame arrives

A text of 262,144 bytes takes 110 ms of a link of 19 Mbit/s, 257 ms beside the store's answer, and the messages behind it wait; with a processor share of 0.09 the receiver could find the link silent for the timeout of 500 ms. The hub now reports parts of a frame, and the entry counts them as activity, at most once per ping interval and link, so that single packets do not cause turns. Agents do not use it: their rule that 500 ms without a message stop the runs holds.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -99,7 +99,8 @@
              {[this](LinkId link, const std::string& frame) {
                 OnFrame(link, frame);
               },
-              [this](LinkId link) { Post(LinkClosed{link}); }}),
+              [this](LinkId link) { Post(LinkClosed{link}); },
+              [this](LinkId link) { OnPartialFrame(link); }}),
       client_server_(
           loop, ClientServerLimits(node_settings_),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
@@ -245,6 +246,14 @@
   Post(MessageReceived{link, std::move(message.value())});
 }
 
+void PoolEntry::OnPartialFrame(LinkId link) {
+  // Each packet of a large frame arrives by itself on a slow link.
+  const LinkRow* row = board_.links.Find(link);
+  const auto interval = board_.settings.ping_interval;
+  if (row != nullptr && BootNow() - row->last_received_at < interval) return;
+  Post(LinkOpened{link});
+}
+
 void PoolEntry::OnConfigText(Bytes text, std::optional<LinkId> link) {
   // The store's watch lists the text again after a failure.
   if (text == board_.config_text) return;
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -49,6 +49,8 @@
   Now ReadClocks() const;
 
   void OnFrame(LinkId link, const std::string& frame);
+  // Keeps a link alive while a large frame arrives.
+  void OnPartialFrame(LinkId link);
   void OnClientRequest(const HttpRequest& request, const HttpReplier& reply);
   void OnClientDisconnected(std::uint64_t connection);
   void Submit(const users_platform::ClientCall& call,
--- a/src/core/pool/entry/events.h
+++ b/src/core/pool/entry/events.h
@@ -28,6 +28,7 @@
   CallId call;
   std::uint64_t job = 0;
 };
+// A link was opened, or has received a part of a message.
 struct LinkOpened {
   LinkId link;
 };
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -83,11 +83,16 @@
 }
 
 void Link::DeliverFrames() {
+  bool has_frame = false;
   while (state_ == State::kOpen) {
     auto frame = receive_buffer_.TakeFrame();
     if (!frame) break;
+    has_frame = true;
     handlers_.on_frame(*std::move(frame));
   }
+  if (!has_frame && state_ == State::kOpen && handlers_.on_partial_frame) {
+    handlers_.on_partial_frame();
+  }
   if (state_ == State::kOpen && receive_buffer_.is_next_frame_too_large()) {
     return CloseSocket();
   }
--- a/src/runtime/link.h
+++ b/src/runtime/link.h
@@ -20,6 +20,8 @@
  public:
   struct Handlers {
     std::function<void(std::string frame)> on_frame;
+    // Part of a frame has been received. May be empty.
+    std::function<void()> on_partial_frame;
     // Called once, and never from within a member function of Link.
     std::function<void()> on_closed;
   };
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -140,6 +140,9 @@
     handlers.on_frame = [this, id](std::string frame) {
       handlers_.on_frame(id, std::move(frame));
     };
+    handlers.on_partial_frame = [this, id] {
+      if (handlers_.on_partial_frame) handlers_.on_partial_frame(id);
+    };
     handlers.on_closed = [self = shared_from_this(), id] {
       self->links_.erase(id);
       if (self->handlers_.on_closed) self->handlers_.on_closed(id);
--- a/src/runtime/link_hub.h
+++ b/src/runtime/link_hub.h
@@ -30,6 +30,10 @@
   std::function<void(LinkId, std::string frame)> on_frame;
   // Called once for each link, including links closed by this process.
   std::function<void(LinkId)> on_closed;
+  // Called when bytes have been received that do not complete a frame, so that
+  // a large frame on a slow link does not make the link look silent. May be
+  // empty.
+  std::function<void(LinkId)> on_partial_frame{};
 };
 
 // The TCP links of one process, which carry length-prefixed frames in both
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -115,8 +115,41 @@
     ("pool_true_refusals", POOL_ENTRY + "outcomes.cpp", [
         ("job.may_have_started ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;",
          "ReplyKind::kOverloaded;")]),
-    ("pool_monotonic_configuration", POOL_ENTRY + "advance.cpp", [
-        ("if (e.config.version <= board_->config.version) return;", "")]),
+    ("pool_monotonic_configuration", POOL_ENTRY + "config_exchange.cpp", [
+        ("if (e.config.version <= board.config.version) return changes;", "")]),
+    ("pool_wait_for_the_store", POOL_ENTRY + "config_exchange.cpp", [
+        ("waited >= RequestDelay(SettingsOf(board), provider->size_bytes)",
+         "waited >= BootTime{0}")]),
+    ("pool_next_config_provider", POOL_ENTRY + "config_exchange.cpp", [
+        ("now.boot - fetch.asked_at >= AnswerTimeout(SettingsOf(board), "
+         "peer->size_bytes, peer->link_mbps)", "false")]),
+    ("pool_unusable_config_text", POOL_ENTRY + "config_exchange.cpp", [
+        ("now.boot - fetch.reading_since >= SettingsOf(board).max_read_time",
+         "false")]),
+    ("pool_refused_config_text", POOL_ENTRY + "config_exchange.cpp", [
+        ("MarkFailed(board, e.link, \"the text cannot be read\", now, &changes);",
+         "(void)now;")]),
+    ("pool_config_provider_asked_again", POOL_ENTRY + "config_exchange.cpp", [
+        ("now.boot - *peer.failed_at >= SettingsOf(board).retry_delay",
+         "now.boot < BootTime{0}")]),
+    ("pool_fast_config_provider", POOL_ENTRY + "config_exchange.cpp", [
+        ("const bool is_slow = peer.link_mbps > 0 &&",
+         "const bool is_slow = false &&")]),
+    ("pool_one_config_transfer", POOL_ENTRY + "config_exchange.cpp", [
+        ("if (!is_given_up && upload_ends_at > now.boot) continue;", "")]),
+    ("pool_overdue_config_request", POOL_ENTRY + "config_exchange.cpp", [
+        ("if (is_given_up) continue;", "")]),
+    ("pool_config_announced_back", POOL_ENTRY + "config_exchange.cpp", [
+        ("return peer != nullptr && peer->version < version;", "return false;")]),
+    ("pool_sparing_config_announcements", POOL_ENTRY + "config_exchange.cpp", [
+        ("return peer == nullptr || now.boot - peer->told_at >= "
+         "settings.agent_announcement_interval;", "return true;")]),
+    ("pool_config_copy_interval", POOL_AGENT + "config_copies.cpp", [
+        ("if (kept.version == 0) return due_at;", "return due_at;")]),
+    ("pool_newest_config_copy", POOL_AGENT + "config_copies.cpp", [
+        ("if (message.version > kept.version &&", "if (")]),
+    ("pool_longest_prefix", "src/core/pool/config.cpp", [
+        ("path = path.substr(0, common);", "return nullptr;")]),
     ("pool_crashes_of_a_task", POOL_ENTRY + "crashes.cpp", [
         ("const bool has_failed = "
          "crashes.certain >= settings.max_crashes_of_a_task;",
--- a/tests/runtime/link_hub_test.cpp
+++ b/tests/runtime/link_hub_test.cpp
@@ -25,10 +25,12 @@
                frames[link].push_back(std::move(frame));
                if (on_frame) on_frame(link);
              },
-             [this](LinkId link) { ++closed[link]; }}) {}
+             [this](LinkId link) { ++closed[link]; },
+             [this](LinkId) { ++partial_frames; }}) {}
 
   std::map<LinkId, std::vector<std::string>> frames;
   std::map<LinkId, int> closed;
+  int partial_frames = 0;
   std::function<void(LinkId)> on_frame;
   LinkHub hub;
 };
@@ -96,6 +98,20 @@
   CHECK(server.closed.empty());
 }
 
+// Guards against a link that counts as silent while a large frame arrives.
+TEST_CASE("a part of a frame is reported", "[links]") {
+  asio::io_context loop(1);
+  RecordingHub server(loop);
+  tcp::socket socket = ConnectRawSocket(loop, *server.hub.Listen(kAnyPort));
+  const std::string bytes = WithLengthPrefix(std::string(1'000, 'x'));
+  asio::write(socket, asio::buffer(bytes.substr(0, 500)));
+  REQUIRE(RunUntil(loop, [&] { return server.partial_frames == 1; }));
+  CHECK(server.frames.empty());
+  asio::write(socket, asio::buffer(bytes.substr(500)));
+  REQUIRE(RunUntil(loop, [&] { return !server.frames.empty(); }));
+  CHECK(server.partial_frames == 1);
+}
+
 // Guards against the cost of one system call and one packet per frame.
 TEST_CASE("the frames of one event loop iteration are sent in one write",
           "[links]") {
--- a/tests/support/test_pool.cpp
+++ b/tests/support/test_pool.cpp
@@ -145,7 +145,8 @@
         Post(process, AgentEvent{EntriesRegistered{entries}});
       } else {
         Post(process, EntryEvent{EntriesListed{entries}});
-        Post(process, EntryEvent{ConfigRead{config, std::string("config")}});
+        Post(process,
+             EntryEvent{ConfigRead{config, std::to_string(config.version)}});
       }
     });
   }
--- a/tests/support/test_pool_links.cpp
+++ b/tests/support/test_pool_links.cpp
@@ -100,6 +100,11 @@
         Post(to, AgentEvent{EntryMessage{id, message}});
       } else {
         Post(to, EntryEvent{MessageReceived{id, message}});
+        // All configurations of a test have the same queues.
+        if (const auto* offer = std::get_if<ConfigOffer>(&message)) {
+          Post(to, EntryEvent{ConfigRead{{offer->version, config_.queues},
+                                         offer->text}});
+        }
       }
     } else if (has_power && link.open[side]) {
       // The other side has closed the connection, so its machine sends a reset.
