Remove each decision about configurations in a mutation

One survived at first: the test of fast links had only one candidate left; it is now a table of two.

--- a/tests/pool/entry_config_test.cpp
+++ b/tests/pool/entry_config_test.cpp
@@ -163,15 +163,26 @@
 
 TEST_CASE("The preferred provider has a fast link", "[pool][entry][config]") {
   // Guards against transfers over the slow link of a small machine.
+  struct Row {
+    const char* name;
+    std::uint64_t version;
+    std::uint32_t link_mbps;
+    std::uint64_t other_version;
+    std::uint32_t other_link_mbps;
+    std::uint64_t asked;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"fast", 7, 19, 7, 200, 4},
+      {"fast, of a lower version", 7, 19, 6, 200, 4},
+      {"of a higher version", 6, 200, 7, 200, 4},
+      {"only a slow one is newer", 7, 19, 1, 200, 3},
+  }));
+  CAPTURE(row.name);
   ConfigFixture entry;
-  entry.board.config.version = 0;
-  entry.Announce(3, 7, kLargeBytes, 19);
-  entry.Step({LinkClosed{{3}}});
-  entry.Announce(4, 7, kLargeBytes, 19);
-  REQUIRE(entry.board.config_fetch.asked == LinkId{4});
-  entry.Announce(5, 6, kLargeBytes, 200);
-  entry.Step({LinkClosed{{4}}});
-  CHECK(entry.board.config_fetch.asked == LinkId{5});
+  entry.Announce(3, row.version, kLargeBytes, row.link_mbps);
+  entry.Announce(4, row.other_version, kLargeBytes, row.other_link_mbps);
+  CHECK(entry.RequestsWithin(entry.RequestDelayFor(kLargeBytes)) ==
+        std::vector{row.asked});
 }
 
 TEST_CASE(
