--- a/tests/support/test_pool.cpp
+++ b/tests/support/test_pool.cpp
@@ -155,7 +155,8 @@
         if (evacuations) {
           Post(process, EntryEvent{EvacuationsRead{*evacuations}});
         }
-        Post(process, EntryEvent{ConfigRead{config, std::string("config")}});
+        Post(process,
+             EntryEvent{ConfigRead{config, std::to_string(config.version)}});
       }
     });
   }
