--- a/src/core/pool/entry/entry_load.cpp
+++ b/src/core/pool/entry/entry_load.cpp
@@ -134,7 +134,8 @@
   state.is_overloaded =
       IsOverloadedAt(state.pressure, state.is_overloaded, board.settings);
   if (state.is_overloaded != board.overload.is_overloaded) {
-    state.due_jobs = 0;
+    state.due_large_jobs = 0;
+    state.due_small_jobs = 0;
     changes.Add(Decision{
         Severity::kStateChange,
         state.is_overloaded ? "overload_entered" : "overload_left",
--- a/src/core/pool/entry/forwarding.cpp
+++ b/src/core/pool/entry/forwarding.cpp
@@ -17,6 +17,9 @@
 // job forwarded to it would be lost.
 constexpr int kMaxSilentPings = 2;
 
+// Weight of a job in the mean size: of the last hundred or so.
+constexpr double kJobSizeWeight = 0.02;
+
 struct Offer {
   const OfferRow* row = nullptr;
   bool is_near = false;
@@ -47,6 +50,14 @@
   return it == offers->end() || it->remaining == 0 ? nullptr : &*it;
 }
 
+// Adds the job to the mean size. Returns whether it is at least of that size.
+bool CountJobSize(const JobRow& job, OverloadState* state) {
+  const auto tasks = static_cast<double>(job.open_tasks);
+  if (state->mean_tasks == 0) state->mean_tasks = tasks;
+  state->mean_tasks += kJobSizeWeight * (tasks - state->mean_tasks);
+  return tasks >= state->mean_tasks;
+}
+
 bool MayForward(const JobRow& job) {
   return job.state == JobState::kActive && !job.may_have_started &&
          !job.forwarded_to && !job.is_from_peer && !job.is_kept;
@@ -227,6 +238,10 @@
 
 }  // namespace
 
+double ShareOfSize(double share, bool is_large) {
+  return std::clamp(is_large ? 2 * share : 2 * share - 1, 0.0, 1.0);
+}
+
 EntryChanges ForwardJobs(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   if (!board.overload.is_overloaded || board.stopping ||
@@ -242,11 +257,13 @@
     last_job = key.job;
     const JobRow* job = board.jobs.Find(key.job);
     if (job == nullptr || !MayForward(*job)) continue;
-    state.due_jobs = std::min(state.due_jobs + share, 1.0);
-    Offer* offer = state.due_jobs >= 1 ? ChooseOffer(&offers) : nullptr;
+    const bool is_large = CountJobSize(*job, &state);
+    double& due = is_large ? state.due_large_jobs : state.due_small_jobs;
+    due = std::min(due + ShareOfSize(share, is_large), 1.0);
+    Offer* offer = due >= 1 ? ChooseOffer(&offers) : nullptr;
     if (offer != nullptr &&
         ForwardJobTo(board, *job, *offer->row, now, &changes)) {
-      state.due_jobs -= 1;
+      due -= 1;
       --offer->remaining;
       ++offer->used;
       continue;
--- a/src/core/pool/entry/forwarding.h
+++ b/src/core/pool/entry/forwarding.h
@@ -7,6 +7,11 @@
 
 namespace dottereltrack::pool {
 
+// Share, from 0 to 1, of the jobs of one size to forward when `share` of all
+// are due. Jobs of at least the mean number of tasks go first: each task that
+// is forwarded saves a start and a result, and each job costs as many messages.
+double ShareOfSize(double share, bool is_large);
+
 // Forwards a share of the jobs none of whose tasks has been started to peers
 // that offer capacity, if this entry is overloaded. The peer owns the job from
 // then on; this entry keeps the callers.
--- a/src/core/pool/entry/load_rows.h
+++ b/src/core/pool/entry/load_rows.h
@@ -16,9 +16,12 @@
   bool is_overloaded = false;
   // Some peer has been told that this entry is overloaded.
   bool has_announced = false;
-  // Jobs that are due to be forwarded; the fraction is carried over from one
-  // job to the next.
-  double due_jobs = 0;
+  // Mean number of tasks of the jobs that were considered for forwarding.
+  double mean_tasks = 0;
+  // Jobs of at least the mean number of tasks, and smaller ones, that are due
+  // to be forwarded; the fractions are carried over from one job to the next.
+  double due_large_jobs = 0;
+  double due_small_jobs = 0;
   friend bool operator==(const OverloadState&, const OverloadState&) = default;
 };
 
