--- a/src/core/pool/entry/entry_load.cpp
+++ b/src/core/pool/entry/entry_load.cpp
@@ -76,8 +76,11 @@
   if (peers == 0) return 0;
   const double idle_share =
       std::max(0.0, 1 - pressure / settings.offer_limit_share);
-  return static_cast<std::uint32_t>(std::floor(
-      idle_share * settings.max_offered_jobs / static_cast<double>(peers)));
+  const double jobs = settings.cpu_cores > 0
+                          ? settings.cpu_cores * settings.offered_jobs_per_core
+                          : settings.default_offered_jobs;
+  return static_cast<std::uint32_t>(
+      std::floor(idle_share * jobs / static_cast<double>(peers)));
 }
 
 void SetOverloadShare(double share, EntrySettings* settings) {
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -84,9 +84,11 @@
   milliseconds full_tick_lateness{100};
   // Offers shrink linearly with the load and are 0 from this busy share on.
   double offer_limit_share = 0.5;
-  // Jobs that an idle entry offers to all overloaded peers together in an
-  // offer interval.
-  std::uint32_t max_offered_jobs = 32;
+  // Jobs that an idle entry offers to all overloaded peers together, for each
+  // core, or if its processor share is not known. A core runs about 2,500 jobs
+  // a second, so these take 100 ms, two of the shortest offer intervals.
+  double offered_jobs_per_core = 250;
+  double default_offered_jobs = 60;
   milliseconds min_offer_interval{50};
   milliseconds max_offer_interval{1'000};
   // The owner of a forwarded job gives it up if the link to the first entry is
