Let a stop of a forwarded job wait 60 ms for the minion

Cause: an agent that withholds the lease from the arrival of a stop accepts no starts until the minion answers, and tells all entries so, for each forwarded job whose caller leaves. Change: such a stop waits for max_run_stop_time (60 ms), as after a lost link, and not at all if the agent has sent no poll for 150 ms, since it was then paused itself.

--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -92,6 +92,15 @@
   return changes;
 }
 
+// How long the minion may take to accept a stop before no lease is renewed.
+milliseconds MaxStopTime(const AgentBoard& board, const StopRun& message,
+                         const Now& now) {
+  const AgentSettings& settings = board.settings;
+  if (!message.withholds_lease) return settings.max_requested_stop_time;
+  const bool was_paused = now.boot - board.poll.sent_at > settings.max_poll_gap;
+  return was_paused ? milliseconds{0} : settings.max_run_stop_time;
+}
+
 }  // namespace
 
 AgentChanges HandleStart(const AgentBoard& board, LinkId link,
@@ -138,10 +147,7 @@
   AgentChanges changes;
   const RunRow* run = board.runs.Find(message.run);
   if (run == nullptr) return changes;
-  const BootTime limit =
-      message.withholds_lease
-          ? now.boot
-          : now.boot + board.settings.max_requested_stop_time;
+  const BootTime limit = now.boot + MaxStopTime(board, message, now);
   changes.Add(Put<RunRow>{
       WithStopLimit(WithStopRequested(*run, RunEnd::kStopped, now), limit)});
   return changes;
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -57,6 +57,11 @@
   // if the entry has been paused for 374 ms and the agent for 310 ms, which
   // neither notices: 374 + 310 + 280 + 310 ms.
   milliseconds max_requested_stop_time{280};
+  // A stop that has passed through two entries may have been delayed by pauses
+  // of both, 374 ms each, so that the agent waits for `max_run_stop_time` only.
+  // If it has sent no poll for this long it was paused itself, and it does not
+  // wait: 374 + 374 + 150 + 60 + 310 ms, or 374 + 374 + 310 ms.
+  milliseconds max_poll_gap{150};
   // Minimum interval between two load reports to an entry, multiplied by the
   // number of linked entries, so that an agent sends at most 200 reports per
   // second in total.
--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -47,7 +47,7 @@
 struct StopRun {
   RunKey run;
   // The request has passed through several processes, so the agent renews no
-  // lease from its arrival until the minion has accepted the stop.
+  // lease until the minion has accepted the stop, sooner than usually.
   bool withholds_lease = false;
   friend bool operator==(const StopRun&, const StopRun&) = default;
 };
--- a/tests/pool/agent_lease_test.cpp
+++ b/tests/pool/agent_lease_test.cpp
@@ -172,5 +172,32 @@
   CHECK(it.lease_ms.front() > 200);
 }
 
+TEST_CASE("A stop of a forwarded job withholds the lease sooner",
+          "[pool][agent][overload]") {
+  // Guards against runs that outlive the pauses of two entries and of the
+  // agent, and against an agent that accepts no starts while a usual stop is
+  // answered.
+  struct Row {
+    bool withholds_lease;
+    int poll_age_ms;
+    int limit_ms;
+  };
+  const auto row = GENERATE(values<Row>({{false, 0, 280},
+                                         {false, 300, 280},
+                                         {true, 0, 60},
+                                         {true, 150, 60},
+                                         {true, 151, 0},
+                                         {true, 300, 0}}));
+  CAPTURE(row.withholds_lease, row.poll_age_ms);
+  AgentFixture agent;
+  agent.AddEntry(1, 11);
+  agent.Start(1, MakeRunKey(0));
+  agent.board.poll.sent_at = agent.now.boot - milliseconds{row.poll_age_ms};
+  agent.Step({EntryMessage{{1}, StopRun{MakeRunKey(0), row.withholds_lease}}});
+  const RunRow* run = agent.board.runs.Find(MakeRunKey(0));
+  REQUIRE(run != nullptr);
+  CHECK(run->must_stop_by == agent.now.boot + milliseconds{row.limit_ms});
+}
+
 }  // namespace
 }  // namespace dottereltrack::pool
