Test each failure of a forwarded job, and mutate the decisions

Cause: the owner's decision, the outcomes, cancels, refusals and chains of pauses had no tests of their own; waiting jobs were marked as kept before the first offer came. Change: tables for them, a chain of pauses on the virtual clock, 14 mutations; jobs are considered once there is an offer.

--- a/src/core/pool/entry/forwarding.cpp
+++ b/src/core/pool/entry/forwarding.cpp
@@ -249,6 +249,8 @@
     return changes;
   }
   std::vector<Offer> offers = CollectOffers(board, now);
+  // Waiting jobs may be forwarded once there is an offer.
+  if (offers.empty()) return changes;
   const double share = ForwardShare(board.overload.pressure, board.settings);
   OverloadState state = board.overload;
   std::optional<std::uint64_t> last_job;
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -130,6 +130,40 @@
         ("if (start.is_suspect && HasSuspect(board)) {", "if (false) {")]),
     ("pool_crash_reports", POOL_AGENT + "crashes.cpp", [
         ("hello.crashes = {MakeCrashReport(crash, now)};", "")]),
+    ("pool_overload_hysteresis", POOL_ENTRY + "entry_load.cpp", [
+        ("was_overloaded ? settings.overload_leave_share",
+         "!was_overloaded ? settings.overload_leave_share")]),
+    ("pool_offers_limit_forwarding", POOL_ENTRY + "forwarding.cpp", [
+        ("row.sent_jobs += it.used;", "")]),
+    ("pool_offers_by_load", POOL_ENTRY + "entry_load.cpp", [
+        ("std::max(0.0, 1 - pressure / settings.offer_limit_share);", "1.0;")]),
+    ("pool_no_second_forwarding", POOL_ENTRY + "forwarding.cpp", [
+        ("!job.forwarded_to && !job.is_from_peer && !job.is_kept;",
+         "!job.forwarded_to && !job.is_kept;")]),
+    ("pool_withdrawal_of_forwarded_jobs", POOL_ENTRY + "forwarding.cpp", [
+        ("if (!job.forwarded_to) return changes;", "return changes;")]),
+    ("pool_runs_of_a_lost_owner", POOL_ENTRY + "forwarding.cpp", [
+        ("lost.lost_run_ends_by = now.boot + "
+         "board.settings.max_forwarded_run_time;",
+         "lost.lost_run_ends_by = now.boot;")]),
+    ("pool_jobs_of_a_lost_owner", POOL_ENTRY + "forwarding.cpp", [
+        ("if (job.forwarded_to != link) continue;", "continue;")]),
+    ("pool_jobs_of_a_lost_first_entry", POOL_ENTRY + "advance.cpp", [
+        ('DropCalls(CallsOverLink(*board_, e.link), "the first entry is lost");',
+         "")]),
+    ("pool_jobs_of_a_silent_first_entry", POOL_ENTRY + "forwarding.cpp", [
+        ("board.settings.forwarded_job_timeout) {", "seconds{60}) {")]),
+    ("pool_refused_jobs_are_taken_back", POOL_ENTRY + "forwarding.cpp", [
+        ("AddTasks(job, TaskRow{}, &changes);", "")]),
+    ("pool_older_configuration_of_an_owner", POOL_ENTRY + "forwarding.cpp", [
+        ("if (message.config_version > board.config.version) {", "if (false) {")]),
+    ("pool_fewer_load_reports", POOL_AGENT + "links.cpp", [
+        ("if (age < link.report_interval) return false;", "")]),
+    ("pool_ends_between_load_reports", POOL_ENTRY + "outcomes.cpp", [
+        ("row.free += task.needs;", "")]),
+    ("pool_stops_of_forwarded_jobs", POOL_AGENT + "runs.cpp", [
+        ("if (!message.withholds_lease) return settings.max_requested_stop_time;",
+         "return settings.max_requested_stop_time;")]),
     ("stale_pending_table", ENTRY + "table_store.cpp", [
         ("changes.Add(DropPendingTable{});", "")]),
 ]
--- a/tests/pool_properties/forwarding_faults_test.cpp
+++ b/tests/pool_properties/forwarding_faults_test.cpp
@@ -196,5 +196,45 @@
   CHECK(it.pool.ledger().starts == 3);
 }
 
+TEST_CASE("Pauses of both entries and of the agents keep within the bound",
+          "[pool][forwarding]") {
+  // Guards against a chain of pauses, each too short to be noticed, after which
+  // runs still live when the client submits its job again.
+  struct Row {
+    int first_ms;
+    int owner_ms;
+    int agent_ms;
+  };
+  const auto row = GENERATE(values<Row>({{0, 0, 0},
+                                         {370, 0, 0},
+                                         {0, 370, 0},
+                                         {340, 370, 0},
+                                         {370, 370, 0},
+                                         {340, 370, 140},
+                                         {370, 370, 300}}));
+  CAPTURE(row.first_ms, row.owner_ms, row.agent_ms);
+  ForwardingPool it;
+  const int owner = it.Submit(milliseconds{2'500});
+  REQUIRE(owner != 0);
+  const BootTime left_at = it.pool.now();
+  it.pool.Freeze(0);
+  it.pool.LeaveCall(it.call);
+  it.pool.RunFor(milliseconds{row.first_ms});
+  it.pool.Freeze(owner);
+  it.pool.Thaw(0);
+  it.pool.RunFor(milliseconds{row.owner_ms});
+  for (const int agent : {0, 1}) it.pool.Freeze(it.pool.AgentProcess(agent));
+  it.pool.Thaw(owner);
+  it.pool.RunFor(milliseconds{row.agent_ms});
+  for (const int agent : {0, 1}) it.pool.Thaw(it.pool.AgentProcess(agent));
+  it.pool.RunUntil(left_at + kResendAfter);
+  CHECK_FALSE(it.HasLiveRuns());
+  const CallId second = it.pool.Submit(3 - owner, it.job, kClientTimeout);
+  it.pool.RunFor(seconds{4});
+  CHECK(it.pool.ledger().violations.empty());
+  REQUIRE(it.pool.ReplyOf(second) != nullptr);
+  CHECK(it.pool.ReplyOf(second)->kind == ReplyKind::kCompleted);
+}
+
 }  // namespace
 }  // namespace dottereltrack::testing
