Find the lost first entries of forwarded jobs in one place

Cause: two mutations survived: a closed link was handled twice, and no test told the 350 ms after which a silent first entry is given up from link_timeout. Change: the end of each turn finds closed and silent links; a test holds the bound.

--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -25,7 +25,8 @@
   }
 
   void RunControllers() {
-    DropCalls(CallsOfSilentPeers(*board_, now_), "the first entry is silent");
+    DropCalls(CallsOfLostPeers(*board_, now_),
+              "the first entry is lost or silent");
     ApplyChanges(EndCrashingJobs(*board_, now_));
     ApplyChanges(ForwardJobs(*board_, now_));
     ApplyChanges(PlaceTasks(*board_, now_));
@@ -82,7 +83,6 @@
     ApplyChanges(RecordLinkActivity(*board_, e.link, now_));
   }
   void OnEvent(const LinkClosed& e) {
-    DropCalls(CallsOverLink(*board_, e.link), "the first entry is lost");
     ApplyChanges(GiveUpForwardedJobs(*board_, e.link, now_));
     ApplyChanges(HandleLinkClosed(*board_, e.link, now_));
   }
--- a/src/core/pool/entry/forwarding.cpp
+++ b/src/core/pool/entry/forwarding.cpp
@@ -356,14 +356,12 @@
 EntryChanges HandlePeerCancel(const EntryBoard& board, LinkId link,
                               const CancelJob& message, const Now& now) {
   if (message.caller_left) {
-    EntryChanges changes;
-    for (const ForwardedCall& call : CallsOverLink(board, link)) {
-      if (call.job != message.job) continue;
-      changes.Append(DropForwardedCall(
-          board, call, "the caller closed its connection", now));
-      break;
+    for (const auto& [id, call] : board.forwarded_calls) {
+      if (call.link != link || call.job != message.job) continue;
+      return DropForwardedCall(board, call, "the caller closed its connection",
+                               now);
     }
-    return changes;
+    return {};
   }
   const JobRow* job = board.jobs.Find(message.job);
   const bool is_known = job != nullptr && job->state == JobState::kActive;
@@ -387,16 +385,8 @@
   return changes;
 }
 
-std::vector<ForwardedCall> CallsOverLink(const EntryBoard& board, LinkId link) {
-  std::vector<ForwardedCall> calls;
-  for (const auto& [id, call] : board.forwarded_calls) {
-    if (call.link == link) calls.push_back(call);
-  }
-  return calls;
-}
-
-std::vector<ForwardedCall> CallsOfSilentPeers(const EntryBoard& board,
-                                              const Now& now) {
+std::vector<ForwardedCall> CallsOfLostPeers(const EntryBoard& board,
+                                            const Now& now) {
   std::vector<ForwardedCall> calls;
   for (const auto& [id, call] : board.forwarded_calls) {
     const LinkRow* link = board.links.Find(call.link);
--- a/src/core/pool/entry/forwarding.h
+++ b/src/core/pool/entry/forwarding.h
@@ -41,10 +41,9 @@
 EntryChanges DropForwardedCall(const EntryBoard& board,
                                const ForwardedCall& call,
                                const std::string& reason, const Now& now);
-// Calls over a link, and those over links that have been silent too long.
-std::vector<ForwardedCall> CallsOverLink(const EntryBoard& board, LinkId link);
-std::vector<ForwardedCall> CallsOfSilentPeers(const EntryBoard& board,
-                                              const Now& now);
+// Calls over links that are closed or have been silent too long.
+std::vector<ForwardedCall> CallsOfLostPeers(const EntryBoard& board,
+                                            const Now& now);
 // Gives up the jobs that were forwarded over a link that is lost.
 EntryChanges GiveUpForwardedJobs(const EntryBoard& board, LinkId link,
                                  const Now& now);
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -148,9 +148,9 @@
          "lost.lost_run_ends_by = now.boot;")]),
     ("pool_jobs_of_a_lost_owner", POOL_ENTRY + "forwarding.cpp", [
         ("if (job.forwarded_to != link) continue;", "continue;")]),
-    ("pool_jobs_of_a_lost_first_entry", POOL_ENTRY + "advance.cpp", [
-        ('DropCalls(CallsOverLink(*board_, e.link), "the first entry is lost");',
-         "")]),
+    ("pool_jobs_of_a_lost_first_entry", POOL_ENTRY + "forwarding.cpp", [
+        ("if (link == nullptr || now.boot - link->last_received_at >=",
+         "if (link != nullptr && now.boot - link->last_received_at >=")]),
     ("pool_jobs_of_a_silent_first_entry", POOL_ENTRY + "forwarding.cpp", [
         ("board.settings.forwarded_job_timeout) {", "seconds{60}) {")]),
     ("pool_refused_jobs_are_taken_back", POOL_ENTRY + "forwarding.cpp", [
--- a/tests/pool_properties/forwarding_faults_test.cpp
+++ b/tests/pool_properties/forwarding_faults_test.cpp
@@ -236,5 +236,18 @@
   CHECK(it.pool.ReplyOf(second)->kind == ReplyKind::kCompleted);
 }
 
+TEST_CASE("The owner gives up the jobs of a silent first entry early",
+          "[pool][forwarding]") {
+  // Guards against an owner that waits for link_timeout: if it were cut off at
+  // that moment, its runs would live for longer than the bound.
+  ForwardingPool it;
+  REQUIRE(it.Submit(milliseconds{1'500}) != 0);
+  it.pool.PowerOff(0);
+  it.pool.RunFor(milliseconds{200});
+  CHECK(it.HasLiveRuns());
+  it.pool.RunFor(milliseconds{260});
+  CHECK_FALSE(it.HasLiveRuns());
+}
+
 }  // namespace
 }  // namespace dottereltrack::testing
