Move the owner's side of forwarding to a file of its own

Change: forwarded_jobs.* has what the owner decides, forwarding.* the first entry's part; no decision changes.

--- a/bench/entry_cost.cpp
+++ b/bench/entry_cost.cpp
@@ -79,7 +79,7 @@
       actions_.erase(it);
       action();
     }
-    const double jobs = std::max<double>(1, jobs_);
+    const double jobs = static_cast<double>(std::max<std::uint64_t>(1, jobs_));
     std::printf("%-34s %7.1f %9.1f %9.1f %8.2f\n", scenario_.name,
                 1e6 * processor_seconds_ / jobs,
                 static_cast<double>(turns_) / jobs,
@@ -145,7 +145,7 @@
       events.emplace_back(
           LoopLoadMeasured{scenario_.busy_share, milliseconds{0}});
       events.emplace_back(EntryTick{});
-      Turn(std::move(events));
+      Turn(events);
       ScheduleTick();
     });
   }
@@ -193,7 +193,7 @@
   }
 
   // Handles the events and encodes the messages that they cause.
-  void Turn(std::vector<EntryEvent> events) {
+  void Turn(const std::vector<EntryEvent>& events) {
     const double begin = ProcessorSeconds();
     const auto effects = Advance(&board_, events, now_);
     std::size_t bytes = 0;
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -4,6 +4,7 @@
 
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/entry_load.h"
+#include "core/pool/entry/forwarded_jobs.h"
 #include "core/pool/entry/forwarding.h"
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -148,14 +148,14 @@
          "lost.lost_run_ends_by = now.boot;")]),
     ("pool_jobs_of_a_lost_owner", POOL_ENTRY + "forwarding.cpp", [
         ("if (job.forwarded_to != link) continue;", "continue;")]),
-    ("pool_jobs_of_a_lost_first_entry", POOL_ENTRY + "forwarding.cpp", [
+    ("pool_jobs_of_a_lost_first_entry", POOL_ENTRY + "forwarded_jobs.cpp", [
         ("if (link == nullptr || now.boot - link->last_received_at >=",
          "if (link != nullptr && now.boot - link->last_received_at >=")]),
-    ("pool_jobs_of_a_silent_first_entry", POOL_ENTRY + "forwarding.cpp", [
+    ("pool_jobs_of_a_silent_first_entry", POOL_ENTRY + "forwarded_jobs.cpp", [
         ("board.settings.forwarded_job_timeout) {", "seconds{60}) {")]),
     ("pool_refused_jobs_are_taken_back", POOL_ENTRY + "forwarding.cpp", [
         ("AddTasks(job, TaskRow{}, &changes);", "")]),
-    ("pool_older_configuration_of_an_owner", POOL_ENTRY + "forwarding.cpp", [
+    ("pool_older_configuration_of_an_owner", POOL_ENTRY + "forwarded_jobs.cpp", [
         ("if (message.config_version > board.config.version) {", "if (false) {")]),
     ("pool_fewer_load_reports", POOL_AGENT + "links.cpp", [
         ("if (age < link.report_interval) return false;", "")]),
