--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -7,6 +7,7 @@
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/entry_load.h"
 #include "core/pool/entry/evacuation.h"
+#include "core/pool/entry/forwarded_jobs.h"
 #include "core/pool/entry/forwarding.h"
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
@@ -30,7 +31,8 @@
   }
 
   void RunControllers() {
-    DropCalls(CallsOfSilentPeers(*board_, now_), "the first entry is silent");
+    DropCalls(CallsOfLostPeers(*board_, now_),
+              "the first entry is lost or silent");
     ApplyChanges(EndCrashingJobs(*board_, now_));
     // Before starts and configurations are sent over the same links.
     ApplyChanges(SendEvacuations(*board_));
@@ -104,7 +106,6 @@
     ApplyChanges(RecordLinkActivity(*board_, e.link, now_));
   }
   void OnEvent(const LinkClosed& e) {
-    DropCalls(CallsOverLink(*board_, e.link), "the first entry is lost");
     ApplyChanges(GiveUpForwardedJobs(*board_, e.link, now_));
     ApplyChanges(HandleLinkClosed(*board_, e.link, now_));
     ExchangeConfig();
--- a/src/core/pool/entry/forwarding.cpp
+++ b/src/core/pool/entry/forwarding.cpp
@@ -10,13 +10,13 @@
 namespace dottereltrack::pool {
 namespace {
 
-// Delay after which a refused peer may try again.
-constexpr milliseconds kRetryAfter{1'000};
-
 // A peer whose link has been silent for longer than two pings may be down; a
 // job forwarded to it would be lost.
 constexpr int kMaxSilentPings = 2;
 
+// Weight of a job in the mean size: of the last hundred or so.
+constexpr double kJobSizeWeight = 0.02;
+
 struct Offer {
   const OfferRow* row = nullptr;
   bool is_near = false;
@@ -47,6 +47,14 @@
   return it == offers->end() || it->remaining == 0 ? nullptr : &*it;
 }
 
+// Adds the job to the mean size. Returns whether it is at least of that size.
+bool CountJobSize(const JobRow& job, OverloadState* state) {
+  const auto tasks = static_cast<double>(job.open_tasks);
+  if (state->mean_tasks == 0) state->mean_tasks = tasks;
+  state->mean_tasks += kJobSizeWeight * (tasks - state->mean_tasks);
+  return tasks >= state->mean_tasks;
+}
+
 bool MayForward(const JobRow& job) {
   return job.state == JobState::kActive && !job.may_have_started &&
          !job.forwarded_to && !job.is_from_peer && !job.is_kept;
@@ -187,47 +195,12 @@
   return changes;
 }
 
-ForwardedOutcome OutcomeOf(ReplyKind kind) {
-  switch (kind) {
-    case ReplyKind::kCompleted:
-      return ForwardedOutcome::kCompleted;
-    case ReplyKind::kFailed:
-      return ForwardedOutcome::kFailed;
-    case ReplyKind::kCancelled:
-      return ForwardedOutcome::kCancelled;
-    case ReplyKind::kGivenUp:
-    case ReplyKind::kUnknownJob:
-    case ReplyKind::kCancelUndecided:
-      return ForwardedOutcome::kGivenUp;
-    case ReplyKind::kNoQueue:
-    case ReplyKind::kNoConfig:
-    case ReplyKind::kOverloaded:
-    case ReplyKind::kNoMinions:
-    case ReplyKind::kStopping:
-    case ReplyKind::kUnsupported:
-      return ForwardedOutcome::kRefused;
-  }
-  return ForwardedOutcome::kGivenUp;
-}
+}  // namespace
 
-// Why this entry does not take a forwarded job; empty if it does.
-std::string FindRefusalReason(const EntryBoard& board,
-                              const ForwardJob& message) {
-  if (board.stopping) return "this process is stopping";
-  if (message.config_version > board.config.version) {
-    return "the configuration is older than the sender's";
-  }
-  if (board.overload.is_overloaded) return "this entry is overloaded";
-  const JobRow* known = board.jobs.Find(message.job.id);
-  // Two entries that have forwarded the job to each other would wait for ever.
-  if (known != nullptr && known->forwarded_to) {
-    return "this entry has forwarded the job itself";
-  }
-  return "";
+double ShareOfSize(double share, bool is_large) {
+  return std::clamp(is_large ? 2 * share : 2 * share - 1, 0.0, 1.0);
 }
 
-}  // namespace
-
 EntryChanges ForwardJobs(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   if (!board.overload.is_overloaded || board.stopping ||
@@ -235,6 +208,8 @@
     return changes;
   }
   std::vector<Offer> offers = CollectOffers(board, now);
+  // Waiting jobs may be forwarded once there is an offer.
+  if (offers.empty()) return changes;
   const double share = ForwardShare(board.overload.pressure, board.settings);
   OverloadState state = board.overload;
   std::optional<std::uint64_t> last_job;
@@ -243,11 +218,13 @@
     last_job = key.job;
     const JobRow* job = board.jobs.Find(key.job);
     if (job == nullptr || !MayForward(*job)) continue;
-    state.due_jobs = std::min(state.due_jobs + share, 1.0);
-    Offer* offer = state.due_jobs >= 1 ? ChooseOffer(&offers) : nullptr;
+    const bool is_large = CountJobSize(*job, &state);
+    double& due = is_large ? state.due_large_jobs : state.due_small_jobs;
+    due = std::min(due + ShareOfSize(share, is_large), 1.0);
+    Offer* offer = due >= 1 ? ChooseOffer(&offers) : nullptr;
     if (offer != nullptr &&
         ForwardJobTo(board, *job, *offer->row, now, &changes)) {
-      state.due_jobs -= 1;
+      due -= 1;
       --offer->remaining;
       ++offer->used;
       continue;
@@ -266,48 +243,6 @@
   return changes;
 }
 
-std::optional<JobSubmitted> AcceptForwardedJob(const EntryBoard& board,
-                                               LinkId link,
-                                               const ForwardJob& message,
-                                               EntryChanges* changes) {
-  const DemandRow* known = board.demands.Find(link);
-  DemandRow demand = known == nullptr ? DemandRow{} : *known;
-  demand.link = link;
-  ++demand.received_jobs;
-  changes->Add(Put<DemandRow>{demand});
-  const std::string reason = FindRefusalReason(board, message);
-  if (!reason.empty()) {
-    changes->Add(SendMessage{
-        link, ForwardedJobEnded{message.job.id, ForwardedOutcome::kRefused,
-                                kRetryAfter}});
-    changes->Add(Decision{Severity::kFailure,
-                          "job_refused",
-                          message.job.id,
-                          {{"reason", reason}, {"request", message.request_id}},
-                          {}});
-    return std::nullopt;
-  }
-  const CallId call{board.next_forwarded_call};
-  changes->Add(Put<ForwardedCall>{{call, link, message.job.id}});
-  JobSubmitted submitted{call,         message.request_id,
-                         message.host, message.path,
-                         message.job,  message.client_timeout};
-  submitted.is_from_peer = true;
-  submitted.age = message.age;
-  return submitted;
-}
-
-EntryChanges SendForwardedReply(const EntryBoard& board, const Reply& reply) {
-  EntryChanges changes;
-  const ForwardedCall* call = board.forwarded_calls.Find(reply.call);
-  if (call == nullptr) return changes;
-  changes.Add(Erase<ForwardedCall>{reply.call});
-  changes.Add(SendMessage{
-      call->link,
-      ForwardedJobEnded{call->job, OutcomeOf(reply.kind), reply.retry_after}});
-  return changes;
-}
-
 EntryChanges HandleForwardedJobEnded(const EntryBoard& board, LinkId link,
                                      const ForwardedJobEnded& message,
                                      const Now& now) {
@@ -335,50 +270,6 @@
   return {};
 }
 
-EntryChanges HandleWithdrawal(const EntryBoard& board, LinkId link,
-                              const CancelJob& message, const Now& now) {
-  EntryChanges changes;
-  for (const ForwardedCall& call : CallsOverLink(board, link)) {
-    if (call.job != message.job) continue;
-    changes.Append(DropForwardedCall(board, call,
-                                     "the caller closed its connection", now));
-    break;
-  }
-  return changes;
-}
-
-EntryChanges DropForwardedCall(const EntryBoard& board,
-                               const ForwardedCall& call,
-                               const std::string& reason, const Now& now) {
-  EntryChanges changes;
-  changes.Add(Erase<ForwardedCall>{call.call});
-  if (const JobRow* job = board.jobs.Find(call.job)) {
-    changes.Append(RemoveWaiter(board, *job, call.call, reason, now));
-  }
-  return changes;
-}
-
-std::vector<ForwardedCall> CallsOverLink(const EntryBoard& board, LinkId link) {
-  std::vector<ForwardedCall> calls;
-  for (const auto& [id, call] : board.forwarded_calls) {
-    if (call.link == link) calls.push_back(call);
-  }
-  return calls;
-}
-
-std::vector<ForwardedCall> CallsOfSilentPeers(const EntryBoard& board,
-                                              const Now& now) {
-  std::vector<ForwardedCall> calls;
-  for (const auto& [id, call] : board.forwarded_calls) {
-    const LinkRow* link = board.links.Find(call.link);
-    if (link == nullptr || now.boot - link->last_received_at >=
-                               board.settings.forwarded_job_timeout) {
-      calls.push_back(call);
-    }
-  }
-  return calls;
-}
-
 EntryChanges GiveUpForwardedJobs(const EntryBoard& board, LinkId link,
                                  const Now& now) {
   EntryChanges changes;
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -79,6 +79,10 @@
   double report_processor_share = 0.1;
   // Agents are asked for no interval that is shorter than their own.
   milliseconds min_requested_report_interval{100};
+  // Interval of the pings of an entry that asks for fewer reports. A pause of
+  // up to 375 ms, above which the entry aborts its links itself, breaks no
+  // link.
+  milliseconds saving_ping_interval{125};
   // Smallest interval that an overloaded entry asks for.
   milliseconds overload_report_interval{200};
   // Share of time in which the event loop is busy, from which on this entry
@@ -95,9 +99,11 @@
   milliseconds full_tick_lateness{100};
   // Offers shrink linearly with the load and are 0 from this busy share on.
   double offer_limit_share = 0.5;
-  // Jobs that an idle entry offers to all overloaded peers together in an
-  // offer interval.
-  std::uint32_t max_offered_jobs = 32;
+  // Jobs that an idle entry offers to all overloaded peers together, for each
+  // core, or if its processor share is not known. A core runs about 2,500 jobs
+  // a second, so these take 100 ms, two of the shortest offer intervals.
+  double offered_jobs_per_core = 250;
+  double default_offered_jobs = 60;
   milliseconds min_offer_interval{50};
   milliseconds max_offer_interval{1'000};
   // The owner of a forwarded job gives it up if the link to the first entry is
