--- a/tests/process/pool/cell.py
+++ b/tests/process/pool/cell.py
@@ -106,7 +106,11 @@
     is set, the store (for each process), the minions and the entries are reached
     through proxies."""
 
-    def __init__(self, build, number, entries=3, agents=4, use_proxies=False):
+    def __init__(
+        self, build, number, entries=3, agents=4, use_proxies=False,
+        extra_settings=None
+    ):
+        self.extra_settings = extra_settings or {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="pool-"))
         self.run_checker = RunChecker()
         self.store = Store()
@@ -160,6 +164,7 @@
             "internal_ports": [LINK_PORT, LINK_PORT + 15],
             "seeds": [],
             "platform": {"address": "%s:%d" % self.store_address(host)},
+            **self.extra_settings,
             **extra_settings,
         }
 
--- a/tools/local_cell/cell.py
+++ b/tools/local_cell/cell.py
@@ -35,6 +35,8 @@
     data_centres: tuple = ("kgn-a", "kgn-b", "spt-a")
     # Additional settings of the entries, as (key, value) pairs.
     entry_settings: tuple = ()
+    # Additional settings of the agents.
+    agent_settings: tuple = ()
 
 
 @dataclasses.dataclass
@@ -90,13 +92,15 @@
 
 
 def agent_file(layout, n):
-    return {
+    settings = {
         "http_listen": str(agent_address(n)),
         "entry_seeds": [f"{host(10 + k)}:{LINK_PORT}"
                         for k in range(layout.entries)],
         "data_centre": pick(layout.data_centres, n),
         "rack": pick(layout.racks, n),
     }
+    settings.update(dict(layout.agent_settings))
+    return settings
 
 
 def start_daemon(layout, work_dir, program, name, settings):
