Bound what all connections of a process have in reception

Unfinished requests and frames had no common bound: each of up to thousands of connections could hold a body of 512 KiB and 16 bytes more for each chunk, for 60 s. An event loop now has one reception table, which counts the bytes that HTTP servers and links have read since the last complete request or frame, estimates their memory with the records of chunks and header fields, and closes the connections that a free function selects: by the shares of a connection and of a source address, the budget, a minimum rate, unread responses and the number of connections. A quarter of the machine's memory is the budget; links to known peers are never closed for strangers. A request is dropped once its job is read, so a waiting call holds no body.

--- a/apps/agent/agent_process.cpp
+++ b/apps/agent/agent_process.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <utility>
 
+#include "runtime/http/reception_report.h"
 #include "runtime/settings/endpoint_text.h"
 
 namespace dottereltrack {
@@ -60,6 +61,7 @@
       }) {}
 
 bool AgentProcess::Start() {
+  LimitReception(loop_, settings_.machine, settings_.http);
   const auto port = http_server_.Listen(settings_.http_listen);
   if (!port) {
     Log(LogPart::kHttp, LogLevel::kError,
--- a/apps/agent/http_calls.cpp
+++ b/apps/agent/http_calls.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "apps/agent/agent_process.h"
+#include "runtime/http/reception_report.h"
 #include "runtime/settings/endpoint_text.h"
 
 namespace dottereltrack {
@@ -34,8 +35,11 @@
       return HandleLeave(request.body);
     case AgentRoute::kHealth:
       return RenderHealth(board_);
-    case AgentRoute::kMetrics:
-      return RenderMetrics(board_);
+    case AgentRoute::kMetrics: {
+      ApiReply metrics = RenderMetrics(board_);
+      metrics.body += RenderReceptionMetrics(loop_, "dottereltrack_agent_");
+      return metrics;
+    }
     case AgentRoute::kState:
       break;
   }
--- a/apps/entry/entry_process.cpp
+++ b/apps/entry/entry_process.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "apps/entry/http_response.h"
+#include "runtime/http/reception_report.h"
 #include "runtime/settings/endpoint_text.h"
 
 namespace dottereltrack {
@@ -48,6 +49,7 @@
       }) {}
 
 bool EntryProcess::Start(Store store) {
+  LimitReception(loop_, settings_.machine, settings_.http);
   store_ = std::move(store);
   const auto link_port = links_.Listen(settings_.link_listen);
   if (!link_port) {
--- a/apps/entry/http_calls.cpp
+++ b/apps/entry/http_calls.cpp
@@ -5,6 +5,7 @@
 
 #include "apps/entry/entry_process.h"
 #include "apps/entry/http_response.h"
+#include "runtime/http/reception_report.h"
 
 namespace dottereltrack {
 namespace {
@@ -68,8 +69,12 @@
       return reply(ToHttpResponse(RenderStatus(board_, ReadClocks())));
     case RouteKind::kGetHealth:
       return reply(ToHttpResponse(RenderHealth(board_)));
-    case RouteKind::kGetMetrics:
-      return reply(ToHttpResponse(metrics_.Render(board_, ReadClocks())));
+    case RouteKind::kGetMetrics: {
+      HttpResponse metrics =
+          ToHttpResponse(metrics_.Render(board_, ReadClocks()));
+      metrics.body += RenderReceptionMetrics(loop_, "dottereltrack_entry_");
+      return reply(std::move(metrics));
+    }
     case RouteKind::kSetLogLevel:
       return reply(ToHttpResponse(ChangeLogLevel(request.body)));
     case RouteKind::kGetState:
--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "apps/pool_agent/state_dump.h"
+#include "apps/pool_common/reception.h"
 #include "core/pool/agent/capacity.h"
 #include "core/pool/pause.h"
 #include "platform/minion.h"
@@ -67,7 +68,7 @@
               },
               [this](LinkId link) { Post(EntryLinkClosed{link}); }}),
       report_server_(
-          loop, HttpLimits{},
+          loop, ServerLimits(node_settings_),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              reply(OnMinionRequest(request));
            },
@@ -83,7 +84,8 @@
             Post(EntriesRegistered{ParseEntryAddresses(values)});
           },
           [this](const Decision& refusal) { Execute(refusal); }),
-      metrics_(loop, MakeGauges(board_),
+      metrics_(loop, ServerLimits(node_settings_),
+               WithReceptionGauges(loop, MakeGauges(board_)),
                [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
                       [this](const users_platform::NodeSettings& new_settings) {
@@ -97,6 +99,8 @@
       }) {}
 
 bool PoolAgent::Start() {
+  LimitReception(loop_, node_settings_,
+                 [this](const Decision& it) { Execute(it); });
   if (node_settings_.report_address.port == 0) {
     log_.Write("start_failed",
                {{"problem",
--- a/apps/pool_common/metrics.cpp
+++ b/apps/pool_common/metrics.cpp
@@ -52,13 +52,14 @@
           .Register(registry);
 };
 
-PoolMetrics::PoolMetrics(asio::io_context& loop, std::vector<Gauge> gauges,
+PoolMetrics::PoolMetrics(asio::io_context& loop, const HttpLimits& limits,
+                         std::vector<Gauge> gauges,
                          std::function<std::string()> dump_state)
     : gauges_(std::move(gauges)),
       dump_state_(std::move(dump_state)),
       families_(std::make_unique<Families>()),
       http_server_(
-          loop, HttpLimits{},
+          loop, limits,
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              reply(Serve(request.path));
            },
--- a/apps/pool_common/metrics.h
+++ b/apps/pool_common/metrics.h
@@ -26,7 +26,8 @@
 class PoolMetrics {
  public:
   // `dump_state` is called for each request for the state.
-  PoolMetrics(asio::io_context& loop, std::vector<Gauge> gauges,
+  PoolMetrics(asio::io_context& loop, const HttpLimits& limits,
+              std::vector<Gauge> gauges,
               std::function<std::string()> dump_state);
   ~PoolMetrics();
   PoolMetrics(const PoolMetrics&) = delete;
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -1,9 +1,9 @@
 #include "apps/pool_entry/pool_entry.h"
 
-#include <algorithm>
 #include <csignal>
 #include <utility>
 
+#include "apps/pool_common/reception.h"
 #include "apps/pool_entry/state_dump.h"
 #include "core/pool/pause.h"
 #include "platform/config.h"
@@ -35,22 +35,6 @@
 // Time to send queued responses and messages before the process exits.
 constexpr milliseconds kExitFlushDelay{100};
 
-// File descriptors reserved for links to agents and other entries, the store,
-// metrics and the process itself. Users' pools have up to 300 workers.
-constexpr std::uint32_t kReservedDescriptors = 600;
-constexpr std::uint32_t kMinConnections = 100;
-
-HttpLimits ClientServerLimits(
-    const users_platform::NodeSettings& node_settings) {
-  HttpLimits limits;
-  limits.max_body_bytes = 256U << 10;
-  const std::uint32_t descriptors =
-      std::max(node_settings.max_descriptors, kReservedDescriptors);
-  limits.max_connections =
-      std::max(descriptors - kReservedDescriptors, kMinConnections);
-  return limits;
-}
-
 std::vector<Gauge> MakeGauges(const EntryBoard& board) {
   return {
       {"dottereltrack_entry_open_jobs", "Accepted jobs without an answer",
@@ -91,7 +75,7 @@
               },
               [this](LinkId link) { Post(LinkClosed{link}); }}),
       client_server_(
-          loop, ClientServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              OnClientRequest(request, reply);
            },
@@ -100,7 +84,7 @@
            },
            {}}),
       readiness_server_(
-          loop, HttpLimits{},
+          loop, ServerLimits(node_settings_),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              reply(users_platform::IsReadinessCheck(request)
                        ? users_platform::ReadinessResponse(IsReady(board_))
@@ -127,7 +111,8 @@
             Post(EntriesListed{ParseEntryAddresses(values)});
           },
           [this](const Decision& refusal) { Execute(refusal); }),
-      metrics_(loop, MakeGauges(board_),
+      metrics_(loop, ServerLimits(node_settings_),
+               WithReceptionGauges(loop, MakeGauges(board_)),
                [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
                       [this](const users_platform::NodeSettings& new_settings) {
@@ -141,6 +126,8 @@
       }) {}
 
 bool PoolEntry::Start() {
+  LimitReception(loop_, node_settings_,
+                 [this](const Decision& it) { Execute(it); });
   if (!Listen()) return false;
   log_.Write("started", {{"clients", ToText(node_settings_.client_address)},
                          {"internal", ToText(node_settings_.internal_address)},
--- a/src/runtime/frame_buffer.h
+++ b/src/runtime/frame_buffer.h
@@ -27,6 +27,8 @@
   // True if the next frame exceeds the size limit. The link must then be
   // closed.
   bool is_next_frame_too_large() const { return is_next_frame_too_large_; }
+  // Bytes of the frames that have not been returned.
+  std::size_t unread_bytes() const { return bytes_.size() - read_offset_; }
   // Frees the memory of frames already returned by TakeFrame().
   void ReleaseConsumed();
 
--- a/src/runtime/http/http_server.cpp
+++ b/src/runtime/http/http_server.cpp
@@ -4,27 +4,44 @@
 #include <cctype>
 #include <exception>
 #include <restinio/all.hpp>
+#include <unordered_map>
 #include <utility>
 
+#include "runtime/http/metered_socket.h"
+#include "runtime/reception/reception_table.h"
+
 namespace dottereltrack {
 namespace {
 
-constexpr std::size_t kMaxHeaderNameBytes = 256;
-constexpr std::size_t kMaxHeaderFields = 64;
+// A header of 16,384 bytes may consist of this many fields.
+constexpr std::size_t kMaxHeaderFields = 4'096;
 
 // Must be greater than 1: with one request per connection RESTinio does not
 // read while a request is handled and detects a closed connection only on
 // write.
 constexpr std::size_t kMaxPipelinedRequests = 4;
 
-// Calls `on_closed` with the id of each closed connection.
-struct CloseListener {
+// Connections beyond the limit are accepted, so that the reception table can
+// close others for them. Above this number, further ones wait.
+constexpr std::size_t kSpareConnections = 32;
+
+// The shortest form of a request apart from names, values and the body.
+constexpr std::size_t kMinRequestLineBytes = 13;
+constexpr std::size_t kMinFieldBytes = 3;
+
+// Calls `on_accepted` and `on_closed` with the id of each connection.
+struct ConnectionListener {
+  std::function<void(std::uint64_t, const asio::ip::tcp::endpoint&)>
+      on_accepted;
   std::function<void(std::uint64_t)> on_closed;
 
   void state_changed(
       const restinio::connection_state::notice_t& notice) noexcept {
-    if (!on_closed) return;
     const auto cause = notice.cause();
+    if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
+            cause)) {
+      on_accepted(notice.connection_id(), notice.remote_endpoint());
+    }
     if (restinio::holds_alternative<restinio::connection_state::closed_t>(
             cause)) {
       on_closed(notice.connection_id());
@@ -36,7 +53,8 @@
   // RESTinio requires this name.
   // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool use_connection_count_limiter = true;
-  using connection_state_listener_t = CloseListener;
+  using connection_state_listener_t = ConnectionListener;
+  using stream_socket_t = MeteredSocket;
   using request_handler_t = std::function<restinio::request_handling_status_t(
       restinio::request_handle_t)>;
 };
@@ -103,22 +121,57 @@
   }
 }
 
+using CounterHandle = std::shared_ptr<ReceptionCounter>;
+
 // Counts a response as unsent until the returned object is destroyed. The
 // destructor is used because RESTinio destroys the completion callback without
 // calling it if the connection is closed.
 std::shared_ptr<void> TrackResponse(
-    const std::shared_ptr<PendingResponses>& pending) {
+    const std::shared_ptr<PendingResponses>& pending,
+    const CounterHandle& counter, std::size_t bytes) {
   ++pending->unsent_count;
-  return {nullptr, [pending](void*) {
+  if (counter) counter->AddUnsent(bytes);
+  return {nullptr, [pending, counter, bytes](void*) {
+            if (counter) counter->CompleteResponse(bytes);
             --pending->unsent_count;
             NotifyIfAllSent(*pending);
           }};
 }
 
-void WriteResponse(const restinio::request_handle_t& request,
-                   HttpResponse response,
+// A request whose response is awaited. Holds no bytes of the request.
+struct PendingRequest {
+  restinio::response_builder_t<restinio::restinio_controlled_output_t> builder;
+  bool should_keep_alive = true;
+  CounterHandle counter;
+};
+
+std::shared_ptr<PendingRequest> MakePendingRequest(
+    const restinio::request_handle_t& request, CounterHandle counter) {
+  const bool should_keep_alive = request->header().should_keep_alive();
+  return std::make_shared<PendingRequest>(PendingRequest{
+      request->create_response(), should_keep_alive, std::move(counter)});
+}
+
+// Returns the least number of bytes in which the request can have arrived.
+std::size_t MinReceivedBytes(const restinio::request_t& request) {
+  std::size_t bytes =
+      kMinRequestLineBytes +
+      std::char_traits<char>::length(request.header().method().c_str()) +
+      request.header().request_target().size() + request.body().size();
+  request.header().for_each_field([&](const auto& field) {
+    bytes += field.name().size() + field.value().size() + kMinFieldBytes;
+  });
+  if (const auto* chunks = request.chunked_input_info()) {
+    // Each chunk has a size of at least one digit and two line ends.
+    bytes += 5 * (chunks->chunk_count() + 1);
+  }
+  return bytes;
+}
+
+void WriteResponse(PendingRequest& request, HttpResponse response,
                    std::shared_ptr<void> completion_tracker) {
-  auto builder = request->create_response(restinio::http_status_line_t{
+  auto& builder = request.builder;
+  builder.header().status_line(restinio::http_status_line_t{
       restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
       ReasonPhrase(response.status)});
   builder.append_header(restinio::http_field::content_type,
@@ -127,7 +180,7 @@
     builder.append_header(name, value);
   }
   builder.set_body(std::move(response.body));
-  if (response.close || !request->header().should_keep_alive()) {
+  if (response.close || !request.should_keep_alive) {
     builder.connection_close();
   }
   builder.done([completion_tracker =
@@ -148,7 +201,10 @@
 class HttpServer::Impl {
  public:
   Impl(asio::io_context& loop, const HttpLimits& limits, HttpHandlers handlers)
-      : loop_(loop), limits_(limits), handlers_(std::move(handlers)) {}
+      : loop_(loop),
+        limits_(limits),
+        handlers_(std::move(handlers)),
+        reception_(ReceptionTable::Of(loop)) {}
 
   std::optional<std::uint16_t> Listen(const Endpoint& address) {
     std::uint16_t port = 0;
@@ -183,49 +239,81 @@
         .read_next_http_message_timelimit(limits_.read_timeout)
         .write_http_response_timelimit(limits_.write_timeout)
         .handle_request_timeout(limits_.reply_timeout)
-        .max_parallel_connections(limits_.max_connections)
+        .max_parallel_connections(limits_.max_connections + kSpareConnections)
         .incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t{}
                 .max_url_size(limits_.max_header_bytes)
-                .max_field_name_size(kMaxHeaderNameBytes)
-                .max_field_value_size(limits_.max_header_bytes)
+                .max_field_name_size(limits_.max_header_bytes)
+                // RESTinio refuses a value of this size.
+                .max_field_value_size(limits_.max_header_bytes + 1)
                 .max_field_count(kMaxHeaderFields)
                 .max_body_size(2 * limits_.max_body_bytes))
         .acceptor_post_bind_hook([port](asio::ip::tcp::acceptor& acceptor) {
           *port = acceptor.local_endpoint().port();
         })
-        .connection_state_listener(std::make_shared<CloseListener>(
-            CloseListener{handlers_.on_disconnect}))
+        .connection_state_listener(
+            std::make_shared<ConnectionListener>(ConnectionListener{
+                [this](std::uint64_t connection,
+                       const asio::ip::tcp::endpoint& peer) {
+                  OnAccepted(connection, peer);
+                },
+                [this](std::uint64_t connection) { OnClosed(connection); }}))
         .request_handler([this](const restinio::request_handle_t& request) {
           return HandleRequest(request);
         });
   }
 
+  void OnAccepted(std::uint64_t connection,
+                  const asio::ip::tcp::endpoint& peer) {
+    asio::error_code ec;
+    auto counter = reception_.Add(peer.address().to_string(ec), false);
+    counters_[connection] = counter;
+    reception_.OfferCounter(std::move(counter));
+  }
+
+  void OnClosed(std::uint64_t connection) {
+    const auto it = counters_.find(connection);
+    if (it != counters_.end()) {
+      it->second->Remove();
+      counters_.erase(it);
+    }
+    if (handlers_.on_disconnect) handlers_.on_disconnect(connection);
+  }
+
+  CounterHandle FindCounter(std::uint64_t connection) const {
+    const auto it = counters_.find(connection);
+    return it == counters_.end() ? nullptr : it->second;
+  }
+
   restinio::request_handling_status_t HandleRequest(
       const restinio::request_handle_t& request) {
+    CounterHandle counter = FindCounter(request->connection_id());
+    if (counter) counter->CompleteRequest(MinReceivedBytes(*request));
     const std::size_t size = request->body().size();
     if (size > limits_.max_body_bytes) {
       const auto& make_response = handlers_.on_body_too_large;
-      Respond(request, make_response
-                           ? make_response(size, limits_.max_body_bytes)
-                           : BodyTooLarge(size, limits_.max_body_bytes));
+      Respond(MakePendingRequest(request, std::move(counter)),
+              make_response ? make_response(size, limits_.max_body_bytes)
+                            : BodyTooLarge(size, limits_.max_body_bytes));
       return restinio::request_accepted();
     }
+    HttpRequest received = ReadRequest(*request);
     // Shared by all copies of the replier, so that only one response is sent.
-    const auto pending_request =
-        std::make_shared<restinio::request_handle_t>(request);
-    handlers_.on_request(ReadRequest(*request), [this, pending_request](
-                                                    HttpResponse response) {
-      if (!*pending_request) return;
-      Respond(std::exchange(*pending_request, nullptr), std::move(response));
-    });
+    const auto pending = std::make_shared<std::shared_ptr<PendingRequest>>(
+        MakePendingRequest(request, std::move(counter)));
+    handlers_.on_request(
+        std::move(received), [this, pending](HttpResponse response) {
+          if (!*pending) return;
+          Respond(std::exchange(*pending, nullptr), std::move(response));
+        });
     return restinio::request_accepted();
   }
 
-  void Respond(const restinio::request_handle_t& request,
+  void Respond(const std::shared_ptr<PendingRequest>& request,
                HttpResponse response) {
-    WriteResponse(request, std::move(response),
-                  TrackResponse(pending_responses_));
+    auto tracker = TrackResponse(pending_responses_, request->counter,
+                                 response.body.size());
+    WriteResponse(*request, std::move(response), std::move(tracker));
   }
 
   asio::io_context& loop_;
@@ -233,6 +321,8 @@
   HttpHandlers handlers_;
   std::shared_ptr<PendingResponses> pending_responses_ =
       std::make_shared<PendingResponses>();
+  ReceptionTable& reception_;
+  std::unordered_map<std::uint64_t, CounterHandle> counters_;
   std::unique_ptr<restinio::http_server_t<Traits>> server_;
 };
 
--- a/src/runtime/http/http_server.h
+++ b/src/runtime/http/http_server.h
@@ -19,8 +19,8 @@
   // A larger body is rejected with status 413. A body of more than twice this
   // size closes the connection, since the rest of it is not read.
   std::size_t max_body_bytes = 4U << 20;
-  // Maximum size of a header field value and of the path.
-  std::size_t max_header_bytes = 4U << 10;
+  // Maximum size of a header field's name, of its value and of the path.
+  std::size_t max_header_bytes = 16U << 10;
   std::size_t max_connections = 1'024;
   // Maximum time to receive a request, or to stay idle between two requests.
   milliseconds read_timeout{60'000};
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -44,10 +44,12 @@
 
 }  // namespace
 
-Link::Link(tcp::socket socket, const LinkLimits& limits, Handlers handlers)
+Link::Link(tcp::socket socket, const LinkLimits& limits,
+           std::shared_ptr<ReceptionCounter> counter, Handlers handlers)
     : socket_(std::move(socket)),
       close_timer_(socket_.get_executor()),
       limits_(limits),
+      counter_(std::move(counter)),
       handlers_(std::move(handlers)),
       receive_buffer_(limits.max_frame_bytes) {
   SetOptions(&socket_);
@@ -55,7 +57,15 @@
   socket_.non_blocking(true, ec);
 }
 
-void Link::StartReading() { WaitForBytes(); }
+void Link::StartReading() {
+  counter_->Open([this](const ReceptionRow&) { Abort(); });
+  if (state_ != State::kClosed) WaitForBytes();
+}
+
+void Link::UpdateCounter() {
+  counter_->SetLinkBytes(receive_buffer_.unread_bytes(),
+                         send_queue_.size() + write_buffer_.size());
+}
 
 void Link::WaitForBytes() {
   socket_.async_wait(tcp::socket::wait_read,
@@ -87,11 +97,14 @@
     auto frame = receive_buffer_.TakeFrame();
     if (!frame) break;
     handlers_.on_frame(*std::move(frame));
+    // A handler closes the link after an invalid frame.
+    if (state_ == State::kOpen) counter_->SetKnownPeer();
   }
   if (state_ == State::kOpen && receive_buffer_.is_next_frame_too_large()) {
     return CloseSocket();
   }
   receive_buffer_.ReleaseConsumed();
+  if (state_ != State::kClosed) UpdateCounter();
 }
 
 void Link::Send(std::string_view frame) {
@@ -105,6 +118,7 @@
   }
   AppendFrame(&send_queue_, frame);
   ScheduleWrite();
+  UpdateCounter();
 }
 
 // Defers the write until the current handler returns, so that all frames sent
@@ -134,6 +148,8 @@
         }
         if (self->state_ == State::kClosed) return;
         if (ec) return self->CloseSocket();
+        self->UpdateCounter();
+        if (self->state_ == State::kClosed) return;
         self->Write();
       });
 }
@@ -161,6 +177,7 @@
     self->handlers_ = {};
   });
   state_ = State::kClosed;
+  counter_->Remove();
   asio::error_code ec;
   close_timer_.cancel(ec);
   socket_.close(ec);
@@ -177,6 +194,7 @@
 
 void Link::CloseSilently() {
   state_ = State::kClosed;
+  counter_->Remove();
   handlers_ = {};
   asio::error_code ec;
   close_timer_.cancel(ec);
--- a/src/runtime/link.h
+++ b/src/runtime/link.h
@@ -10,6 +10,7 @@
 #include "core/ids.h"
 #include "runtime/frame_buffer.h"
 #include "runtime/link_hub.h"
+#include "runtime/reception/reception_table.h"
 
 namespace dottereltrack {
 
@@ -24,8 +25,9 @@
     std::function<void()> on_closed;
   };
 
+  // `counter` counts what the link holds.
   Link(asio::ip::tcp::socket socket, const LinkLimits& limits,
-       Handlers handlers);
+       std::shared_ptr<ReceptionCounter> counter, Handlers handlers);
 
   void StartReading();
   void Send(std::string_view frame);
@@ -49,10 +51,12 @@
   void Write();
   void ShutDownSending();
   void CloseSocket();
+  void UpdateCounter();
 
   asio::ip::tcp::socket socket_;
   asio::steady_timer close_timer_;
   LinkLimits limits_;
+  std::shared_ptr<ReceptionCounter> counter_;
   Handlers handlers_;
   State state_ = State::kOpen;
   FrameBuffer receive_buffer_;
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "runtime/link.h"
+#include "runtime/reception/reception_table.h"
 
 namespace dottereltrack {
 namespace {
@@ -113,7 +114,7 @@
           if (ec) return self->RetryAccept();
           // At the connection limit the socket is closed, so that the peer
           // immediately knows to try another process.
-          if (!self->IsAtLinkLimit()) self->Add(std::move(socket));
+          if (!self->IsAtLinkLimit()) self->Add(std::move(socket), false);
           self->Accept();
         });
   }
@@ -131,11 +132,13 @@
     if (is_stopped_) return;
     // The timeout may have closed the socket after the connection succeeded.
     if (ec || !dial->socket.is_open()) return dial->done(std::nullopt);
-    dial->done(Add(std::move(dial->socket)));
+    dial->done(Add(std::move(dial->socket), true));
   }
 
-  LinkId Add(tcp::socket socket) {
+  LinkId Add(tcp::socket socket, bool is_known_peer) {
     const LinkId id{next_id_++};
+    asio::error_code ec;
+    const tcp::endpoint peer = socket.remote_endpoint(ec);
     Link::Handlers handlers;
     handlers.on_frame = [this, id](std::string frame) {
       handlers_.on_frame(id, std::move(frame));
@@ -145,7 +148,10 @@
       if (self->handlers_.on_closed) self->handlers_.on_closed(id);
     };
     auto link =
-        std::make_shared<Link>(std::move(socket), limits_, std::move(handlers));
+        std::make_shared<Link>(std::move(socket), limits_,
+                               ReceptionTable::Of(loop_).Add(
+                                   peer.address().to_string(ec), is_known_peer),
+                               std::move(handlers));
     links_.emplace(id, link);
     link->StartReading();
     return id;
--- a/src/runtime/settings/agent_settings.h
+++ b/src/runtime/settings/agent_settings.h
@@ -6,6 +6,7 @@
 #include "core/agent/settings.h"
 #include "core/cell.h"
 #include "runtime/http/http_server.h"
+#include "runtime/http/reception_report.h"
 #include "runtime/log/log.h"
 #include "runtime/settings/keys.h"
 
@@ -21,12 +22,10 @@
   // If empty, the worker is treated as a rack of its own.
   std::string rack;
   AgentSettings core;
-  HttpLimits http{64U << 10,
-                  4U << 10,
-                  64,
-                  milliseconds{60'000},
-                  milliseconds{10'000},
-                  milliseconds{10'000}};
+  HttpLimits http{
+      256U << 10,           16U << 10,           64, milliseconds{60'000},
+      milliseconds{10'000}, milliseconds{10'000}};
+  MachineLimits machine;
   LogSettings log;
   friend bool operator==(const AgentDaemonSettings&,
                          const AgentDaemonSettings&) = default;
--- a/src/runtime/settings/entry_settings.cpp
+++ b/src/runtime/settings/entry_settings.cpp
@@ -136,6 +136,22 @@
   };
 }
 
+std::vector<Key> MachineKeys() {
+  return {
+      NumberKey<S>(
+          "memory_mb", [](auto& s) -> auto& { return s.machine.memory_mb; }, 32,
+          1 << 20,
+          "Memory of this VM in MiB; a quarter of it may hold unfinished "
+          "requests."),
+      NumberKey<S>(
+          "max_descriptors",
+          [](auto& s) -> auto& { return s.machine.max_descriptors; }, 100,
+          1 << 20,
+          "File descriptors that this process may open; 600 of them are not "
+          "for callers."),
+  };
+}
+
 std::vector<Key> LogKeys() {
   const auto log = [](auto& s) -> auto& { return s.log; };
   return {LogLevelKey<S>(log), LogPartLevelsKey<S>(log), LogFormatKey<S>(log)};
@@ -143,8 +159,8 @@
 
 SettingsSchema<S> MakeSchema() {
   SettingsSchema<S> schema;
-  for (const auto& group : {IdentityKeys(), HttpKeys(), EntryLimitKeys(),
-                            EntryDurationKeys(), LogKeys()}) {
+  for (const auto& group : {IdentityKeys(), HttpKeys(), MachineKeys(),
+                            EntryLimitKeys(), EntryDurationKeys(), LogKeys()}) {
     schema.keys.insert(schema.keys.end(), group.begin(), group.end());
   }
   schema.constraints = EntryConstraints();
--- a/src/runtime/settings/entry_settings.h
+++ b/src/runtime/settings/entry_settings.h
@@ -5,6 +5,7 @@
 #include "core/cell.h"
 #include "core/entry/settings.h"
 #include "runtime/http/http_server.h"
+#include "runtime/http/reception_report.h"
 #include "runtime/log/log.h"
 #include "runtime/settings/keys.h"
 
@@ -25,6 +26,7 @@
   std::string operator_token;
   EntrySettings core;
   HttpLimits http;
+  MachineLimits machine;
   LogSettings log;
   friend bool operator==(const EntryDaemonSettings&,
                          const EntryDaemonSettings&) = default;
