Serve every request within the limits of the platform

Chunk extensions are read and not kept, so they count only up to what the server keeps; before, 64 KiB in chunks of one byte with extensions exceeded the share of a connection.

--- a/src/runtime/reception/reception.cpp
+++ b/src/runtime/reception/reception.cpp
@@ -27,15 +27,15 @@
 constexpr std::size_t kReservedDescriptors = 600;
 constexpr std::size_t kMinConnectionsWithinDescriptors = 100;
 
-// 64 KiB in chunks of one byte are 393,216 bytes, with a header of 16 KiB an
-// estimate of 2.9 MB. Also for a body of 262,144 bytes in any chunks of at
-// least 8 bytes.
-constexpr std::size_t kMinConnectionBytes = 3U << 20;
+// 64 KiB in chunks of one byte, with a header of 16 KiB and extensions of any
+// length, are estimated at 4.8 MB.
+constexpr std::size_t kMinConnectionBytes = 5U << 20;
 // Estimate for one body byte sent in large chunks or with a content length. A
 // body of twice the limit is still read, to be refused with status 413.
 constexpr std::size_t kContainerGrowth = 2;
 constexpr std::size_t kMaxReadBodies = 2;
-constexpr std::size_t kHeaderBytes = 64U << 10;
+// The HTTP parser ends a connection whose header exceeds this size.
+constexpr std::size_t kMaxReadHeaderBytes = 80U << 10;
 
 // RESTinio's record of a chunk has 16 bytes, and its vector up to twice as many
 // plus the previous ones while it grows.
@@ -292,11 +292,10 @@
   ReceptionLimits limits;
   limits.max_bytes = memory / kReceptionShare;
   limits.max_source_bytes = limits.max_bytes / 2;
-  limits.max_connection_bytes =
-      std::min(limits.max_source_bytes,
-               std::max(kMinConnectionBytes,
-                        kContainerGrowth * kMaxReadBodies * max_body_bytes +
-                            kHeaderBytes));
+  limits.max_kept_bytes = kMaxReadBodies * max_body_bytes + kMaxReadHeaderBytes;
+  limits.max_connection_bytes = std::min(
+      limits.max_source_bytes,
+      std::max(kMinConnectionBytes, kContainerGrowth * limits.max_kept_bytes));
   limits.max_unsent_bytes = memory / kUnsentShare;
   limits.max_connections = std::max(
       kMinConnections, std::min(max_connections, memory / kConnectionsShare /
@@ -304,10 +303,12 @@
   return limits;
 }
 
-std::size_t EstimateMemory(const ReceivedBytes& received) {
+std::size_t EstimateMemory(const ReceivedBytes& received,
+                           std::size_t max_kept_bytes) {
   const std::size_t chunks =
       std::min(received.carriage_returns, received.bytes / kMinChunkBytes);
-  return kContainerGrowth * received.bytes + kBytesPerChunk * chunks +
+  return kContainerGrowth * std::min(received.bytes, max_kept_bytes) +
+         kBytesPerChunk * chunks +
          kBytesPerField * std::min(received.line_feeds, kMaxFields);
 }
 
--- a/src/runtime/reception/reception.h
+++ b/src/runtime/reception/reception.h
@@ -24,6 +24,9 @@
   std::size_t max_unsent_bytes = 0;
   // Connections, without links to known processes.
   std::size_t max_connections = 0;
+  // Bytes of a header and a body that the HTTP server keeps at most. Chunk
+  // extensions beyond them are read and not kept.
+  std::size_t max_kept_bytes = 0;
   friend bool operator==(const ReceptionLimits&,
                          const ReceptionLimits&) = default;
 };
@@ -96,8 +99,10 @@
 
 // Returns the most memory that the HTTP server can need for these bytes: the
 // body, its record of each chunk, and the header fields, each in a container
-// that doubles its capacity.
-std::size_t EstimateMemory(const ReceivedBytes& received);
+// that doubles its capacity. The server keeps at most `max_kept_bytes` of
+// headers and bodies.
+std::size_t EstimateMemory(const ReceivedBytes& received,
+                           std::size_t max_kept_bytes);
 
 // Returns the connections to close so that the limits hold again, in the order
 // of closing. A connection that is idle or awaits a response is closed only if
--- a/src/runtime/reception/reception_table.cpp
+++ b/src/runtime/reception/reception_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/steady_timer.hpp>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,10 @@
 // closed, so that reads do not search the table again and again.
 constexpr milliseconds kFruitlessSearchDelay{50};
 
+// Optional spaces of a header, which its least size does not include. More
+// bytes than these are counted for the next request.
+constexpr std::size_t kMaxUncertainBytes = 256;
+
 }  // namespace
 
 asio::execution_context::id ReceptionTable::id;
@@ -50,13 +55,12 @@
       static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\r'));
   received_.line_feeds +=
       static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\n'));
-  UpdateMemory(received_.bytes, EstimateMemory(received_));
+  UpdateMemory(received_.bytes,
+               EstimateMemory(received_, table_->max_kept_bytes()));
 }
 
 void ReceptionCounter::CompleteRequest(std::size_t min_bytes) {
   if (table_ == nullptr) return;
-  // Optional spaces of the header, which `min_bytes` does not include.
-  constexpr std::size_t kMaxUncertainBytes = 256;
   const std::size_t rest =
       received_.bytes - std::min(received_.bytes, min_bytes);
   received_ = {};
@@ -70,7 +74,9 @@
   row_.has_sent_request = true;
   ++row_.open_requests;
   UpdateMemory(received_.bytes,
-               received_.bytes == 0 ? 0 : EstimateMemory(received_));
+               received_.bytes == 0
+                   ? 0
+                   : EstimateMemory(received_, table_->max_kept_bytes()));
 }
 
 void ReceptionCounter::AddUnsent(std::size_t bytes) {
@@ -96,7 +102,8 @@
   }
   table_->unsent_bytes_ += unsent_bytes - row_.unsent_bytes;
   row_.unsent_bytes = unsent_bytes;
-  UpdateMemory(unfinished_bytes, EstimateMemory({unfinished_bytes, 0, 0}));
+  UpdateMemory(unfinished_bytes,
+               EstimateMemory({unfinished_bytes, 0, 0}, unfinished_bytes));
 }
 
 void ReceptionCounter::SetKnownPeer() {
@@ -187,6 +194,11 @@
   if (it->second == 0) memory_by_source_.erase(it);
 }
 
+std::size_t ReceptionTable::max_kept_bytes() const {
+  return limits_ ? limits_->max_kept_bytes
+                 : std::numeric_limits<std::size_t>::max();
+}
+
 bool ReceptionTable::ExceedsLimits(const ReceptionRow& changed) const {
   if (memory_bytes_ > limits_->max_bytes ||
       unsent_bytes_ > limits_->max_unsent_bytes ||
--- a/src/runtime/reception/reception_table.h
+++ b/src/runtime/reception/reception_table.h
@@ -99,6 +99,7 @@
   friend class ReceptionCounter;
 
   void shutdown() override;
+  std::size_t max_kept_bytes() const;
   void CheckLimits(const ReceptionCounter& changed);
   bool ExceedsLimits(const ReceptionRow& changed) const;
   // Returns the number of connections that are being closed.
--- a/tests/runtime/reception_test.cpp
+++ b/tests/runtime/reception_test.cpp
@@ -10,7 +10,8 @@
 namespace dottereltrack {
 namespace {
 
-constexpr ReceptionLimits kLimits{1'000'000, 300'000, 500'000, 200'000, 4};
+constexpr ReceptionLimits kLimits{1'000'000, 300'000, 500'000,
+                                  200'000,   4,       1'000'000};
 constexpr BootTime kNow = seconds{1'000};
 
 // A connection with an unfinished request of `memory` estimated bytes.
@@ -144,10 +145,13 @@
        {"262,144 line ends", {262'144 + kHeader, 262'144, 262'144}},
        {"64 KiB in chunks of one byte",
         {6 * 65'536 + kHeader, 2 * 65'536 + 300, 2 * 65'536 + 300}},
+       {"64 KiB in chunks of one byte with extensions of 100 bytes",
+        {106 * 65'536 + kHeader, 2 * 65'536 + 300, 2 * 65'536 + 300}},
        {"a header of shortest fields", {kHeader, 4'096, 4'096}}}));
   CAPTURE(row.content);
   const auto limits = DeriveReceptionLimits(0, 3'500, 262'144);
-  CHECK(EstimateMemory(row.received) <= limits.max_connection_bytes);
+  CHECK(EstimateMemory(row.received, limits.max_kept_bytes) <=
+        limits.max_connection_bytes);
   CHECK(limits.max_connection_bytes <= limits.max_source_bytes);
 }
 
