--- a/tests/process/pool/cell.py
+++ b/tests/process/pool/cell.py
@@ -108,9 +108,12 @@
     is set, the store (for each process), the minions and the entries are reached
     through proxies. The `overloaded_entries`, by number, forward jobs at any load."""
 
-    def __init__(self, build, number, entries=3, agents=4, use_proxies=False,
-                 overloaded_entries=()):
+    def __init__(
+        self, build, number, entries=3, agents=4, use_proxies=False,
+        overloaded_entries=(), extra_settings=None
+    ):
         self.overloaded_entries = overloaded_entries
+        self.extra_settings = extra_settings or {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="pool-"))
         self.run_checker = RunChecker()
         self.store = Store()
@@ -164,6 +167,7 @@
             "internal_ports": [LINK_PORT, LINK_PORT + 15],
             "seeds": [],
             "platform": {"address": "%s:%d" % self.store_address(host)},
+            **self.extra_settings,
             **extra_settings,
         }
 
