--- a/bench/cell_run.cpp
+++ b/bench/cell_run.cpp
@@ -109,6 +109,10 @@
       case DisturbanceKind::kMinionSlows:
         return cell_.SetMinionTimeRatio(
             it.minion, scenario_.deployment.time_ratios[it.minion] * it.factor);
+      // Only in patterns for the pool.
+      case DisturbanceKind::kMinionReturns:
+      case DisturbanceKind::kMinionStartsLate:
+        return;
       case DisturbanceKind::kMinionLost:
         return cell_.KillAgent(it.minion);
       case DisturbanceKind::kStoreDown:
--- a/bench/entry_fault.cpp
+++ b/bench/entry_fault.cpp
@@ -7,17 +7,6 @@
 
 constexpr BootTime kTimeBeforeFault{seconds{10}};
 constexpr BootTime kTimeAfterFault{seconds{5}};
-// The objective that users state for their kinds of jobs.
-constexpr double kObjectiveStretch = 1.6;
-constexpr BootTime kTargetLatency{milliseconds{60}};
-
-BootTime ObjectiveOf(const TraceJob& job) {
-  BootTime longest{0};
-  for (const TraceTask& it : job.tasks) longest = std::max(longest, it.work);
-  const double stretched =
-      kObjectiveStretch * static_cast<double>(longest.count());
-  return kTargetLatency + BootTime{static_cast<std::int64_t>(stretched)};
-}
 
 // Number of jobs in an interval, and of those answered within the objective.
 struct JobCounts {
--- a/bench/ideal.cpp
+++ b/bench/ideal.cpp
@@ -41,8 +41,10 @@
  public:
   IdealScheduler(const Scenario& scenario, const Trace& trace)
       : scenario_(scenario), trace_(trace), jobs_(trace.size()) {
-    for (const double ratio : scenario.deployment.time_ratios) {
-      minions_.push_back({scenario.deployment.slots, ratio, kNever});
+    const Deployment& deployment = scenario.deployment;
+    for (std::size_t n = 0; n < deployment.time_ratios.size(); ++n) {
+      minions_.push_back(
+          {SlotsOf(deployment, n), deployment.time_ratios[n], kNever});
     }
     for (const Disturbance& it : scenario.disturbances) {
       const bool makes_unusable = it.kind == DisturbanceKind::kMinionFails ||
@@ -93,6 +95,9 @@
         if (it.kind == DisturbanceKind::kMinionSlows) {
           minions_[it.minion].time_ratio *= it.factor;
         }
+        if (it.kind == DisturbanceKind::kMinionReturns) {
+          minions_[it.minion].usable_until = kNever;
+        }
         return;
       }
     }
--- a/bench/pool_run.cpp
+++ b/bench/pool_run.cpp
@@ -15,8 +15,8 @@
 
 // Time to establish the links before the trace starts.
 constexpr BootTime kStartupTime{seconds{3}};
-// Time to wait for answers after the last arrival.
-constexpr BootTime kAnswerWaitTime{seconds{70}};
+// Time to wait for answers after the last deadline.
+constexpr BootTime kAnswerWaitTime{seconds{10}};
 // Each task occupies one slot.
 constexpr std::int64_t kCpuMillisPerSlot = 1'000;
 
@@ -25,7 +25,11 @@
   PoolOptions options;
   options.entries = deployment.entries;
   options.agents = deployment.minions;
-  options.capacity = {kCpuMillisPerSlot * deployment.slots, 1'000'000, 0};
+  for (int n = 0; n < deployment.minions; ++n) {
+    options.capacities.push_back(
+        {kCpuMillisPerSlot * SlotsOf(deployment, n), 1'000'000, 0});
+  }
+  if (!scenario.queues.empty()) options.queues = scenario.queues;
   options.time_ratios = deployment.time_ratios;
   options.seed = seed;
   options.delay = [&deployment](int end, int other) {
@@ -69,7 +73,7 @@
       pool_.RunUntil(start_ + it.at);
       it.action();
     }
-    pool_.RunFor(kAnswerWaitTime);
+    pool_.RunFor(scenario_.deadline + kAnswerWaitTime);
     for (std::size_t n = 0; n < trace_.size(); ++n) {
       run_.jobs.push_back(ResultOf(n));
     }
@@ -81,8 +85,8 @@
   TraceHandlers Handlers() {
     return {[this](std::size_t n) {
               const TraceJob& job = trace_[n];
-              calls_[n] =
-                  pool_.Submit(job.entry, JobOf(job, n + 1), job.deadline);
+              calls_[n] = pool_.Submit(job.entry, JobOf(job, n + 1),
+                                       job.deadline, QueueOf(job));
             },
             [this](std::size_t n) { pool_.Cancel(trace_[n].entry, n + 1); },
             [this](const Disturbance& it) { ApplyDisturbance(it); },
@@ -90,6 +94,14 @@
             [this] { StopMeasuring(); }};
   }
 
+  std::size_t QueueOf(const TraceJob& job) const {
+    const auto& queues = scenario_.queues;
+    const auto it =
+        std::find_if(queues.begin(), queues.end(),
+                     [&](const auto& queue) { return queue.name == job.kind; });
+    return it == queues.end() ? 0 : it - queues.begin();
+  }
+
   void ApplyDisturbance(const Disturbance& it) {
     switch (it.kind) {
       case DisturbanceKind::kMinionFails:
@@ -100,6 +112,11 @@
       case DisturbanceKind::kMinionLost:
         pool_.minion(it.minion).Crash();
         return pool_.PowerOff(pool_.AgentProcess(it.minion));
+      case DisturbanceKind::kMinionReturns:
+        pool_.minion(it.minion).Recover(false);
+        return pool_.Restart(pool_.AgentProcess(it.minion));
+      case DisturbanceKind::kMinionStartsLate:
+        return pool_.minion(it.minion).SetLateCommandShare(it.factor);
       case DisturbanceKind::kStoreDown:
         return pool_.SetStoreDown(true);
       case DisturbanceKind::kStoreUp:
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -1,7 +1,5 @@
 #include "scenario.h"
 
-#include <numeric>
-
 namespace dottereltrack::bench {
 namespace {
 
@@ -104,9 +102,11 @@
 }
 
 double TotalSpeed(const Deployment& deployment) {
-  return std::accumulate(
-      deployment.time_ratios.begin(), deployment.time_ratios.end(), 0.0,
-      [&](double sum, double ratio) { return sum + deployment.slots / ratio; });
+  double sum = 0;
+  for (std::size_t n = 0; n < deployment.time_ratios.size(); ++n) {
+    sum += SlotsOf(deployment, n) / deployment.time_ratios[n];
+  }
+  return sum;
 }
 
 std::vector<Scenario> SteadyScenarios() {
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/pool/config.h"
 #include "core/time.h"
 
 namespace dottereltrack::bench {
@@ -17,6 +18,8 @@
   int minions = 11;
   int minions_per_rack = 3;
   std::uint32_t slots = 8;
+  // Slots of each minion; empty if all have `slots`.
+  std::vector<std::uint32_t> slots_by_minion;
   // One-way delays between data centres, within one, and to the callers.
   BootTime delay{0};
   BootTime local_delay{0};
@@ -27,6 +30,11 @@
   friend bool operator==(const Deployment&, const Deployment&) = default;
 };
 
+inline std::uint32_t SlotsOf(const Deployment& deployment, std::size_t minion) {
+  const auto& slots = deployment.slots_by_minion;
+  return slots.empty() ? deployment.slots : slots[minion];
+}
+
 // A team's share of the offered jobs, and its configuration.
 struct TeamShare {
   std::string name;
@@ -43,6 +51,11 @@
   // The minion's time ratio is multiplied by `factor`.
   kMinionSlows,
   kMinionLost,
+  // A lost minion and its agent are restarted.
+  kMinionReturns,
+  // The minion executes a share of the starts, `factor`, seconds late and
+  // without an answer.
+  kMinionStartsLate,
   kStoreDown,
   kStoreUp,
   // The dispatcher, or the first entry in a system without one, is killed, or
@@ -88,6 +101,9 @@
   std::vector<BootTime> large_jobs;
   std::vector<TeamShare> teams{{"north", 1.0, 1, 0}};
   std::vector<Disturbance> disturbances;
+  // Queues of a pool; a job's `kind` names its queue. If there are none, all
+  // jobs belong to the default queue of TestPool.
+  std::vector<pool::QueueConfig> queues;
 
   friend bool operator==(const Scenario&, const Scenario&) = default;
 };
--- a/bench/trace.cpp
+++ b/bench/trace.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
-#include <random>
+
+#include "random_generator.h"
 
 namespace dottereltrack::bench {
 namespace {
@@ -16,29 +17,8 @@
 constexpr double kSmallErrorFactor = 1.25;
 constexpr double kLargeErrorFactor = 3.0;
 constexpr std::uint32_t kLargeJobTasks = 1'100;
-
-// Own distributions, because those of the standard library give different
-// values in different implementations.
-class RandomGenerator {
- public:
-  explicit RandomGenerator(std::uint64_t seed) : random_(seed) {}
-
-  double Uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
-  double Exponential(double mean) { return -mean * std::log1p(-Uniform()); }
-  double LogUniform(double low, double high) {
-    return low * std::pow(high / low, Uniform());
-  }
-  std::uint64_t UniformBelow(std::uint64_t n) { return random_() % n; }
-  // Geometric distribution; at least 1.
-  std::uint32_t GeometricSize(double mean) {
-    if (mean <= 1) return 1;
-    const double n = std::log1p(-Uniform()) / std::log1p(-1.0 / mean);
-    return 1 + static_cast<std::uint32_t>(std::min(n, 1'099.0));
-  }
-
- private:
-  std::mt19937_64 random_;
-};
+constexpr double kObjectiveStretch = 1.6;
+constexpr BootTime kTargetLatency{milliseconds{60}};
 
 double MeanOfLogUniform(double low, double high) {
   return (high - low) / std::log(high / low);
@@ -146,6 +126,14 @@
       [](BootTime sum, const TraceTask& task) { return sum + task.work; });
 }
 
+BootTime ObjectiveOf(const TraceJob& job) {
+  BootTime longest{0};
+  for (const TraceTask& it : job.tasks) longest = std::max(longest, it.work);
+  const double stretched =
+      kObjectiveStretch * static_cast<double>(longest.count());
+  return kTargetLatency + BootTime{static_cast<std::int64_t>(stretched)};
+}
+
 JobResult IncompleteResult(const Scenario& scenario, const TraceJob& job) {
   JobResult result;
   result.measured = job.at >= scenario.warm_up && job.cancel_at == BootTime{0};
--- a/bench/trace.h
+++ b/bench/trace.h
@@ -51,6 +51,10 @@
 
 BootTime WorkOf(const TraceJob& job);
 
+// The objective that users state for their kinds of jobs: 1.6 times the run
+// time of the longest task on a minion of speed 1, plus 60 ms.
+BootTime ObjectiveOf(const TraceJob& job);
+
 // The result of a job that has no complete answer.
 JobResult IncompleteResult(const Scenario& scenario, const TraceJob& job);
 
--- a/tests/support/test_pool.cpp
+++ b/tests/support/test_pool.cpp
@@ -59,14 +59,15 @@
 
 TestPool::TestPool(const PoolOptions& options)
     : options_(options), random_(options.seed) {
-  config_ = {1, {options_.queue}};
+  config_ = {1, options_.queues};
   processes_.resize(options_.entries + options_.agents);
   for (int n = 0; n < options_.agents; ++n) {
     FakeMinionOptions minion;
     minion.name = "m" + std::to_string(n);
     minion.address = {"10.0.1." + std::to_string(n + 1), 9000};
-    minion.service = options_.queue.service;
-    minion.capacity = options_.capacity;
+    minion.service = options_.queues[0].service;
+    minion.capacity = options_.capacities.empty() ? options_.capacity
+                                                  : options_.capacities[n];
     minion.time_ratio = ValueAtOrLast(options_.time_ratios, n);
     minion.clock_rate = ValueAtOrLast(options_.clock_rates, n);
     minion.seed = random_();
@@ -232,7 +233,8 @@
 }
 
 CallId TestPool::Submit(int entry, const JobSpec& job,
-                        milliseconds client_timeout) {
+                        milliseconds client_timeout, std::size_t queue) {
+  const QueueConfig& target = options_.queues[queue];
   const CallId call{next_id_++};
   const ProcessState state = processes_[entry].state;
   calls_[call] = CallState::kOpen;
@@ -241,10 +243,9 @@
     return call;
   }
   processes_[entry].calls.insert(call);
-  Post(entry,
-       EntryEvent{JobSubmitted{call, "request", options_.queue.host,
-                               options_.queue.path_prefix + JobIdToText(job.id),
-                               job, client_timeout}});
+  Post(entry, EntryEvent{JobSubmitted{call, "request", target.host,
+                                      target.path_prefix + JobIdToText(job.id),
+                                      job, client_timeout}});
   return call;
 }
 
--- a/tests/support/test_pool.h
+++ b/tests/support/test_pool.h
@@ -21,6 +21,8 @@
   int entries = 3;
   int agents = 4;
   pool::Resources capacity{24'000, 1'000, 0};
+  // Capacity of each minion; empty if all have `capacity`.
+  std::vector<pool::Resources> capacities;
   // Ratio of actual run time to the time in the payload, for each minion; the
   // last value applies to all further minions.
   std::vector<double> time_ratios{1.0};
@@ -29,7 +31,8 @@
   std::vector<double> clock_rates{1.0};
   // One-way delay between two processes; entries are numbered before agents.
   std::function<BootTime(int process, int other)> delay;
-  pool::QueueConfig queue = DefaultQueue();
+  // All queues have the service of the first one.
+  std::vector<pool::QueueConfig> queues{DefaultQueue()};
   // Number of entries that a process links to.
   std::size_t max_entry_links = pool::AgentSettings{}.max_entry_links;
   std::uint64_t seed = 1;
@@ -71,7 +74,7 @@
   // Makes a call of a client and returns its id. The connection breaks at once
   // if the process does not run.
   CallId Submit(int entry, const pool::JobSpec& job,
-                milliseconds client_timeout);
+                milliseconds client_timeout, std::size_t queue = 0);
   CallId Cancel(int entry, std::uint64_t job);
   // The client closes the connection of its call.
   void LeaveCall(CallId call);
