Keep tasks with little time left off minions that may lose their start

Cause: a minion that executes starts seconds late seems to have free resources. A task on it is started again after 0.25 to 0.4 s, past the objective of the two short queues, and the minion gets the next one. The same holds for an agent that has just been lost, until its link times out after 500 ms. Change: the load report says whether the minion has missed a start in the last 4 s (no answer, and a later poll does not list the run). Such a minion, and one whose agent has been silent for 175 ms, gets only tasks that a second start elsewhere would still finish in time, while another minion can. The cost of a start is a free function over plain structs in minion_choice.

--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -150,6 +150,8 @@
   milliseconds next_suspension_duration{0};
   // After a suspension, only one run at a time is accepted until one succeeds.
   bool on_trial = false;
+  // When the minion was last found not to have executed a start.
+  std::optional<BootTime> missed_start_at;
   friend bool operator==(const MinionHealth&, const MinionHealth&) = default;
 };
 
--- a/src/core/pool/agent/health.cpp
+++ b/src/core/pool/agent/health.cpp
@@ -18,6 +18,9 @@
 constexpr double kMinSpeedChange = 2;
 // Progress is given in whole percent, so that early values are inaccurate.
 constexpr int kMinPercent = 5;
+// A minion that misses a start keeps doing so for seconds. One that is healthy
+// again is avoided for this long only by tasks with little time left.
+constexpr milliseconds kMissedStartRetention{4'000};
 // Steps in which a changed speed is reported, as a logarithm, so that not every
 // poll leads to a load report.
 constexpr double kLogSlownessStep = 0.25;
@@ -46,6 +49,19 @@
   health->on_trial = true;
 }
 
+Decision SuspensionDecision(const AgentBoard& board, const MinionHealth& health,
+                            const std::string& reason, const Now& now) {
+  return {Severity::kStateChange,
+          "minion_suspended",
+          0,
+          {{"minion", board.minion ? board.minion->id : std::string()},
+           {"reason", reason}},
+          {{"failed_percent", std::lround(100 * health.failure_share)},
+           {"for_ms", std::chrono::duration_cast<milliseconds>(
+                          health.suspended_until - now.boot)
+                          .count()}}};
+}
+
 void UpdateSlowness(const RunRow& run, const Now& now, MinionHealth* health) {
   using Microseconds = std::chrono::duration<double, std::micro>;
   const double duration_us = Microseconds{now.boot - run.started_at}.count();
@@ -99,16 +115,19 @@
       health.failure_share > board.settings.suspension_failure_share) {
     Suspend(board, now, &health);
     update.decision =
-        Decision{Severity::kStateChange,
-                 "minion_suspended",
-                 0,
-                 {{"minion", board.minion ? board.minion->id : std::string()}},
-                 {{"failed_percent", std::lround(100 * health.failure_share)},
-                  {"for_ms", std::chrono::duration_cast<milliseconds>(
-                                 health.suspended_until - now.boot)
-                                 .count()}}};
+        SuspensionDecision(board, health, "runs have failed", now);
   }
   return update;
 }
 
+bool HasMissedStart(const MinionHealth& health, const Now& now) {
+  return health.missed_start_at &&
+         now.boot < *health.missed_start_at + kMissedStartRetention;
+}
+
+MinionHealth WithMissedStart(MinionHealth health, const Now& now) {
+  health.missed_start_at = now.boot;
+  return health;
+}
+
 }  // namespace dottereltrack::pool
--- a/src/core/pool/agent/health.h
+++ b/src/core/pool/agent/health.h
@@ -20,4 +20,12 @@
 HealthUpdate UpdateHealth(const AgentBoard& board, const MinionHealth& before,
                           const RunRow& run, RunEnd end, const Now& now);
 
+// Records that the minion does not list a run although its start was sent long
+// enough ago: it executes starts seconds late or not at all, while it seems to
+// have free resources.
+MinionHealth WithMissedStart(MinionHealth health, const Now& now);
+
+// Whether a start was missed in the last seconds.
+bool HasMissedStart(const MinionHealth& health, const Now& now);
+
 }  // namespace dottereltrack::pool
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -25,8 +25,13 @@
 LoadReport MakeLoadReport(const AgentBoard& board, const EntryLinkRow& link,
                           double log_slowness, const Now& now) {
   const bool accepting = !link.surplus_since && IsAccepting(board, now);
-  return {link.handled_starts,    FreeResources(board), accepting,
-          IsSettled(board, link), log_slowness,         HasSuspect(board)};
+  return {link.handled_starts,
+          FreeResources(board),
+          accepting,
+          IsSettled(board, link),
+          log_slowness,
+          HasSuspect(board),
+          HasMissedStart(board.health, now)};
 }
 
 // Whether a load report is due. Each report wakes up the entry, and small
@@ -37,7 +42,8 @@
   const LoadReport& last = *link.last_report;
   if (report == last) return false;
   if (report.accepting != last.accepting || report.settled != last.settled ||
-      report.has_suspect != last.has_suspect) {
+      report.has_suspect != last.has_suspect ||
+      report.misses_starts != last.misses_starts) {
     return true;
   }
   const AgentSettings& settings = board.settings;
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -6,6 +6,7 @@
 #include "core/pool/agent/capacity.h"
 #include "core/pool/agent/crashes.h"
 #include "core/pool/agent/fencing.h"
+#include "core/pool/agent/health.h"
 #include "core/pool/agent/instances.h"
 #include "core/pool/agent/runs.h"
 
@@ -81,6 +82,7 @@
       row.stop_reason = RunEnd::kLost;
       row.next_stop_at = now.boot;
       changes->Add(Put<RunRow>{row});
+      *health = WithMissedStart(*health, now);
       return;
     }
     case RunPhase::kRunning:
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -7,13 +7,19 @@
 #include <tuple>
 
 #include "core/pool/entry/crashes.h"
+#include "core/pool/entry/minion_choice.h"
 
 namespace dottereltrack::pool {
 namespace {
 
-// The cost of a minion on which the task has failed before is multiplied by
-// this, so that it is chosen only if no other has enough free resources.
-constexpr double kFailedBeforeCostFactor = 100;
+constexpr double kUnlimited = std::numeric_limits<double>::infinity();
+// An agent pings idle links every 100 ms, so that an agent that has been silent
+// for this long has missed a ping: it may have been lost.
+constexpr milliseconds kMaxSilence{175};
+// Time until a task whose start was lost can start elsewhere: the agent's call
+// times out after 100 ms, a poll does not list the run, and the minion accepts
+// a stop, or the lease of 310 ms in the start expires.
+constexpr milliseconds kLostStartTime{350};
 
 struct WaitingTask {
   const TaskRow* task = nullptr;
@@ -25,9 +31,6 @@
   // Cannot meet its goal any more; is placed after tasks that still can.
   bool is_late = false;
   BootTime latest_start{0};
-  // Minions that are slower than this would miss the goal; infinite for a task
-  // that is late, and if no minion is fast enough.
-  double max_slowness = std::numeric_limits<double>::infinity();
 };
 
 bool IsMoreUrgent(const WaitingTask& a, const WaitingTask& b) {
@@ -53,10 +56,7 @@
 // An agent and the starts that this placement has assigned to it.
 struct Candidate {
   const AgentRow* agent = nullptr;
-  Resources free;
-  double cost = 0;
-  // The minion has a run of a suspect task, or a start of one is on its way.
-  bool has_suspect = false;
+  MinionOption minion;
   std::vector<UnreportedStart> starts;
 };
 
@@ -67,34 +67,51 @@
                      [](const auto& it) { return it.is_suspect; });
 }
 
-// Share of the minion's processors that is in use.
-double UsedShare(const Candidate& candidate) {
-  const auto total =
-      static_cast<double>(candidate.agent->hello->capacity.cpu_millis);
+bool MayLoseStarts(const EntryBoard& board, const AgentRow& agent,
+                   const Now& now) {
+  if (agent.load.misses_starts) return true;
+  const LinkRow* link = board.links.Find(agent.link);
+  return link != nullptr && now.boot - link->last_received_at > kMaxSilence;
+}
+
+double UsedShare(const AgentRow& agent, const Resources& free) {
+  const auto total = static_cast<double>(agent.hello->capacity.cpu_millis);
   if (total <= 0) return 1;
-  return 1 - static_cast<double>(candidate.free.cpu_millis) / total;
+  return 1 - static_cast<double>(free.cpu_millis) / total;
 }
 
-std::vector<Candidate> CollectCandidates(const EntryBoard& board) {
+std::vector<Candidate> CollectCandidates(const EntryBoard& board,
+                                         const Now& now) {
   std::vector<Candidate> candidates;
   for (const auto& [link, agent] : board.agents) {
     if (!agent.load.accepting || agent.free.cpu_millis <= 0) continue;
-    candidates.push_back({&agent,
-                          agent.free,
-                          std::exp(agent.load.log_slowness),
-                          HasSuspect(agent),
-                          {}});
+    MinionOption minion;
+    minion.free = agent.free;
+    minion.used_share = UsedShare(agent, agent.free);
+    minion.slowness = std::exp(agent.load.log_slowness);
+    minion.has_suspect = HasSuspect(agent);
+    minion.may_lose_starts = MayLoseStarts(board, agent, now);
+    candidates.push_back({&agent, minion, {}});
   }
   return candidates;
 }
 
 // Smallest slowness among the minions of a service that accept runs, with or
-// without free resources.
-double FindLowestSlowness(const EntryBoard& board, const std::string& service) {
-  double lowest = std::numeric_limits<double>::infinity();
+// without free resources: of all, and of those that lose no starts.
+struct LowestSlowness {
+  double of_all = kUnlimited;
+  double of_reliable = kUnlimited;
+};
+
+LowestSlowness FindLowestSlowness(const EntryBoard& board,
+                                  const std::string& service, const Now& now) {
+  LowestSlowness lowest;
   for (const auto& [link, agent] : board.agents) {
     if (!agent.load.accepting || agent.hello->service != service) continue;
-    lowest = std::min(lowest, std::exp(agent.load.log_slowness));
+    const double slowness = std::exp(agent.load.log_slowness);
+    lowest.of_all = std::min(lowest.of_all, slowness);
+    if (MayLoseStarts(board, agent, now)) continue;
+    lowest.of_reliable = std::min(lowest.of_reliable, slowness);
   }
   return lowest;
 }
@@ -102,15 +119,26 @@
 // Sets the slowness up to which a minion can meet the task's goal. A task that
 // some minion can finish in time does not start on one that cannot: it would
 // be late for certain, while its place on a faster minion may become free.
-void SetMaxSlowness(const Now& now, double lowest_slowness, WaitingTask* it) {
-  if (it->is_late || it->is_suspect || it->task->estimate.count() <= 0) return;
+StartDemand MakeDemand(const WaitingTask& it, const LowestSlowness& lowest,
+                       const Now& now) {
+  StartDemand demand{it.task->needs, it.is_suspect, kUnlimited, kUnlimited};
+  if (it.is_late || it.is_suspect || it.task->estimate.count() <= 0) {
+    return demand;
+  }
   // The fast minions may be those on which the task has failed.
-  if (!it->task->failed_minions.empty()) return;
+  if (!it.task->failed_minions.empty()) return demand;
   using Microseconds = std::chrono::duration<double, std::micro>;
-  const double remaining_us = Microseconds{it->job->goal_at - now.boot}.count();
-  const double max_slowness =
-      remaining_us / Microseconds{it->task->estimate}.count();
-  if (lowest_slowness <= max_slowness) it->max_slowness = max_slowness;
+  const double estimate_us = Microseconds{it.task->estimate}.count();
+  const BootTime remaining = it.job->goal_at - now.boot;
+  const double max_slowness = Microseconds{remaining}.count() / estimate_us;
+  if (lowest.of_all <= max_slowness) demand.max_slowness = max_slowness;
+  if (lowest.of_reliable <= max_slowness) {
+    demand.max_slowness_after_loss =
+        Microseconds{remaining - kLostStartTime}.count() / estimate_us;
+  } else {
+    demand.max_slowness_after_loss = demand.max_slowness;
+  }
+  return demand;
 }
 
 bool HasFailedOn(const TaskRow& task, const std::string& minion) {
@@ -119,24 +147,20 @@
 }
 
 Candidate* ChooseCandidate(std::vector<Candidate>* candidates,
-                           const WaitingTask& waiting) {
+                           const WaitingTask& waiting,
+                           const StartDemand& demand) {
   Candidate* best = nullptr;
-  double best_cost = 0;
+  double best_cost = kUnlimited;
   for (Candidate& it : *candidates) {
-    if (!Fits(waiting.task->needs, it.free) ||
-        it.agent->hello->service != waiting.job->service ||
-        it.cost > waiting.max_slowness) {
-      continue;
-    }
-    // Two suspect tasks on one minion could not be told apart after a crash.
-    if (waiting.is_suspect && it.has_suspect) continue;
-    double cost = waiting.is_suspect ? 1 + UsedShare(it) : it.cost;
-    if (HasFailedOn(*waiting.task, it.agent->hello->minion)) {
-      cost *= kFailedBeforeCostFactor;
-    }
+    const AgentHello& hello = *it.agent->hello;
+    if (hello.service != waiting.job->service) continue;
+    it.minion.has_failed_task = HasFailedOn(*waiting.task, hello.minion);
+    const double cost = CostOfStart(demand, it.minion);
+    if (cost == kUnlimited) continue;
     const bool is_better =
         best == nullptr || cost < best_cost ||
-        (cost == best_cost && it.free.cpu_millis > best->free.cpu_millis);
+        (cost == best_cost &&
+         it.minion.free.cpu_millis > best->minion.free.cpu_millis);
     if (!is_better) continue;
     best = &it;
     best_cost = cost;
@@ -156,8 +180,10 @@
   task.link = agent.link;
   task.minion = agent.hello->minion;
   task.placed_at = now.boot;
-  candidate->free -= task.needs;
-  candidate->has_suspect = candidate->has_suspect || waiting.is_suspect;
+  MinionOption& minion = candidate->minion;
+  minion.free -= task.needs;
+  minion.used_share = UsedShare(agent, minion.free);
+  minion.has_suspect = minion.has_suspect || waiting.is_suspect;
   const std::uint64_t sequence =
       agent.starts_sent + candidate->starts.size() + 1;
   candidate->starts.push_back({sequence, task.needs, waiting.is_suspect});
@@ -173,7 +199,7 @@
 // Returns the agent's row after the starts of this placement.
 AgentRow MakeUpdatedRow(const Candidate& candidate) {
   AgentRow row = *candidate.agent;
-  row.free = candidate.free;
+  row.free = candidate.minion.free;
   row.starts_sent += candidate.starts.size();
   row.unreported_starts.insert(row.unreported_starts.end(),
                                candidate.starts.begin(),
@@ -188,16 +214,16 @@
   if (board.waiting_tasks.empty()) return changes;
   auto waiting = CollectWaitingTasks(board, now);
   if (waiting.empty()) return changes;
-  std::vector<Candidate> candidates = CollectCandidates(board);
+  std::vector<Candidate> candidates = CollectCandidates(board, now);
   std::map<std::uint64_t, const JobRow*> started_jobs;
-  std::map<std::string, double> lowest_slowness;
-  for (WaitingTask& it : waiting) {
+  std::map<std::string, LowestSlowness> lowest_slowness;
+  for (const WaitingTask& it : waiting) {
     const std::string& service = it.job->service;
     if (!lowest_slowness.contains(service)) {
-      lowest_slowness[service] = FindLowestSlowness(board, service);
+      lowest_slowness[service] = FindLowestSlowness(board, service, now);
     }
-    SetMaxSlowness(now, lowest_slowness[service], &it);
-    Candidate* candidate = ChooseCandidate(&candidates, it);
+    const StartDemand demand = MakeDemand(it, lowest_slowness[service], now);
+    Candidate* candidate = ChooseCandidate(&candidates, it, demand);
     if (candidate == nullptr) continue;
     PlaceTask(it, candidate, now, &changes);
     if (!it.job->may_have_started) started_jobs.emplace(it.job->id, it.job);
--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -96,6 +96,9 @@
   double log_slowness = 0;
   // Whether the minion has a run of a suspect task.
   bool has_suspect = false;
+  // Whether the minion has lately not executed some of the starts that were
+  // sent to it, or executes them seconds late.
+  bool misses_starts = false;
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
 
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -213,11 +213,11 @@
 
 Body Write(Builder* builder, const LoadReport& it) {
   const auto free = ToWire(it.free);
-  return {
-      wire::Body::LoadReport,
-      wire::CreateLoadReport(*builder, it.handled_starts, &free, it.accepting,
-                             it.settled, it.log_slowness, it.has_suspect)
-          .Union()};
+  return {wire::Body::LoadReport,
+          wire::CreateLoadReport(*builder, it.handled_starts, &free,
+                                 it.accepting, it.settled, it.log_slowness,
+                                 it.has_suspect, it.misses_starts)
+              .Union()};
 }
 
 Body Write(Builder* builder, const StartRefused& it) {
@@ -347,9 +347,9 @@
 }
 
 Message Read(const wire::LoadReport& it) {
-  return LoadReport{it.handled_starts(), FromWire(*it.free()),
-                    it.accepting(),      it.settled(),
-                    it.log_slowness(),   it.has_suspect()};
+  return LoadReport{it.handled_starts(), FromWire(*it.free()), it.accepting(),
+                    it.settled(),        it.log_slowness(),    it.has_suspect(),
+                    it.misses_starts()};
 }
 
 Message Read(const wire::StartRefused& it) {
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -108,8 +108,16 @@
     ("pool_surplus_links", POOL_AGENT + "links.cpp", [
         ("if (!link.surplus_since || HasRuns(board, id)) continue;",
          "if (!link.surplus_since) continue;")]),
-    ("pool_wait_for_a_fast_minion", POOL_ENTRY + "placement.cpp", [
-        ("it.cost > waiting.max_slowness", "it.cost < 0")]),
+    ("pool_wait_for_a_fast_minion", POOL_ENTRY + "minion_choice.cpp", [
+        ("minion.slowness > max_slowness", "minion.slowness < 0")]),
+    ("pool_minions_that_miss_starts", POOL_AGENT + "polls.cpp", [
+        ("*health = WithMissedStart(*health, now);", "")]),
+    ("pool_choice_of_reliable_minions", POOL_ENTRY + "minion_choice.cpp", [
+        ("minion.may_lose_starts ? task.max_slowness_after_loss : "
+         "task.max_slowness;", "task.max_slowness;")]),
+    ("pool_silent_agents", POOL_ENTRY + "placement.cpp", [
+        ("now.boot - link->last_received_at > kMaxSilence",
+         "now.boot < link->last_received_at")]),
     ("pool_pause_of_an_agent", POOL_AGENT + "advance.cpp", [
         ("if (paused_) return;", "")]),
     ("pool_true_refusals", POOL_ENTRY + "outcomes.cpp", [
--- a/tests/pool/agent_runs_test.cpp
+++ b/tests/pool/agent_runs_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/pool/agent/capacity.h"
+#include "core/pool/agent/health.h"
 #include "core/pool/pause.h"
 #include "pool/agent_fixture.h"
 
@@ -92,6 +93,15 @@
   REQUIRE(run != nullptr);
   CHECK(run->phase == (listed ? RunPhase::kRunning : RunPhase::kStopping));
   CHECK(SelectEffects<CallStop>(effects).size() == (listed ? 0U : 1U));
+  // Guards against entries that keep sending tasks with little time left to a
+  // minion that executes starts seconds late.
+  const auto reports = SelectMessages<LoadReport>(effects);
+  REQUIRE(reports.size() == (listed ? 0U : 1U));
+  if (listed) return;
+  CHECK(reports[0].second.misses_starts);
+  CHECK(HasMissedStart(agent.board.health, agent.now));
+  agent.now.boot += seconds{4};
+  CHECK_FALSE(HasMissedStart(agent.board.health, agent.now));
 }
 
 TEST_CASE("A stopped run keeps its resources until its end is known",
