Place the tasks of started jobs first, and late jobs with little work

Late jobs were placed oldest first, just before their deadline. Change: waiting_order decides over plain structs. Tasks that can meet their goal come first, those of started jobs before others; late jobs follow by remaining work.

--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -4,10 +4,10 @@
 #include <cmath>
 #include <limits>
 #include <map>
-#include <tuple>
 
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/minion_choice.h"
+#include "core/pool/entry/waiting_order.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -24,18 +24,21 @@
 struct WaitingTask {
   const TaskRow* task = nullptr;
   const JobRow* job = nullptr;
-  // A minion has crashed with a run of the task. Most suspect tasks are not the
-  // cause, but those that are cost the runs beside them, so they are placed
-  // after all others.
-  bool is_suspect = false;
-  // Cannot meet its goal any more; is placed after tasks that still can.
-  bool is_late = false;
-  BootTime latest_start{0};
+  StartUrgency urgency;
 };
 
-bool IsMoreUrgent(const WaitingTask& a, const WaitingTask& b) {
-  return std::tuple(a.is_suspect, a.is_late, a.latest_start, a.task->key) <
-         std::tuple(b.is_suspect, b.is_late, b.latest_start, b.task->key);
+StartUrgency MakeUrgency(const EntryBoard& board, const TaskRow& task,
+                         const JobRow& job, const Now& now) {
+  StartUrgency urgency;
+  urgency.is_suspect = IsSuspect(board, task.key);
+  urgency.latest_start = job.goal_at - task.estimate;
+  urgency.is_late = urgency.latest_start < now.boot;
+  urgency.job_has_started = job.may_have_started;
+  urgency.remaining_work = static_cast<double>(job.open_tasks) *
+                           static_cast<double>(task.needs.cpu_millis) *
+                           static_cast<double>(task.estimate.count());
+  urgency.key = task.key;
+  return urgency;
 }
 
 std::vector<WaitingTask> CollectWaitingTasks(const EntryBoard& board,
@@ -45,11 +48,11 @@
     const JobRow* job = board.jobs.Find(key.job);
     if (job == nullptr || job->state != JobState::kActive) continue;
     const TaskRow* task = board.tasks.Find(key);
-    const BootTime latest_start = job->goal_at - task->estimate;
-    waiting.push_back({task, job, IsSuspect(board, key),
-                       latest_start < now.boot, latest_start});
+    waiting.push_back({task, job, MakeUrgency(board, *task, *job, now)});
   }
-  std::sort(waiting.begin(), waiting.end(), &IsMoreUrgent);
+  std::sort(waiting.begin(), waiting.end(), [](const auto& a, const auto& b) {
+    return IsPlacedBefore(a.urgency, b.urgency);
+  });
   return waiting;
 }
 
@@ -121,8 +124,10 @@
 // be late for certain, while its place on a faster minion may become free.
 StartDemand MakeDemand(const WaitingTask& it, const LowestSlowness& lowest,
                        const Now& now) {
-  StartDemand demand{it.task->needs, it.is_suspect, kUnlimited, kUnlimited};
-  if (it.is_late || it.is_suspect || it.task->estimate.count() <= 0) {
+  StartDemand demand{it.task->needs, it.urgency.is_suspect, kUnlimited,
+                     kUnlimited};
+  if (it.urgency.is_late || it.urgency.is_suspect ||
+      it.task->estimate.count() <= 0) {
     return demand;
   }
   // The fast minions may be those on which the task has failed.
@@ -183,16 +188,17 @@
   MinionOption& minion = candidate->minion;
   minion.free -= task.needs;
   minion.used_share = UsedShare(agent, minion.free);
-  minion.has_suspect = minion.has_suspect || waiting.is_suspect;
+  minion.has_suspect = minion.has_suspect || waiting.urgency.is_suspect;
   const std::uint64_t sequence =
       agent.starts_sent + candidate->starts.size() + 1;
-  candidate->starts.push_back({sequence, task.needs, waiting.is_suspect});
+  candidate->starts.push_back(
+      {sequence, task.needs, waiting.urgency.is_suspect});
   changes->Add(SendMessage{agent.link, StartRun{sequence,
                                                 {task.key, task.run_number},
                                                 waiting.job->payload,
                                                 task.needs,
                                                 task.estimate,
-                                                waiting.is_suspect}});
+                                                waiting.urgency.is_suspect}});
   changes->Add(Put<TaskRow>{task});
 }
 
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -115,6 +115,10 @@
     ("pool_choice_of_reliable_minions", POOL_ENTRY + "minion_choice.cpp", [
         ("minion.may_lose_starts ? task.max_slowness_after_loss : "
          "task.max_slowness;", "task.max_slowness;")]),
+    ("pool_started_jobs_first", POOL_ENTRY + "waiting_order.cpp", [
+        ("!it.is_late && !it.job_has_started", "false")]),
+    ("pool_late_jobs_with_less_work", POOL_ENTRY + "waiting_order.cpp", [
+        ("a.is_late && a.remaining_work != b.remaining_work", "false")]),
     ("pool_silent_agents", POOL_ENTRY + "placement.cpp", [
         ("now.boot - link->last_received_at > kMaxSilence",
          "now.boot < link->last_received_at")]),
