Refuse jobs as soon as they cannot end in time, and measure the backlog apart

Cause: a job that could not meet its client's timeout was held to its deadline, and refusals on submission counted late work that new tasks overtake, the same share of the minions for each entry and no slow minions. Retry-After follows the drain time, spread by the job's id.

--- a/bench/pool_run.cpp
+++ b/bench/pool_run.cpp
@@ -151,6 +151,9 @@
     result.refused =
         reply != nullptr && (reply->kind == pool::ReplyKind::kOverloaded ||
                              reply->kind == pool::ReplyKind::kNoMinions);
+    if (result.refused) {
+      result.ended_at = reply->at - start_ + scenario_.deployment.client_delay;
+    }
     return result;
   }
 
--- a/bench/shortage/measure.cpp
+++ b/bench/shortage/measure.cpp
@@ -11,7 +11,10 @@
   ++it->jobs;
   if (!result.complete || result.response > job.deadline) {
     ++it->failed;
-    if (result.refused) ++it->refused;
+    if (!result.refused) return;
+    ++it->refused;
+    it->refusal_age += static_cast<double>((result.ended_at - job.at).count()) /
+                       static_cast<double>(BootTime{job.deadline}.count());
   } else if (result.response > ObjectiveOf(job)) {
     ++it->late;
   }
@@ -61,6 +64,7 @@
     it.value = earned / (it.jobs * loads[n].value_in_time);
     it.late /= it.jobs;
     it.failed /= it.jobs;
+    if (it.refused > 0) it.refusal_age /= it.refused;
     it.refused /= it.jobs;
   }
   outcome.value = value / best;
--- a/bench/shortage/measure.h
+++ b/bench/shortage/measure.h
@@ -17,6 +17,9 @@
   double late = 0;
   double failed = 0;
   double refused = 0;
+  // Mean time from the arrival of the refused jobs to their refusal, as a share
+  // of their clients' timeout.
+  double refusal_age = 0;
   // Value of the answers divided by that of answers which are all in time.
   double value = 0;
   friend bool operator==(const QueueOutcome&, const QueueOutcome&) = default;
@@ -26,9 +29,6 @@
   std::vector<QueueOutcome> queues;
   // Share of the value of all queues together.
   double value = 0;
-  // Longest time from the arrival of a job to its refusal, as a share of its
-  // client's timeout.
-  double latest_refusal = 0;
   std::uint64_t double_starts = 0;
   friend bool operator==(const PatternOutcome&,
                          const PatternOutcome&) = default;
--- a/bench/shortage_report.cpp
+++ b/bench/shortage_report.cpp
@@ -17,8 +17,8 @@
   std::printf("| %s/%s | %s |", pattern.demand.deployment.name.c_str(),
               pattern.name.c_str(), system.c_str());
   for (const QueueOutcome& it : outcome.queues) {
-    std::printf(" %.1f, %.1f (%.1f) |", 100 * it.late, 100 * it.failed,
-                100 * it.refused);
+    std::printf(" %.1f, %.1f (%.1f after %.2f) |", 100 * it.late,
+                100 * it.failed, 100 * it.refused, it.refusal_age);
   }
   std::printf(" %.3f |\n", outcome.value);
   std::fflush(stdout);
@@ -27,7 +27,8 @@
 void Report(int seeds, const std::string& name) {
   std::printf(
       "Late, failed (of these refused) in percent of the jobs of each queue, "
-      "and the share of the value:\n\n"
+      "the time of\nthe refusals as a share of the clients' timeout, and the "
+      "share of the value:\n\n"
       "| pattern | system | short tasks | middle | long tasks | value |\n"
       "| --- | --- | --- | --- | --- | --- |\n");
   for (const Demand& demand : {MalabarDemand(), KymaDemand()}) {
--- a/bench/trace.h
+++ b/bench/trace.h
@@ -41,7 +41,8 @@
   bool measured = false;
   // A job without a complete answer counts with its deadline.
   BootTime response{0};
-  // Time at which the caller received the answer, from the start of the trace.
+  // Time at which the caller received the answer or the refusal, from the start
+  // of the trace.
   BootTime ended_at{0};
   friend bool operator==(const JobResult&, const JobResult&) = default;
 };
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -6,6 +6,7 @@
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/placement.h"
+#include "core/pool/entry/refusal.h"
 #include "core/pool/entry/submission.h"
 
 namespace dottereltrack::pool {
@@ -85,6 +86,7 @@
   void OnEvent(const EntryTick&) {
     ApplyChanges(AbortSilentLinks(*board_, now_));
     ApplyChanges(CheckTimeLimits(*board_, now_));
+    ApplyChanges(RefuseHopelessJobs(*board_, now_));
     ApplyChanges(ForgetOldCrashes(*board_, now_));
     ApplyChanges(PingIdleLinks(*board_, now_));
     ExitWhenIdle();
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -16,9 +16,6 @@
 // entry that gave the higher number may be ahead by seconds.
 constexpr std::uint64_t kRunNumberIncrement = 60'000;
 
-// Delay after which a refused caller should try again.
-constexpr milliseconds kRetryAfter{1'000};
-
 Decision JobDecision(const JobRow& job, Severity severity, std::string event,
                      const std::string& reason, const Now& now) {
   Decision decision{severity, std::move(event), job.id, {}, {}};
@@ -31,12 +28,13 @@
   return decision;
 }
 
-void ReplyToWaiters(const JobRow& job, ReplyKind kind, EntryChanges* changes) {
+void ReplyToWaiters(const JobRow& job, ReplyKind kind, milliseconds retry_after,
+                    EntryChanges* changes) {
   for (const CallId& call : job.waiters) {
     const bool refused = kind == ReplyKind::kNoMinions ||
                          kind == ReplyKind::kOverloaded ||
                          kind == ReplyKind::kStopping;
-    changes->Add(Reply{call, kind, refused ? kRetryAfter : milliseconds{0}});
+    changes->Add(Reply{call, kind, refused ? retry_after : milliseconds{0}});
   }
 }
 
@@ -54,8 +52,9 @@
 }
 
 void EndJob(const EntryBoard& board, JobRow job, JobState state, ReplyKind kind,
-            const Now& now, EntryChanges* changes) {
-  ReplyToWaiters(job, kind, changes);
+            const Now& now, EntryChanges* changes,
+            milliseconds retry_after = kRetryAfter) {
+  ReplyToWaiters(job, kind, retry_after, changes);
   StopRuns(board, job.id, changes);
   job.waiters.clear();
   job.state = state;
@@ -225,11 +224,11 @@
 
 EntryChanges AbandonJob(const EntryBoard& board, const JobRow& job,
                         ReplyKind reply, const std::string& reason,
-                        const Now& now) {
+                        const Now& now, milliseconds retry_after) {
   EntryChanges changes;
   changes.Add(
       JobDecision(job, Severity::kFailure, "job_given_up", reason, now));
-  EndJob(board, job, JobState::kAbandoned, reply, now, &changes);
+  EndJob(board, job, JobState::kAbandoned, reply, now, &changes, retry_after);
   return changes;
 }
 
--- a/src/core/pool/entry/outcomes.h
+++ b/src/core/pool/entry/outcomes.h
@@ -12,10 +12,14 @@
 EntryChanges HandleStartRefused(const EntryBoard& board, LinkId link,
                                 const StartRefused& message, const Now& now);
 
+// Delay after which a refused caller should try again, unless the refusal is
+// due to a backlog.
+constexpr milliseconds kRetryAfter{1'000};
+
 // Abandons a job: replies to its callers and stops its runs.
 EntryChanges AbandonJob(const EntryBoard& board, const JobRow& job,
                         ReplyKind reply, const std::string& reason,
-                        const Now& now);
+                        const Now& now, milliseconds retry_after = kRetryAfter);
 
 // Replies to the job's callers that it has failed and stops its runs. `reason`
 // is for the log.
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -5,9 +5,8 @@
 #include <limits>
 #include <map>
 
-#include "core/pool/entry/crashes.h"
 #include "core/pool/entry/minion_choice.h"
-#include "core/pool/entry/waiting_order.h"
+#include "core/pool/entry/waiting_tasks.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -21,41 +20,6 @@
 // a stop, or the lease of 310 ms in the start expires.
 constexpr milliseconds kLostStartTime{350};
 
-struct WaitingTask {
-  const TaskRow* task = nullptr;
-  const JobRow* job = nullptr;
-  StartUrgency urgency;
-};
-
-StartUrgency MakeUrgency(const EntryBoard& board, const TaskRow& task,
-                         const JobRow& job, const Now& now) {
-  StartUrgency urgency;
-  urgency.is_suspect = IsSuspect(board, task.key);
-  urgency.latest_start = job.goal_at - task.estimate;
-  urgency.is_late = urgency.latest_start < now.boot;
-  urgency.job_has_started = job.may_have_started;
-  urgency.remaining_work = static_cast<double>(job.open_tasks) *
-                           static_cast<double>(task.needs.cpu_millis) *
-                           static_cast<double>(task.estimate.count());
-  urgency.key = task.key;
-  return urgency;
-}
-
-std::vector<WaitingTask> CollectWaitingTasks(const EntryBoard& board,
-                                             const Now& now) {
-  std::vector<WaitingTask> waiting;
-  for (const TaskKey& key : board.waiting_tasks) {
-    const JobRow* job = board.jobs.Find(key.job);
-    if (job == nullptr || job->state != JobState::kActive) continue;
-    const TaskRow* task = board.tasks.Find(key);
-    waiting.push_back({task, job, MakeUrgency(board, *task, *job, now)});
-  }
-  std::sort(waiting.begin(), waiting.end(), [](const auto& a, const auto& b) {
-    return IsPlacedBefore(a.urgency, b.urgency);
-  });
-  return waiting;
-}
-
 // An agent and the starts that this placement has assigned to it.
 struct Candidate {
   const AgentRow* agent = nullptr;
--- /dev/null
+++ b/src/core/pool/entry/refusal.cpp
@@ -0,0 +1,114 @@
+#include "core/pool/entry/refusal.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+
+#include "core/pool/entry/backlog.h"
+#include "core/pool/entry/outcomes.h"
+#include "core/pool/entry/waiting_tasks.h"
+
+namespace dottereltrack::pool {
+namespace {
+
+// A task may take this share of its estimate, as estimates are off by 40%, and
+// the same holds for the work that is placed before it.
+constexpr double kMinEstimateShare = 0.7;
+// A burst lasts for seconds, so that an earlier retry would only add to it.
+constexpr milliseconds kMinRetryDelay{1'000};
+// The header is in whole seconds, so that a shorter spread would have no
+// effect.
+constexpr milliseconds kMinRetrySpread{2'000};
+// Longer than any client timeout of the users' deployments.
+constexpr milliseconds kMaxRetryDelay{10'000};
+
+// Spreads close ids evenly (the finalizer of SplitMix64).
+std::uint64_t MixBits(std::uint64_t value) {
+  value += 0x9e3779b97f4a7c15;
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
+  return value ^ (value >> 31);
+}
+
+double FindLowestSlowness(const EntryBoard& board, const std::string& service) {
+  double lowest = std::numeric_limits<double>::infinity();
+  for (const auto& [link, agent] : board.agents) {
+    if (!agent.load.accepting || agent.hello->service != service) continue;
+    lowest = std::min(lowest, std::exp(agent.load.log_slowness));
+  }
+  return std::isfinite(lowest) ? lowest : 1;
+}
+
+// Work placed so far in the order of the waiting tasks, and the speed at which
+// it is done, for one service.
+struct ServiceProgress {
+  double work = 0;
+  double rate = 0;
+  double slowness = 1;
+
+  milliseconds Delay() const {
+    if (rate == 0) return milliseconds{0};
+    return milliseconds{std::llround(work / rate)};
+  }
+};
+
+}  // namespace
+
+bool IsHopeless(const JobOutlook& outlook) {
+  const auto run_time = outlook.slowness * outlook.estimate;
+  return kMinEstimateShare * (outlook.delay + run_time) > outlook.time_left;
+}
+
+milliseconds DelayOfRetry(milliseconds drain_time, std::uint64_t job) {
+  const milliseconds base =
+      std::clamp(drain_time, kMinRetryDelay, kMaxRetryDelay);
+  const auto spread =
+      static_cast<std::uint64_t>(std::max(base, kMinRetrySpread).count());
+  return base + milliseconds{MixBits(job) % (spread + 1)};
+}
+
+milliseconds DelayOfRetry(const EntryBoard& board, const std::string& service,
+                          std::uint64_t job, const Now& now) {
+  return DelayOfRetry(EstimateDrainTime(board, service, now), job);
+}
+
+EntryChanges RefuseHopelessJobs(const EntryBoard& board, const Now& now) {
+  EntryChanges changes;
+  if (board.waiting_tasks.empty() ||
+      now.boot < board.started_at + board.settings.warm_up_time) {
+    return changes;
+  }
+  std::map<std::string, ServiceProgress> services;
+  std::map<std::uint64_t, const JobRow*> hopeless;
+  for (const WaitingTask& it : CollectWaitingTasks(board, now)) {
+    const auto [found, is_new] = services.try_emplace(it.job->service);
+    ServiceProgress& service = found->second;
+    if (is_new) {
+      service.rate = EstimateDrainRate(board, found->first, now);
+      service.slowness = FindLowestSlowness(board, found->first);
+    }
+    if (hopeless.contains(it.job->id)) continue;
+    // A job that has started may get the resources of its own runs.
+    const milliseconds delay =
+        it.job->may_have_started ? milliseconds{0} : service.Delay();
+    const JobOutlook outlook{delay, it.task->estimate, service.slowness,
+                             std::chrono::duration_cast<milliseconds>(
+                                 it.job->deadline_at - now.boot)};
+    if (it.urgency.is_late && IsHopeless(outlook)) {
+      hopeless.emplace(it.job->id, it.job);
+    } else {
+      service.work += WorkOf(*it.task);
+    }
+  }
+  for (const auto& [id, job] : hopeless) {
+    const ReplyKind reply =
+        job->may_have_started ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;
+    changes.Append(AbandonJob(board, *job, reply,
+                              "it cannot end before its deadline", now,
+                              DelayOfRetry(board, job->service, id, now)));
+  }
+  return changes;
+}
+
+}  // namespace dottereltrack::pool
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -3,17 +3,14 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/pool/entry/backlog.h"
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/outcomes.h"
+#include "core/pool/entry/refusal.h"
 
 namespace dottereltrack::pool {
 namespace {
 
-// Delays after which a refused caller should try again. A burst lasts for
-// seconds; an agent reconnects within a second.
-constexpr milliseconds kOverloadRetryAfter{2'000};
-constexpr milliseconds kRetryAfter{1'000};
-
 EntryChanges RefuseJob(const JobSubmitted& e, ReplyKind kind,
                        milliseconds retry_after, Decision reason) {
   EntryChanges changes;
@@ -133,36 +130,6 @@
 
 }  // namespace
 
-milliseconds EstimateBacklogDelay(const EntryBoard& board,
-                                  const std::string& service) {
-  double waiting_work = 0;
-  for (const TaskKey& key : board.waiting_tasks) {
-    const TaskRow& task = *board.tasks.Find(key);
-    const JobRow* job = board.jobs.Find(key.job);
-    if (job == nullptr || job->state != JobState::kActive) continue;
-    if (job->service != service) continue;
-    // Suspect tasks are placed after all others.
-    if (IsSuspect(board, key)) continue;
-    waiting_work += static_cast<double>(task.needs.cpu_millis) *
-                    static_cast<double>(task.estimate.count());
-  }
-  double total_cpu_millis = 0;
-  for (const auto& [link, agent] : board.agents) {
-    if (agent.hello->service != service || !agent.load.accepting) continue;
-    total_cpu_millis += static_cast<double>(agent.hello->capacity.cpu_millis);
-  }
-  if (waiting_work == 0 || total_cpu_millis == 0) return milliseconds{0};
-  // Each agent shares its minion among the entries that it links to.
-  std::size_t entry_count = 1;
-  for (const auto& [address, peer] : board.peers) {
-    if (peer.link) ++entry_count;
-  }
-  const auto sharers = static_cast<double>(
-      std::min(entry_count, board.settings.max_entry_links));
-  return milliseconds{
-      std::llround(waiting_work / (total_cpu_millis / sharers))};
-}
-
 EntryChanges HandleSubmission(const EntryBoard& board, const JobSubmitted& e,
                               const Now& now) {
   if (board.config.version == 0) {
@@ -189,11 +156,12 @@
     return RefuseJob(e, ReplyKind::kStopping, kRetryAfter,
                      {.texts = {{"reason", "this process is stopping"}}});
   }
-  const milliseconds backlog = EstimateBacklogDelay(board, queue->service);
+  const milliseconds backlog = EstimateBacklogDelay(board, queue->service, now);
   const bool is_warmed_up =
       now.boot >= board.started_at + board.settings.warm_up_time;
   if (is_warmed_up && backlog + LongestEstimate(e.job) > e.client_timeout) {
-    return RefuseJob(e, ReplyKind::kOverloaded, kOverloadRetryAfter,
+    return RefuseJob(e, ReplyKind::kOverloaded,
+                     DelayOfRetry(board, queue->service, e.job.id, now),
                      {.texts = {{"reason", "the backlog exceeds the deadline"}},
                       .numbers = {{"backlog_ms", backlog.count()},
                                   {"patience_ms", e.client_timeout.count()}}});
--- a/src/core/pool/entry/submission.h
+++ b/src/core/pool/entry/submission.h
@@ -10,9 +10,4 @@
 EntryChanges HandleSubmission(const EntryBoard& board, const JobSubmitted& e,
                               const Now& now);
 
-// Estimates the time until all waiting tasks of the service have been started
-// on this entry's share of the service's cores.
-milliseconds EstimateBacklogDelay(const EntryBoard& board,
-                                  const std::string& service);
-
 }  // namespace dottereltrack::pool
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -119,6 +119,18 @@
         ("!it.is_late && !it.job_has_started", "false")]),
     ("pool_late_jobs_with_less_work", POOL_ENTRY + "waiting_order.cpp", [
         ("a.is_late && a.remaining_work != b.remaining_work", "false")]),
+    ("pool_refusal_before_the_deadline", POOL_ENTRY + "advance.cpp", [
+        ("ApplyChanges(RefuseHopelessJobs(*board_, now_));", "")]),
+    ("pool_true_early_refusals", POOL_ENTRY + "refusal.cpp", [
+        ("job->may_have_started ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;",
+         "ReplyKind::kOverloaded;")]),
+    ("pool_refusal_with_high_estimates", POOL_ENTRY + "refusal.cpp", [
+        ("constexpr double kMinEstimateShare = 0.7;",
+         "constexpr double kMinEstimateShare = 1.0;")]),
+    ("pool_spread_retries", POOL_ENTRY + "refusal.cpp", [
+        ("MixBits(job) % (spread + 1)", "0")]),
+    ("pool_backlog_of_slow_minions", POOL_ENTRY + "backlog.cpp", [
+        ("total / std::exp(agent.load.log_slowness)", "total")]),
     ("pool_silent_agents", POOL_ENTRY + "placement.cpp", [
         ("now.boot - link->last_received_at > kMaxSilence",
          "now.boot < link->last_received_at")]),
--- a/tests/pool/entry_crashes_test.cpp
+++ b/tests/pool/entry_crashes_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include "core/pool/entry/backlog.h"
 #include "core/pool/entry/crashes.h"
-#include "core/pool/entry/submission.h"
 #include "pool/entry_fixture.h"
 
 namespace dottereltrack::pool {
@@ -231,9 +231,11 @@
   entry.Step({MessageReceived{{1}, full}});
   entry.Step({PeerReport(MakeReport("old", kTask))});
   entry.Submit(kJob, 1);
-  CHECK(EstimateBacklogDelay(entry.board, "menus") == milliseconds{0});
+  CHECK(EstimateBacklogDelay(entry.board, "menus", entry.now) ==
+        milliseconds{0});
   entry.Submit(kJob + 1, 1);
-  CHECK(EstimateBacklogDelay(entry.board, "menus") > milliseconds{0});
+  CHECK(EstimateBacklogDelay(entry.board, "menus", entry.now) >
+        milliseconds{0});
   const LoadReport idle{0, ResourcesFor(1), true, true, 0};
   entry.Step({MessageReceived{{1}, idle}});
   std::vector<std::uint64_t> placed;
