--- a/bench/trace.h
+++ b/bench/trace.h
@@ -41,7 +41,8 @@
   bool measured = false;
   // A job without a complete answer counts with its deadline.
   BootTime response{0};
-  // Time at which the caller received the answer, from the start of the trace.
+  // Time at which the caller received the answer or the refusal, from the start
+  // of the trace.
   BootTime ended_at{0};
   friend bool operator==(const JobResult&, const JobResult&) = default;
 };
@@ -51,6 +52,10 @@
 
 BootTime WorkOf(const TraceJob& job);
 
+// The objective that users state for their kinds of jobs: 1.6 times the run
+// time of the longest task on a minion of speed 1, plus 60 ms.
+BootTime ObjectiveOf(const TraceJob& job);
+
 // The result of a job that has no complete answer.
 JobResult IncompleteResult(const Scenario& scenario, const TraceJob& job);
 
--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -6,6 +6,7 @@
 #include "core/pool/agent/capacity.h"
 #include "core/pool/agent/crashes.h"
 #include "core/pool/agent/fencing.h"
+#include "core/pool/agent/health.h"
 #include "core/pool/agent/instances.h"
 #include "core/pool/agent/poll_timing.h"
 #include "core/pool/agent/runs.h"
@@ -84,6 +85,7 @@
     case RunPhase::kStarting: {
       if (!ShowsUnansweredStart(board, run, sent_at)) return;
       changes->Add(Put<RunRow>{WithLostStart(run, now)});
+      *health = WithMissedStart(*health, now);
       Decision decision{Severity::kFailure,
                         "start_unanswered",
                         run.key.task.job,
@@ -97,6 +99,7 @@
       // The start call may still arrive; after a stop the minion refuses it.
       if (run.phase_started_at > sent_at) return;
       changes->Add(Put<RunRow>{WithLostStart(run, now)});
+      *health = WithMissedStart(*health, now);
       return;
     }
     case RunPhase::kRunning:
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -13,6 +13,7 @@
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/past_jobs.h"
 #include "core/pool/entry/placement.h"
+#include "core/pool/entry/refusal.h"
 #include "core/pool/entry/submission.h"
 
 namespace dottereltrack::pool {
@@ -141,6 +142,7 @@
   void OnEvent(const EntryTick&) {
     ApplyChanges(AbortSilentLinks(*board_, now_));
     ApplyChanges(CheckTimeLimits(*board_, now_));
+    ApplyChanges(RefuseHopelessJobs(*board_, now_));
     ApplyChanges(EndOverdueCancels(*board_, now_));
     ApplyChanges(ForgetPastJobs(*board_, now_));
     ApplyChanges(ForgetExcessCrashes(*board_));
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -29,6 +29,13 @@
   }
 }
 
+void RemoveFromWaiting(EntryBoard* board, const TaskKey& key) {
+  if (board->waiting_tasks.erase(key) == 0) return;
+  auto& needs = board->waiting_cpu_millis;
+  const std::int64_t cpu_millis = board->tasks.Find(key)->needs.cpu_millis;
+  needs.erase(needs.find(cpu_millis));
+}
+
 // Adds `n` to the counts of a crash's suspects.
 void AddToCrashCounts(EntryBoard* board, const CrashSuspects& suspects, int n) {
   auto& counts = board->crash_counts;
@@ -62,13 +69,16 @@
   }
   void operator()(const Put<TaskRow>& it) const {
     const TaskState state = it.row.state;
-    UpdateMembership(&board->waiting_tasks, it.row.key,
-                     state == TaskState::kWaiting);
+    RemoveFromWaiting(board, it.row.key);
+    if (state == TaskState::kWaiting) {
+      board->waiting_tasks.insert(it.row.key);
+      board->waiting_cpu_millis.insert(it.row.needs.cpu_millis);
+    }
     UpdateMembership(&board->lost_tasks, it.row.key, state == TaskState::kLost);
     board->tasks.Put(it.row);
   }
   void operator()(const Erase<TaskRow>& it) const {
-    board->waiting_tasks.erase(it.key);
+    RemoveFromWaiting(board, it.key);
     board->lost_tasks.erase(it.key);
     board->tasks.Erase(it.key);
   }
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -178,6 +178,8 @@
   std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
   std::set<std::pair<BootTime, std::uint64_t>> past_jobs_by_age;
   std::set<TaskKey> waiting_tasks;
+  // Processor needs of the waiting tasks, in thousandths of a core.
+  std::multiset<std::int64_t> waiting_cpu_millis;
   std::set<TaskKey> lost_tasks;
   std::map<TaskKey, CrashCount> crash_counts;
   BootTime started_at{0};
--- a/src/core/pool/entry/cancels.cpp
+++ b/src/core/pool/entry/cancels.cpp
@@ -9,9 +9,6 @@
 namespace dottereltrack::pool {
 namespace {
 
-// A link that was lost is dialed again within a second.
-constexpr milliseconds kRetryAfter{1'000};
-
 // An entry is frozen or cut off for seconds. With 140 cancels a second in the
 // pool, a new link gets 60 KB.
 constexpr milliseconds kRecentCancel{10'000};
--- a/src/core/pool/entry/forwarded_jobs.cpp
+++ b/src/core/pool/entry/forwarded_jobs.cpp
@@ -7,9 +7,6 @@
 namespace dottereltrack::pool {
 namespace {
 
-// Delay after which a refused peer may try again.
-constexpr milliseconds kRetryAfter{1'000};
-
 ForwardedOutcome OutcomeOf(ReplyKind kind) {
   switch (kind) {
     case ReplyKind::kCompleted:
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -3,18 +3,16 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/pool/entry/backlog.h"
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/evacuation.h"
+#include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/past_jobs.h"
+#include "core/pool/entry/refusal.h"
 
 namespace dottereltrack::pool {
 namespace {
 
-// Delays after which a refused caller should try again. A burst lasts for
-// seconds; an agent reconnects within a second.
-constexpr milliseconds kOverloadRetryAfter{2'000};
-constexpr milliseconds kRetryAfter{1'000};
-
 EntryChanges RefuseJob(const EntryBoard& board, const JobSubmitted& e,
                        ReplyKind kind, milliseconds retry_after,
                        Decision reason) {
@@ -154,37 +152,6 @@
 
 }  // namespace
 
-milliseconds EstimateBacklogDelay(const EntryBoard& board,
-                                  const std::string& service, const Now& now) {
-  double waiting_work = 0;
-  for (const TaskKey& key : board.waiting_tasks) {
-    const TaskRow& task = *board.tasks.Find(key);
-    const JobRow* job = board.jobs.Find(key.job);
-    if (job == nullptr || job->state != JobState::kActive) continue;
-    if (job->service != service) continue;
-    // Suspect tasks are placed after all others.
-    if (IsSuspect(board, key)) continue;
-    waiting_work += static_cast<double>(task.needs.cpu_millis) *
-                    static_cast<double>(task.estimate.count());
-  }
-  double total_cpu_millis = 0;
-  for (const auto& [link, agent] : board.agents) {
-    if (agent.hello->service != service || !IsUsable(board, agent)) continue;
-    total_cpu_millis +=
-        static_cast<double>(UsableCapacity(board, agent, now).cpu_millis);
-  }
-  if (waiting_work == 0 || total_cpu_millis == 0) return milliseconds{0};
-  // Each agent shares its minion among the entries that it links to.
-  std::size_t entry_count = 1;
-  for (const auto& [address, peer] : board.peers) {
-    if (peer.link) ++entry_count;
-  }
-  const auto sharers = static_cast<double>(
-      std::min(entry_count, board.settings.max_entry_links));
-  return milliseconds{
-      std::llround(waiting_work / (total_cpu_millis / sharers))};
-}
-
 EntryChanges HandleSubmission(const EntryBoard& board, const JobSubmitted& e,
                               const Now& now) {
   const JobRow* known = board.jobs.Find(e.job.id);
@@ -221,7 +188,8 @@
                      {.texts = {{"reason", kOnlyEvacuatedMinions}}});
   }
   if (is_warmed_up && backlog + LongestEstimate(e.job) > e.client_timeout) {
-    return RefuseJob(board, e, ReplyKind::kOverloaded, kOverloadRetryAfter,
+    return RefuseJob(board, e, ReplyKind::kOverloaded,
+                     DelayOfRetry(board, queue->service, e.job.id, now),
                      {.texts = {{"reason", "the backlog exceeds the deadline"}},
                       .numbers = {{"backlog_ms", backlog.count()},
                                   {"patience_ms", e.client_timeout.count()}}});
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -110,8 +110,32 @@
     ("pool_surplus_links", POOL_AGENT + "links.cpp", [
         ("if (!link.surplus_since || HasRuns(board, id)) continue;",
          "if (!link.surplus_since) continue;")]),
-    ("pool_wait_for_a_fast_minion", POOL_ENTRY + "placement.cpp", [
-        ("it.cost > waiting.max_slowness", "it.cost < 0")]),
+    ("pool_wait_for_a_fast_minion", POOL_ENTRY + "minion_choice.cpp", [
+        ("minion.slowness > max_slowness", "minion.slowness < 0")]),
+    ("pool_minions_that_miss_starts", POOL_AGENT + "polls.cpp", [
+        ("*health = WithMissedStart(*health, now);", "")]),
+    ("pool_choice_of_reliable_minions", POOL_ENTRY + "minion_choice.cpp", [
+        ("minion.may_lose_starts ? task.max_slowness_after_loss : "
+         "task.max_slowness;", "task.max_slowness;")]),
+    ("pool_started_jobs_first", POOL_ENTRY + "waiting_order.cpp", [
+        ("!it.is_late && !it.job_has_started", "false")]),
+    ("pool_late_jobs_with_less_work", POOL_ENTRY + "waiting_order.cpp", [
+        ("a.is_late && a.remaining_work != b.remaining_work", "false")]),
+    ("pool_refusal_before_the_deadline", POOL_ENTRY + "advance.cpp", [
+        ("ApplyChanges(RefuseHopelessJobs(*board_, now_));", "")]),
+    ("pool_true_early_refusals", POOL_ENTRY + "refusal.cpp", [
+        ("job->may_have_started ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;",
+         "ReplyKind::kOverloaded;")]),
+    ("pool_refusal_with_high_estimates", POOL_ENTRY + "refusal.cpp", [
+        ("constexpr double kMinEstimateShare = 0.7;",
+         "constexpr double kMinEstimateShare = 1.0;")]),
+    ("pool_spread_retries", POOL_ENTRY + "refusal.cpp", [
+        ("MixBits(job) % (spread + 1)", "0")]),
+    ("pool_backlog_of_slow_minions", POOL_ENTRY + "backlog.cpp", [
+        ("total / std::exp(agent.load.log_slowness)", "total")]),
+    ("pool_silent_agents", POOL_ENTRY + "placement.cpp", [
+        ("now.boot - link->last_received_at > kMaxSilence",
+         "now.boot < link->last_received_at")]),
     ("pool_pause_of_an_agent", POOL_AGENT + "advance.cpp", [
         ("if (paused_) return;", "")]),
     ("pool_true_refusals", POOL_ENTRY + "outcomes.cpp", [
--- a/tests/pool/entry_crashes_test.cpp
+++ b/tests/pool/entry_crashes_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include "core/pool/entry/backlog.h"
 #include "core/pool/entry/crashes.h"
-#include "core/pool/entry/submission.h"
 #include "pool/entry_fixture.h"
 
 namespace dottereltrack::pool {
--- a/tests/pool/entry_evacuation_test.cpp
+++ b/tests/pool/entry_evacuation_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "core/pool/entry/backlog.h"
 #include "core/pool/entry/evacuation.h"
 #include "core/pool/entry/submission.h"
 #include "pool/entry_fixture.h"
@@ -111,13 +112,13 @@
   entry.AddAgent(1, "m1", ResourcesFor(4));
   entry.AddAgent(2, "m2", ResourcesFor(4), 0, "south");
   entry.Submit(kJob, 100, seconds{60});
-  const auto full = EstimateBacklogDelay(entry.board, "menus", entry.now);
+  const auto full = EstimateDrainTime(entry.board, "menus", entry.now);
   entry.Step({Evacuated(10)});
   if (row.since_end) {
     entry.Step({NotEvacuated(20)});
     entry.now.boot += *row.since_end;
   }
-  const auto delay = EstimateBacklogDelay(entry.board, "menus", entry.now);
+  const auto delay = EstimateDrainTime(entry.board, "menus", entry.now);
   if (row.backlog_factor > 0) {
     CHECK(delay == full * row.backlog_factor);
   } else {
