--- a/src/core/pool/entry/minion_choice.h
+++ b/src/core/pool/entry/minion_choice.h
@@ -14,9 +14,11 @@
   double slowness = 1;
   // The minion has a run of a suspect task, or a start of one is on its way.
   bool has_suspect = false;
-  // A start may be lost: the minion has lately missed some, or its agent has
-  // been silent for longer than an idle link is.
-  bool may_lose_starts = false;
+  // The minion has lately missed some starts.
+  bool misses_starts = false;
+  // The agent has been silent for longer than an idle link is, so that it may
+  // have been lost with its runs.
+  bool is_silent = false;
   // A run of the task has failed on this minion.
   bool has_failed_task = false;
   friend bool operator==(const MinionOption&, const MinionOption&) = default;
@@ -29,8 +31,9 @@
   // Minions that are slower than this would miss the goal; infinite for a task
   // that is late, and if no minion is fast enough.
   double max_slowness = 0;
-  // The same if the start is lost and the task is started again elsewhere. It
-  // applies to minions that may lose starts.
+  // The same if the start is lost and the task is started again elsewhere.
+  // Minions that are slower are ruled out if they are silent, and are the last
+  // choice if they miss starts.
   double max_slowness_after_loss = 0;
   friend bool operator==(const StartDemand&, const StartDemand&) = default;
 };
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -34,9 +34,7 @@
                      [](const auto& it) { return it.is_suspect; });
 }
 
-bool MayLoseStarts(const EntryBoard& board, const AgentRow& agent,
-                   const Now& now) {
-  if (agent.load.misses_starts) return true;
+bool IsSilent(const EntryBoard& board, const AgentRow& agent, const Now& now) {
   const LinkRow* link = board.links.Find(agent.link);
   return link != nullptr && now.boot - link->last_received_at > kMaxSilence;
 }
@@ -57,14 +55,16 @@
     minion.used_share = UsedShare(agent, agent.free);
     minion.slowness = std::exp(agent.load.log_slowness);
     minion.has_suspect = HasSuspect(agent);
-    minion.may_lose_starts = MayLoseStarts(board, agent, now);
+    minion.misses_starts = agent.load.misses_starts;
+    minion.is_silent = IsSilent(board, agent, now);
     candidates.push_back({&agent, minion, {}});
   }
   return candidates;
 }
 
 // Smallest slowness among the minions of a service that accept runs, with or
-// without free resources: of all, and of those that lose no starts.
+// without free resources: of all, and of those whose
+// agents are not silent.
 struct LowestSlowness {
   double of_all = kUnlimited;
   double of_reliable = kUnlimited;
@@ -77,7 +77,7 @@
     if (!IsUsable(board, agent) || agent.hello->service != service) continue;
     const double slowness = std::exp(agent.load.log_slowness);
     lowest.of_all = std::min(lowest.of_all, slowness);
-    if (MayLoseStarts(board, agent, now)) continue;
+    if (IsSilent(board, agent, now)) continue;
     lowest.of_reliable = std::min(lowest.of_reliable, slowness);
   }
   return lowest;
