--- a/bench/config_costs.cpp
+++ b/bench/config_costs.cpp
@@ -93,7 +93,7 @@
   const double read =
       MedianMicros([&] { sink = DecodeFrame(frame).has_value() ? 1 : 0; });
   const std::size_t announcement =
-      EncodeFrame(ConfigAnnouncement{7, text.size()}).size();
+      EncodeFrame(ConfigAnnouncement{7, text.size(), 200}).size();
   std::printf(
       "| %d | %zu | %zu | %.0f | %.0f | %.0f | %.1f | %.2f | %.0f | %.0f | %zu "
       "| %zu |\n",
--- a/src/core/pool/entry/config_exchange.cpp
+++ b/src/core/pool/entry/config_exchange.cpp
@@ -207,8 +207,8 @@
 EntryChanges AnnounceConfig(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   for (const auto& [id, link] : board.links) {
-    if (!IsAnnouncementDue(board, link, board.config_peers.Find(id), now))
-      continue;
+    const ConfigPeer* known = board.config_peers.Find(id);
+    if (!IsAnnouncementDue(board, link, known, now)) continue;
     ConfigPeer peer = PeerOf(board, id);
     peer.told_version = board.config.version;
     peer.told_at = now.boot;
