Post an offered configuration before the result of reading it

A small text that cannot be read was refused before the board knew of the offer, so that the entry waited 500 ms for the text to be adopted before it asked another process. The offer is now posted first.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -238,12 +238,13 @@
     Execute(MakeRefusal("frame_refused", message.error().message));
     return links_.Abort(link);
   }
-  if (const auto* offer = std::get_if<ConfigOffer>(&message.value())) {
-    if (offer->version > board_.config.version) {
-      OnConfigText(offer->text, link);
-    }
-  }
+  const auto* offer = std::get_if<ConfigOffer>(&message.value());
+  const bool is_newer =
+      offer != nullptr && offer->version > board_.config.version;
+  const Bytes text = is_newer ? offer->text : Bytes();
+  // The board must know of the offer before the result of reading its text.
   Post(MessageReceived{link, std::move(message.value())});
+  if (is_newer) OnConfigText(text, link);
 }
 
 void PoolEntry::OnPartialFrame(LinkId link) {
