Stop a job sooner if a peer also waits for it, and dump the offers

Cause: a job that a client of the owner had submitted before a peer forwarded it was stopped with the usual 280 ms, which do not fit into the chain; the state dump did not show offers. Change: a forwarded repetition marks the job; the dump lists the load, offers and demands, and the owner's link of each job.

--- a/apps/pool_entry/state_dump.cpp
+++ b/apps/pool_entry/state_dump.cpp
@@ -46,6 +46,8 @@
           {"state", NameOf(job.state)},
           {"open_tasks", job.open_tasks},
           {"callers", job.waiters.size()},
+          {"owner_link", job.forwarded_to ? job.forwarded_to->value : 0},
+          {"from_peer", job.is_from_peer},
           {"age_ms", AgeMs(job.arrived_at, now)},
           {"past_goal_ms", AgeMs(job.goal_at, now)},
           {"past_deadline_ms", AgeMs(job.deadline_at, now)}};
@@ -79,6 +81,21 @@
           {"unreported_starts", agent.unreported_starts.size()}};
 }
 
+json RowToJson(const OfferRow& offer, const Now&) {
+  return {{"link", offer.link.value},
+          {"data_centre", offer.data_centre},
+          {"remaining", offer.Remaining()},
+          {"sent_jobs", offer.sent_jobs}};
+}
+
+json RowToJson(const DemandRow& demand, const Now& now) {
+  return {{"link", demand.link.value},
+          {"overloaded", demand.is_overloaded},
+          {"offered_jobs", demand.offered_jobs},
+          {"received_jobs", demand.received_jobs},
+          {"offered_ms_ago", AgeMs(demand.offered_at, now)}};
+}
+
 json TasksToJson(const std::vector<TaskKey>& tasks) {
   json names = json::array();
   for (const TaskKey& task : tasks) names.push_back(ToText(task));
@@ -102,6 +119,10 @@
       {"config_version", board.config.version},
       {"waiting_tasks", board.waiting_tasks.size()},
       {"lost_tasks", board.lost_tasks.size()},
+      {"load", board.overload.pressure},
+      {"overloaded", board.overload.is_overloaded},
+      {"offers", TableToJson(board.offers, now, &RowToJson)},
+      {"demands", TableToJson(board.demands, now, &RowToJson)},
       {"jobs", TableToJson(board.jobs, now, &RowToJson)},
       {"tasks", TableToJson(board.tasks, now, &RowToJson)},
       {"agents", TableToJson(board.agents, now, &RowToJson)},
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -121,6 +121,7 @@
   } else {
     JobRow job = known;
     job.waiters.push_back(e.call);
+    job.is_from_peer = job.is_from_peer || e.is_from_peer;
     job.deadline_at = std::max(job.deadline_at, now.boot + e.client_timeout);
     changes.Add(Put<JobRow>{job});
   }
--- a/tests/pool/forwarding_test.cpp
+++ b/tests/pool/forwarding_test.cpp
@@ -156,6 +156,20 @@
   CHECK(owner.board.forwarded_calls.empty());
 }
 
+TEST_CASE("A job that a peer also waits for is stopped like a forwarded one",
+          "[pool][entry][overload]") {
+  // Guards against runs that outlive the bound because the job was first
+  // submitted by a client of the owner.
+  const bool is_from_peer = GENERATE(true, false);
+  ForwardingFixture owner;
+  owner.Submit(7, 2);
+  if (is_from_peer) owner.Receive(kCallingPeer, MakeForwardedJob(7));
+  const auto stops = SelectMessages<StopRun>(
+      owner.Step({JobCancelRequested{{owner.next_call++}, 7}}));
+  REQUIRE(stops.size() == 2);
+  CHECK(stops[0].second.withholds_lease == is_from_peer);
+}
+
 TEST_CASE("An owner refuses what it cannot run", "[pool][entry][overload]") {
   // Guards against jobs that an entry accepts by an older configuration, while
   // it stops, or while it is overloaded itself.
