Make offers full up to a load of 0.3, and end the work of each handler

A request that is answered without a turn, such as a count of pending jobs, left the busy meter on until the next tick. Change: offers fall from a load of 0.3 to 0 at 0.55; a handler's work ends with the handlers that are ready unless a turn goes on with it; an overloaded entry asks for reports each 300 ms.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -204,7 +204,13 @@
 
 void PoolEntry::Post(EntryEvent event) { event_queue_.Post(std::move(event)); }
 
-void PoolEntry::BeginWork() { busy_meter_.Begin(BusyMeter::Clock::now()); }
+// The work of a handler ends with the handlers that are ready now, unless the
+// turn that it causes goes on with it.
+void PoolEntry::BeginWork() {
+  if (busy_meter_.is_busy()) return;
+  busy_meter_.Begin(BusyMeter::Clock::now());
+  EndWorkAfterWrites(true);
+}
 
 // The writes that a turn causes are posted after it and count as work.
 void PoolEntry::EndWorkAfterWrites(bool has_effects) {
@@ -213,7 +219,7 @@
 }
 
 void PoolEntry::ProcessEvents(std::vector<EntryEvent> events) {
-  BeginWork();
+  busy_meter_.Begin(BusyMeter::Clock::now());
   const Now now = ReadClocks();
   const milliseconds pause = PauseDuration(
       std::exchange(last_iteration_at_, now.boot), now.boot, kTickInterval);
--- a/src/core/pool/entry/entry_load.cpp
+++ b/src/core/pool/entry/entry_load.cpp
@@ -74,8 +74,9 @@
 std::uint32_t JobsToOffer(double pressure, std::size_t peers,
                           const EntrySettings& settings) {
   if (peers == 0) return 0;
+  const double range = settings.offer_limit_share - settings.full_offer_share;
   const double idle_share =
-      std::max(0.0, 1 - pressure / settings.offer_limit_share);
+      std::clamp((settings.offer_limit_share - pressure) / range, 0.0, 1.0);
   const double jobs = settings.cpu_cores > 0
                           ? settings.cpu_cores * settings.offered_jobs_per_core
                           : settings.default_offered_jobs;
@@ -106,8 +107,8 @@
   if (interval < settings.min_requested_report_interval) {
     interval = milliseconds{0};
   }
-  if (!is_overloaded) return interval;
-  return std::max(2 * interval, settings.overload_report_interval);
+  if (is_overloaded) return settings.max_requested_report_interval;
+  return std::min(interval, settings.max_requested_report_interval);
 }
 
 EntryChanges AdjustReportIntervals(const EntryBoard& board) {
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -72,8 +72,8 @@
   // up to 375 ms, above which the entry aborts its links itself, breaks no
   // link.
   milliseconds saving_ping_interval{125};
-  // Smallest interval that an overloaded entry asks for.
-  milliseconds overload_report_interval{200};
+  // An overloaded entry asks for this interval. As in AgentSettings.
+  milliseconds max_requested_report_interval{300};
   // Share of time in which the event loop is busy, from which on this entry
   // counts as overloaded, and below which it does not any more. At 0.6 an event
   // waits 1.5 times its own processing time on average, at 0.85 six times.
@@ -86,8 +86,11 @@
   // Mean lateness of the tick timer that counts as a fully busy loop. At 60 ms,
   // the usual target latency of a queue is used up.
   milliseconds full_tick_lateness{100};
-  // Offers shrink linearly with the load and are 0 from this busy share on.
-  double offer_limit_share = 0.5;
+  // Offers are full up to the first busy share and shrink linearly to 0 at the
+  // second, which is below `overload_enter_share`, so that no entry is
+  // overloaded by the jobs that it has offered to take.
+  double full_offer_share = 0.3;
+  double offer_limit_share = 0.55;
   // Jobs that an idle entry offers to all overloaded peers together, for each
   // core, or if its processor share is not known. A core runs about 2,500 jobs
   // a second, so these take 100 ms, two of the shortest offer intervals.
--- a/src/runtime/busy_meter.h
+++ b/src/runtime/busy_meter.h
@@ -24,6 +24,7 @@
   void End(TimePoint now) {
     if (is_busy_) Switch(now, false);
   }
+  bool is_busy() const { return is_busy_; }
   // The tick timer has fired `lateness` after it was due.
   void RecordTick(Clock::duration lateness);
 
