Forget the tasks of a refused job that never started

Change: the end of a job erases its tasks that have never been started, and the drain time is computed once for each service. The log has a line when a minion is found to miss starts.

--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -82,6 +82,9 @@
       row.stop_reason = RunEnd::kLost;
       row.next_stop_at = now.boot;
       changes->Add(Put<RunRow>{row});
+      if (!HasMissedStart(*health, now)) {
+        changes->Add(MinionDecision(*board.minion, "minion_misses_starts"));
+      }
       *health = WithMissedStart(*health, now);
       return;
     }
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -43,6 +43,11 @@
   const auto [begin, end] = TasksOf(board, job);
   for (auto it = begin; it != end; ++it) {
     const TaskRow& task = it->second;
+    // Tasks that never started tell a resubmission nothing, and would be looked
+    // at in each placement until the job is forgotten.
+    if (task.state == TaskState::kWaiting && task.run_number == 0) {
+      changes->Add(Erase<TaskRow>{task.key});
+    }
     if (task.state != TaskState::kPlaced) continue;
     changes->Add(SendMessage{task.link, StopRun{{task.key, task.run_number}}});
     TaskRow stopping = task;
--- a/src/core/pool/entry/refusal.cpp
+++ b/src/core/pool/entry/refusal.cpp
@@ -101,12 +101,17 @@
       service.work += WorkOf(*it.task);
     }
   }
+  std::map<std::string, milliseconds> drain_times;
   for (const auto& [id, job] : hopeless) {
+    const auto [drain_time, is_new] = drain_times.try_emplace(job->service);
+    if (is_new) {
+      drain_time->second = EstimateDrainTime(board, job->service, now);
+    }
     const ReplyKind reply =
         job->may_have_started ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;
     changes.Append(AbandonJob(board, *job, reply,
                               "it cannot end before its deadline", now,
-                              DelayOfRetry(board, job->service, id, now)));
+                              DelayOfRetry(drain_time->second, id)));
   }
   return changes;
 }
