Start tasks only on minions that are fast enough by a margin of 10%

Cause: route-assign may take 1.667 times its estimate on M, and the slow minions take 1.667 times as long, so that its tasks started there half of the time and ended late by a few milliseconds: the tasks of a job differ by 15%, and the slowness is a mean of few runs.

--- a/src/core/pool/entry/backlog.cpp
+++ b/src/core/pool/entry/backlog.cpp
@@ -9,6 +9,8 @@
 namespace dottereltrack::pool {
 namespace {
 
+constexpr double kMillisPerCore = 1'000;
+
 // Waiting work of a service, as in WorkOf.
 struct WaitingWork {
   double total = 0;
@@ -127,7 +129,6 @@
   }
   std::vector<ServiceBacklog> backlogs;
   for (const std::string& service : services) {
-    constexpr double kMillisPerCore = 1'000;
     const WaitingWork work = SumWaitingWork(board, service, now);
     const double rate =
         work.ahead > 0 ? EstimateDrainRate(board, service, now) : 0;
--- a/src/core/pool/entry/minion_choice.cpp
+++ b/src/core/pool/entry/minion_choice.cpp
@@ -8,11 +8,11 @@
 // The cost of a minion on which the task has failed before is multiplied by
 // this, so that it is chosen only if no other has enough free resources.
 constexpr double kFailedBeforeCostFactor = 100;
+constexpr double kNever = std::numeric_limits<double>::infinity();
 
 }  // namespace
 
 double CostOfStart(const StartDemand& task, const MinionOption& minion) {
-  constexpr double kNever = std::numeric_limits<double>::infinity();
   if (!Fits(task.needs, minion.free)) return kNever;
   const double max_slowness =
       minion.may_lose_starts ? task.max_slowness_after_loss : task.max_slowness;
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -11,6 +11,10 @@
 namespace dottereltrack::pool {
 namespace {
 
+// A minion counts as fast enough if it would be even with a slowness that is
+// higher by this factor: the tasks of a job differ by 15%, and the learned
+// slowness is a mean of few runs.
+constexpr double kSlownessMargin = 1.1;
 constexpr double kUnlimited = std::numeric_limits<double>::infinity();
 // An agent pings idle links every 100 ms, so that an agent that has been silent
 // for this long has missed a ping: it may have been lost.
@@ -100,7 +104,10 @@
   const double estimate_us = Microseconds{it.task->estimate}.count();
   const BootTime remaining = it.job->goal_at - now.boot;
   const double max_slowness = Microseconds{remaining}.count() / estimate_us;
-  if (lowest.of_all <= max_slowness) demand.max_slowness = max_slowness;
+  if (lowest.of_all <= max_slowness) {
+    demand.max_slowness =
+        std::max(lowest.of_all, max_slowness / kSlownessMargin);
+  }
   if (lowest.of_reliable <= max_slowness) {
     demand.max_slowness_after_loss =
         Microseconds{remaining - kLostStartTime}.count() / estimate_us;
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -131,6 +131,9 @@
         ("MixBits(job) % (spread + 1)", "0")]),
     ("pool_backlog_of_slow_minions", POOL_ENTRY + "backlog.cpp", [
         ("total / std::exp(agent.load.log_slowness)", "total")]),
+    ("pool_margin_of_the_slowness", POOL_ENTRY + "placement.cpp", [
+        ("constexpr double kSlownessMargin = 1.1;",
+         "constexpr double kSlownessMargin = 1.0;")]),
     ("pool_silent_agents", POOL_ENTRY + "placement.cpp", [
         ("now.boot - link->last_received_at > kMaxSilence",
          "now.boot < link->last_received_at")]),
--- a/tests/pool/agent_runs_test.cpp
+++ b/tests/pool/agent_runs_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "core/pool/agent/capacity.h"
@@ -99,6 +100,10 @@
   REQUIRE(reports.size() == (listed ? 0U : 1U));
   if (listed) return;
   CHECK(reports[0].second.misses_starts);
+  const auto decisions = SelectEffects<Decision>(effects);
+  CHECK(std::count_if(decisions.begin(), decisions.end(), [](const auto& it) {
+          return it.event == "minion_misses_starts";
+        }) == 1);
   CHECK(HasMissedStart(agent.board.health, agent.now));
   agent.now.boot += seconds{4};
   CHECK_FALSE(HasMissedStart(agent.board.health, agent.now));
--- a/tests/pool/entry_links_test.cpp
+++ b/tests/pool/entry_links_test.cpp
@@ -73,6 +73,8 @@
   const auto row = GENERATE(values<Row>({
       {"fast enough", 1, 2, milliseconds{0}, 1},
       {"too slow", 1, 8, milliseconds{0}, 0},
+      {"just fast enough", 1, 2.5, milliseconds{0}, 0},
+      {"just fast enough, no other", 8, 2.5, milliseconds{0}, 1},
       {"too slow by now", 1, 2, milliseconds{80}, 0},
       {"no minion is fast enough", 8, 8, milliseconds{0}, 1},
       {"already late", 1, 8, milliseconds{170}, 1},
