--- a/src/core/pool/agent/polls.cpp
+++ b/src/core/pool/agent/polls.cpp
@@ -76,6 +76,14 @@
   return run;
 }
 
+void RecordMissedStart(const AgentBoard& board, const Now& now,
+                       MinionHealth* health, AgentChanges* changes) {
+  if (!HasMissedStart(*health, now)) {
+    changes->Add(MinionDecision(*board.minion, "minion_misses_starts"));
+  }
+  *health = WithMissedStart(*health, now);
+}
+
 // Handles a run that the minion does not list.
 void UpdateUnlistedRun(const AgentBoard& board, const PollAnswered& e,
                        const RunRow& run, const Now& now, MinionHealth* health,
@@ -85,7 +93,7 @@
     case RunPhase::kStarting: {
       if (!ShowsUnansweredStart(board, run, sent_at)) return;
       changes->Add(Put<RunRow>{WithLostStart(run, now)});
-      *health = WithMissedStart(*health, now);
+      RecordMissedStart(board, now, health, changes);
       Decision decision{Severity::kFailure,
                         "start_unanswered",
                         run.key.task.job,
@@ -99,7 +107,7 @@
       // The start call may still arrive; after a stop the minion refuses it.
       if (run.phase_started_at > sent_at) return;
       changes->Add(Put<RunRow>{WithLostStart(run, now)});
-      *health = WithMissedStart(*health, now);
+      RecordMissedStart(board, now, health, changes);
       return;
     }
     case RunPhase::kRunning:
--- a/src/core/pool/entry/minion_choice.cpp
+++ b/src/core/pool/entry/minion_choice.cpp
@@ -12,11 +12,11 @@
 // second one. It is not ruled out: the agent notices a lost start within 40 ms,
 // and reliable minions would be full if only they took tasks with short goals.
 constexpr double kMissedStartCostFactor = 10;
+constexpr double kNever = std::numeric_limits<double>::infinity();
 
 }  // namespace
 
 double CostOfStart(const StartDemand& task, const MinionOption& minion) {
-  constexpr double kNever = std::numeric_limits<double>::infinity();
   if (!Fits(task.needs, minion.free)) return kNever;
   const bool has_time_for_loss =
       minion.slowness <= task.max_slowness_after_loss;
