Add crowds of untrusted clients to the soak

The soak had no clients that leave requests or frames unfinished. Crowds of 20 to 120 now go to random listeners of entries and agents beside the other faults, drawn by a generator of their own so that the faults of a seed stay the same. A process that has used more than 120 MB fails the soak.

--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -3,7 +3,7 @@
 Injects overlapping faults of all kinds: signals to the processes, faults of the minions
 and of the store, input that no process can use, and proxies before the store, the
 minions and the entries that delay traffic, block one or both directions or reset
-connections. The stand-ins check throughout that no task has two runs at once, that no
+connections, and crowds of clients that leave requests and frames unfinished. The stand-ins check throughout that no task has two runs at once, that no
 minion exceeds its capacity, that no refused job has run and that no task crashes minion
 after minion. No process may exit by
 itself, and after the faults all jobs must complete. Equal seeds give equal faults; the
@@ -16,8 +16,10 @@
 import sys
 import time
 
+import crowd
 import odd_input
-from cell import LoadGenerator, Cell
+from cell import (CLIENT_PORT, LINK_PORT, METRICS_PORT, READINESS_PORT, REPORT_PORT,
+                  LoadGenerator, Cell)
 from proxy import FROM_TARGET, TO_TARGET
 from web import call_json
 
@@ -30,6 +32,13 @@
 LOAD_AFTER_RECOVERY_S = 2.0
 DEFAULT_SECONDS = 15.0
 
+# Mean time between two crowds of clients, the size of a crowd, the time to send, and the
+# memory that a process assumes when its settings name none.
+CROWD_INTERVAL_S = 2.0
+CROWD_SIZE_RANGE = (20, 120)
+CROWD_SEND_S = 2.0
+MACHINE_MEMORY_MB = 120
+
 
 class FaultInjector:
     """Injects random faults and waits for them to end."""
@@ -161,6 +170,49 @@
         await asyncio.gather(*running)
 
 
+class CrowdInjector:
+    """Sends crowds of clients to random processes. Has a generator of its own, which
+    keeps the faults that the seeds draw."""
+
+    def __init__(self, cell, seed):
+        self.cell = cell
+        self.random = random.Random(f"crowd {seed}")
+        self.crowd_log = []
+
+    def next_crowd(self):
+        kind = self.random.choice((1, 2))
+        daemons = self.cell.entries if kind == 1 else self.cell.agents
+        host = self.cell.host_address(kind, self.random.randrange(len(daemons)))
+        ports = (CLIENT_PORT, READINESS_PORT, METRICS_PORT, LINK_PORT) if kind == 1 \
+            else (REPORT_PORT, METRICS_PORT)
+        port = self.random.choice(ports)
+        payload = self.random.choice(
+            (crowd.frame, crowd.short_frame) if port == LINK_PORT else (
+                crowd.large_chunks, crowd.small_chunks, crowd.chunk_extensions,
+                crowd.header
+            )
+        )
+        count = self.random.randint(*CROWD_SIZE_RANGE)
+        self.crowd_log.append(f"{count} x {payload.__name__} to {host}:{port}")
+        return crowd.Crowd([((host, port), payload(), count)])
+
+    async def send(self, clients, open_s):
+        try:
+            await asyncio.to_thread(clients.send, CROWD_SEND_S)
+            await asyncio.sleep(open_s)
+        finally:
+            clients.close()
+
+    async def run(self, seconds):
+        end = time.monotonic() + seconds
+        running = []
+        while time.monotonic() < end:
+            open_s = self.random.uniform(*FAULT_DURATION_RANGE_S)
+            running.append(asyncio.create_task(self.send(self.next_crowd(), open_s)))
+            await asyncio.sleep(self.random.expovariate(1 / CROWD_INTERVAL_S))
+        await asyncio.gather(*running)
+
+
 async def reload_settings(daemon):
     daemon.signal(signal.SIGHUP)
 
@@ -223,6 +275,10 @@
     for daemon in cell.entries + cell.agents:
         if daemon.process.poll() is not None:
             problems.append(f"{daemon.name} exited with code {daemon.process.poll()}")
+        else:
+            memory_mb = crowd.peak_memory_mb(daemon.process.pid)
+            if memory_mb > MACHINE_MEMORY_MB:
+                problems.append(f"{daemon.name} has used {memory_mb:.0f} MB")
         problems += [f"{daemon.name} {exit}" for exit in daemon.unexpected_exits]
     completed, total = load_generator.count_completed()
     completed_after, total_after = load_generator.count_completed(recovered_at)
@@ -237,6 +293,7 @@
 
 async def run(cell, seed, seconds):
     fault_injector = FaultInjector(cell, seed)
+    crowd_injector = CrowdInjector(cell, seed)
     try:
         await cell.start()
         if not await cell.wait_ready():
@@ -244,7 +301,8 @@
         load_generator = LoadGenerator(cell, seed, jobs_per_s=JOBS_PER_S)
         begin = time.monotonic()
         load_task = asyncio.create_task(load_generator.run(10 * seconds + 60))
-        await fault_injector.run(seconds)
+        await asyncio.gather(fault_injector.run(seconds), crowd_injector.run(seconds))
+        fault_injector.fault_log += crowd_injector.crowd_log
         await asyncio.sleep(RECOVERY_S)
         recovered_at = time.monotonic() - begin
         await asyncio.sleep(LOAD_AFTER_RECOVERY_S)
--- a/tests/runtime/http_limits_test.cpp
+++ b/tests/runtime/http_limits_test.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t kMaxBodyBytes = 262'144;
 constexpr std::size_t kMaxHeaderBytes = 16'384;
+constexpr std::size_t kResponseBytes = 4U << 20;
 // The machine of the smallest entry.
 constexpr std::uint32_t kMemoryMb = 120;
 
@@ -159,7 +160,6 @@
 
 // Guards against clients that request large responses and do not read them.
 TEST_CASE("unread responses have a bound", "[http][reception]") {
-  constexpr std::size_t kResponseBytes = 4U << 20;
   Fixture it(std::string(kResponseBytes, 'x'));
   const auto limits = DeriveReceptionLimits(kMemoryMb, 1'000, kMaxBodyBytes);
   std::vector<tcp::socket> sockets;
--- a/tests/runtime/reception_test.cpp
+++ b/tests/runtime/reception_test.cpp
@@ -14,6 +14,11 @@
                                   200'000,   4,       1'000'000};
 constexpr BootTime kNow = seconds{1'000};
 
+constexpr std::size_t kHeader = 16'384;
+// Chunks of one byte, and their carriage returns with those of the header.
+constexpr std::size_t kChunks = 65'536;
+constexpr std::size_t kLines = 2 * kChunks + 300;
+
 // A connection with an unfinished request of `memory` estimated bytes.
 ReceptionRow Unfinished(std::uint64_t id, std::string source,
                         std::size_t memory, milliseconds age) {
@@ -139,14 +144,13 @@
     std::string content;
     ReceivedBytes received;
   };
-  constexpr std::size_t kHeader = 16'384;
   const auto row = GENERATE_COPY(values<Body>(
       {{"262,144 bytes in one piece", {262'144 + kHeader, 0, 300}},
        {"262,144 line ends", {262'144 + kHeader, 262'144, 262'144}},
        {"64 KiB in chunks of one byte",
-        {6 * 65'536 + kHeader, 2 * 65'536 + 300, 2 * 65'536 + 300}},
+        {6 * kChunks + kHeader, kLines, kLines}},
        {"64 KiB in chunks of one byte with extensions of 100 bytes",
-        {106 * 65'536 + kHeader, 2 * 65'536 + 300, 2 * 65'536 + 300}},
+        {106 * kChunks + kHeader, kLines, kLines}},
        {"a header of shortest fields", {kHeader, 4'096, 4'096}}}));
   CAPTURE(row.content);
   const auto limits = DeriveReceptionLimits(0, 3'500, 262'144);
