Honour http_max_connections below 16

The least number of connections guards against a small machine's memory, and had also raised a lower setting of the operator. The meaning of the key now says what happens beyond it: connections are closed instead of waiting in the kernel. The tests of the settings and of reception pass.

--- a/src/runtime/reception/reception.cpp
+++ b/src/runtime/reception/reception.cpp
@@ -297,9 +297,10 @@
       limits.max_source_bytes,
       std::max(kMinConnectionBytes, kContainerGrowth * limits.max_kept_bytes));
   limits.max_unsent_bytes = memory / kUnsentShare;
-  limits.max_connections = std::max(
-      kMinConnections, std::min(max_connections, memory / kConnectionsShare /
-                                                     kBytesPerConnection));
+  const std::size_t within_memory =
+      memory / kConnectionsShare / kBytesPerConnection;
+  limits.max_connections =
+      std::min(max_connections, std::max(kMinConnections, within_memory));
   return limits;
 }
 
--- a/src/runtime/settings/agent_settings.cpp
+++ b/src/runtime/settings/agent_settings.cpp
@@ -82,7 +82,9 @@
       NumberKey<S>(
           "http_max_connections",
           [](auto& s) -> auto& { return s.http.max_connections; }, 1, 1'024,
-          "Connections of the minion at the same time."),
+          "Connections at the same time; beyond it, unfinished and idle ones "
+          "are "
+          "closed."),
       DurationKey<S>(
           "http_read_timeout_ms",
           [](auto& s) -> auto& { return s.http.read_timeout; }, 100, 600'000,
--- a/src/runtime/settings/entry_settings.cpp
+++ b/src/runtime/settings/entry_settings.cpp
@@ -120,7 +120,9 @@
       NumberKey<S>(
           "http_max_connections",
           [](auto& s) -> auto& { return s.http.max_connections; }, 1, 65'000,
-          "Connections of callers at the same time; more have to wait."),
+          "Connections at the same time, except links to known processes; "
+          "beyond "
+          "it, unfinished and idle ones are closed."),
       DurationKey<S>(
           "http_read_timeout_ms",
           [](auto& s) -> auto& { return s.http.read_timeout; }, 100, 600'000,
