Generate resets, cancels, late copies, minutes and stops under load

Cause: the generated schedules met none of the five reviewed faults: their clients were never reset while a job was read, cancelled nothing, sent no late copies and gave up after 3 s, and events were handled one by one. Change: six kinds of steps, turns of an entry's loop, and an entry that flushes its messages for 100 ms as it exits; five properties of the steps of one fault each; clients that cancel and copy are checked. A refusal is checked again at the end, since a refused job may begin later. Three mutations for the new mechanisms; that of true refusals follows the code it quotes.

--- a/src/core/pool/minion_crash.cpp
+++ b/src/core/pool/minion_crash.cpp
@@ -72,6 +72,7 @@
   std::sort(ranked.begin(), ranked.end());
   ranked.resize(crashes.size() - max_crashes);
   std::vector<MinionInstance> excess;
+  excess.reserve(ranked.size());
   for (auto& it : ranked) excess.push_back(std::move(std::get<2>(it)));
   return excess;
 }
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -113,8 +113,15 @@
     ("pool_pause_of_an_agent", POOL_AGENT + "advance.cpp", [
         ("if (paused_) return;", "")]),
     ("pool_true_refusals", POOL_ENTRY + "outcomes.cpp", [
-        ("job.may_have_started ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;",
-         "ReplyKind::kOverloaded;")]),
+        ("return may_have_run ? ReplyKind::kGivenUp : refusal;",
+         "return may_have_run ? refusal : refusal;")]),
+    ("pool_callers_of_first_starts", POOL_ENTRY + "first_starts.cpp", [
+        ("if (!is_connected(call)) disconnected.push_back(call);",
+         "is_connected(call);")]),
+    ("pool_cancels_at_other_entries", POOL_ENTRY + "cancels.cpp", [
+        ("if (has_outcome) {", "if (past == nullptr || has_outcome) {")]),
+    ("pool_late_copies", POOL_ENTRY + "past_jobs.cpp", [
+        ("if (past == nullptr) return std::nullopt;", "return std::nullopt;")]),
     ("pool_monotonic_configuration", POOL_ENTRY + "advance.cpp", [
         ("if (e.config.version <= board_->config.version) return;", "")]),
     ("pool_crashes_of_a_task", POOL_ENTRY + "crashes.cpp", [
--- a/tests/support/fake_minion.cpp
+++ b/tests/support/fake_minion.cpp
@@ -74,6 +74,11 @@
   return begun_jobs_.count(job) != 0;
 }
 
+int RunLedger::CountRuns(std::uint64_t job) const {
+  const auto it = begun_jobs_.find(job);
+  return it == begun_jobs_.end() ? 0 : it->second;
+}
+
 FakeMinion::FakeMinion(VirtualClock* clock, RunLedger* ledger,
                        FakeMinionOptions options)
     : clock_(clock),
--- a/tests/support/fake_minion.h
+++ b/tests/support/fake_minion.h
@@ -30,6 +30,8 @@
   void End(const pool::RunKey& run);
   // Whether a run of any task of the job has begun.
   bool HasBegun(std::uint64_t job) const;
+  // Number of runs of the job's tasks that have begun.
+  int CountRuns(std::uint64_t job) const;
 
  private:
   std::map<std::uint64_t, int> begun_jobs_;
--- a/tests/support/pool_schedule.cpp
+++ b/tests/support/pool_schedule.cpp
@@ -4,6 +4,9 @@
 #include <optional>
 #include <utility>
 
+#include "support/cancelling_clients.h"
+#include "support/pool_schedule_steps.h"
+
 namespace dottereltrack::testing {
 namespace {
 
@@ -20,35 +23,15 @@
 // Four tasks use the full capacity of a minion.
 constexpr std::int64_t kTaskCpuMillis = 6'000;
 constexpr int kJobsAfterFaults = 6;
-
-const char* const kStepNames[] = {"submit",         "submit_crashing",
-                                  "leave_call",     "kill",
-                                  "power_off",      "restart",
-                                  "freeze",         "thaw",
-                                  "stop",           "cut",
-                                  "cut_one_way",    "heal_cuts",
-                                  "reset_links",    "crash_minion",
-                                  "recover",        "recover_same",
-                                  "silence_minion", "wake_minion",
-                                  "failing",        "slow",
-                                  "drain",          "lose_answers",
-                                  "delay_calls",    "store_down",
-                                  "store_up",       "change_config"};
-static_assert(std::size(kStepNames) == kPoolStepKinds);
-
-bool IsRefusal(ReplyKind kind) {
-  switch (kind) {
-    case ReplyKind::kNoQueue:
-    case ReplyKind::kNoConfig:
-    case ReplyKind::kOverloaded:
-    case ReplyKind::kNoMinions:
-    case ReplyKind::kStopping:
-    case ReplyKind::kUnsupported:
-      return true;
-    default:
-      return false;
-  }
-}
+// A copy of a submission arrives seconds after the response.
+constexpr seconds kMaxCopyDelay{20};
+constexpr seconds kMinute{61};
+// Fill the minions and leave tasks waiting until the entry exits.
+constexpr int kJobsUnderLoad = 120;
+constexpr milliseconds kTimeoutUnderLoad{30'000};
+// A long job takes 6 to 30 s on idle minions, more than the bound of a cancel.
+constexpr std::uint32_t kLongJobTasks = 150;
+constexpr milliseconds kLongTaskDuration{500};
 
 // A job from the view of its client.
 struct ClientJob {
@@ -59,12 +42,18 @@
   int entry = 0;
   int calls = 1;
   bool ended = false;
+  bool crashes_minions = false;
+  // Its only call was refused.
+  bool is_refused = false;
+  std::optional<BootTime> answered_at;
 };
 
 class Runner {
  public:
   explicit Runner(const PoolSchedule& schedule)
-      : schedule_(schedule), pool_(OptionsOf(schedule)) {}
+      : schedule_(schedule),
+        pool_(OptionsOf(schedule)),
+        cancelling_clients_(&pool_) {}
 
   std::vector<std::string> Run() {
     RunFor(seconds{2});
@@ -87,6 +76,7 @@
     options.time_ratios = {1.0, 1.6, 0.7};
     options.clock_rates = {1.0, 0.98, 1.02};
     options.seed = schedule.seed;
+    options.entry_turn = schedule.entry_turn;
     return options;
   }
 
@@ -97,6 +87,7 @@
       pool_.RunUntil(
           std::min<BootTime>(end_time, pool_.now() + kClientInterval));
       for (ClientJob& job : jobs_) UpdateClientJob(&job);
+      cancelling_clients_.Update();
     }
   }
 
@@ -104,7 +95,9 @@
     if (job->ended) return;
     if (pool_.now() >= job->gives_up_at) {
       if (!job->resend_at) pool_.LeaveCall(job->call);
+      job->resend_at.reset();
       job->ended = true;
+      if (job->crashes_minions) job->answered_at = pool_.now();
       return;
     }
     if (job->resend_at) {
@@ -130,11 +123,8 @@
       job->resend_at = pool_.now() + kResendAfter;
       return;
     }
-    if (job->calls == 1 && IsRefusal(kind) &&
-        pool_.ledger().HasBegun(job->spec.id)) {
-      violations_.push_back("job " + std::to_string(job->spec.id) +
-                            " was refused and has begun");
-    }
+    job->is_refused = job->calls == 1 && IsRefusal(kind);
+    if (!IsRefusal(kind)) job->answered_at = pool_.now();
   }
 
   void SubmitAgain(ClientJob* job) {
@@ -146,16 +136,63 @@
     job->call = pool_.Submit(job->entry, job->spec, left);
   }
 
-  void Submit(int entry, std::uint32_t tasks, bool crashes_minions = false) {
+  void Submit(int entry, std::uint32_t tasks, bool crashes_minions = false,
+              milliseconds client_timeout = kClientTimeout,
+              milliseconds task_duration = kTaskDuration) {
     const auto make_job = crashes_minions ? &MakeCrashingJob : &MakeJob;
     ClientJob job;
-    job.spec = make_job(jobs_.size() + 1, tasks, kTaskDuration, kTaskCpuMillis);
+    job.spec = make_job(jobs_.size() + 1, tasks, task_duration, kTaskCpuMillis);
     job.entry = entry;
-    job.gives_up_at = pool_.now() + kClientTimeout;
-    job.call = pool_.Submit(entry, job.spec, kClientTimeout);
+    job.crashes_minions = crashes_minions;
+    job.gives_up_at = pool_.now() + client_timeout;
+    job.call = pool_.Submit(entry, job.spec, client_timeout);
     jobs_.push_back(std::move(job));
   }
 
+  // The client notices the reset at once and submits the job again.
+  void SubmitOverReset(int entry, std::uint32_t tasks) {
+    Submit((entry + 1) % schedule_.entries, tasks);
+    pool_.SubmitOverResetConnection(entry, jobs_.back().spec, kClientTimeout);
+  }
+
+  // The client waits for no reply to the job any more.
+  void Cancel(std::uint32_t n, int entry) {
+    if (jobs_.empty()) return;
+    ClientJob& job = jobs_[jobs_.size() - 1 - n % jobs_.size()];
+    if (job.ended) return;
+    job.ended = true;
+    job.answered_at = pool_.now();
+    job.entry = entry;
+    cancelling_clients_.Cancel(job.spec.id, entry);
+  }
+
+  // A copy arrives at the entry that has answered, unless it has restarted. The
+  // client of a task that crashes minions submits it for as long as it likes.
+  void SubmitCopy(std::uint32_t n, int entry) {
+    if (jobs_.empty()) return;
+    ClientJob& job = jobs_[jobs_.size() - 1 - n % jobs_.size()];
+    if (!job.ended || !job.answered_at) return;
+    if (job.crashes_minions) {
+      if (pool_.now() < *job.answered_at + kResendAfter) return;
+      job.ended = false;
+      job.entry = entry;
+      job.gives_up_at = pool_.now() + kClientTimeout;
+      job.call = pool_.Submit(entry, job.spec, kClientTimeout);
+      ++job.calls;
+      return;
+    }
+    if (pool_.now() > *job.answered_at + kMaxCopyDelay) return;
+    if (pool_.entry(job.entry).started_at > *job.answered_at) return;
+    cancelling_clients_.SubmitCopy(job.spec, job.entry, kClientTimeout);
+  }
+
+  void StopUnderLoad(int entry) {
+    for (int n = 0; n < kJobsUnderLoad; ++n) {
+      Submit(entry, 6, false, kTimeoutUnderLoad);
+    }
+    pool_.Stop(entry);
+  }
+
   int ProcessOf(std::uint32_t n) const {
     return static_cast<int>(n % pool_.process_count());
   }
@@ -166,13 +203,15 @@
   void ApplyStep(const PoolStep& step) {
     const int process = ProcessOf(step.operand_a);
     const int other = ProcessOf(step.operand_b);
+    const int entry = static_cast<int>(step.operand_a % schedule_.entries);
+    const int other_entry =
+        static_cast<int>(step.operand_b % schedule_.entries);
+    const std::uint32_t tasks = 1 + step.operand_b % 6;
     switch (step.kind) {
       case PoolStepKind::kSubmit:
-        return Submit(static_cast<int>(step.operand_a % schedule_.entries),
-                      1 + step.operand_b % 6);
+        return Submit(entry, tasks);
       case PoolStepKind::kSubmitCrashing:
-        return Submit(static_cast<int>(step.operand_a % schedule_.entries),
-                      1 + step.operand_b % 6, true);
+        return Submit(entry, tasks, true);
       case PoolStepKind::kLeaveCall:
         return LeaveCall(step.operand_a);
       case PoolStepKind::kKill:
@@ -195,36 +234,27 @@
         return HealCuts();
       case PoolStepKind::kResetLinks:
         return pool_.ResetLinks(process, other);
-      case PoolStepKind::kCrashMinion:
-        return MinionOf(step.operand_a).Crash();
-      case PoolStepKind::kRecoverMinion:
-      case PoolStepKind::kRecoverSameId:
-        if (MinionOf(step.operand_a).mode() != MinionMode::kDown) return;
-        return MinionOf(step.operand_a)
-            .Recover(step.kind == PoolStepKind::kRecoverSameId);
-      case PoolStepKind::kSilenceMinion:
-        return MinionOf(step.operand_a).SetSilent(true);
-      case PoolStepKind::kWakeMinion:
-        return MinionOf(step.operand_a).SetSilent(false);
-      case PoolStepKind::kFailingMinion:
-        return MinionOf(step.operand_a).SetFailing(step.operand_b % 2 == 0);
-      case PoolStepKind::kSlowMinion:
-        return MinionOf(step.operand_a)
-            .SetTimeRatio(step.operand_b % 2 == 0 ? 6.0 : 1.0);
-      case PoolStepKind::kDrainMinion:
-        return MinionOf(step.operand_a).SetDraining(step.operand_b % 2 == 0);
-      case PoolStepKind::kLoseAnswers:
-        return MinionOf(step.operand_a)
-            .SetLostAnswerShare(step.operand_b % 2 == 0 ? 0.2 : 0.0);
-      case PoolStepKind::kDelayCalls:
-        return MinionOf(step.operand_a)
-            .SetLateCommandShare(step.operand_b % 2 == 0 ? 0.3 : 0.0);
       case PoolStepKind::kStoreDown:
         return pool_.SetStoreDown(true);
       case PoolStepKind::kStoreUp:
         return pool_.SetStoreDown(false);
       case PoolStepKind::kChangeConfig:
         return ChangeConfig();
+      case PoolStepKind::kSubmitOverReset:
+        return SubmitOverReset(entry, tasks);
+      case PoolStepKind::kSubmitLong:
+        return Submit(entry, kLongJobTasks, false, kTimeoutUnderLoad,
+                      kLongTaskDuration);
+      case PoolStepKind::kCancel:
+        return Cancel(step.operand_a, other_entry);
+      case PoolStepKind::kSubmitCopy:
+        return SubmitCopy(step.operand_a, other_entry);
+      case PoolStepKind::kStopUnderLoad:
+        return StopUnderLoad(entry);
+      case PoolStepKind::kPassMinute:
+        return RunFor(kMinute);
+      default:
+        return ApplyMinionStep(step, &MinionOf(step.operand_a));
     }
   }
 
@@ -239,8 +269,8 @@
   // An agent and its minion run on the same machine.
   void PowerOff(int process) {
     pool_.PowerOff(process);
-    if (process >= schedule_.entries)
-      pool_.minion(process - schedule_.entries).Crash();
+    const int agent = process - schedule_.entries;
+    if (agent >= 0) pool_.minion(agent).Crash();
   }
 
   void Cut(int process, int other, bool both_ways) {
@@ -260,7 +290,18 @@
     pool_.SetConfig({version_, {PoolOptions::DefaultQueue()}});
   }
 
+  // The clients of jobs that were submitted as load leave.
+  void EndLoad() {
+    for (ClientJob& job : jobs_) {
+      if (job.ended || job.gives_up_at <= pool_.now() + kClientTimeout)
+        continue;
+      if (!job.resend_at) pool_.LeaveCall(job.call);
+      job.ended = true;
+    }
+  }
+
   void EndAllFaults() {
+    EndLoad();
     HealCuts();
     pool_.SetStoreDown(false);
     for (int process = 0; process < pool_.process_count(); ++process) {
@@ -307,6 +348,14 @@
     for (const std::string& it : pool_.ledger().violations) {
       violations_.push_back(it);
     }
+    for (const ClientJob& job : jobs_) {
+      if (!job.is_refused || !pool_.ledger().HasBegun(job.spec.id)) continue;
+      violations_.push_back("job " + std::to_string(job.spec.id) +
+                            " was refused and has begun");
+    }
+    for (std::string& it : cancelling_clients_.FindViolations()) {
+      violations_.push_back(std::move(it));
+    }
     if (pool_.config_regressions() > 0) {
       violations_.emplace_back("an entry returned to an older configuration");
     }
@@ -330,6 +379,7 @@
 
   const PoolSchedule& schedule_;
   TestPool pool_;
+  CancellingClients cancelling_clients_;
   std::vector<ClientJob> jobs_;
   std::vector<std::pair<int, int>> cuts_;
   std::uint64_t version_ = 1;
@@ -338,17 +388,6 @@
 
 }  // namespace
 
-std::ostream& operator<<(std::ostream& out, const PoolSchedule& schedule) {
-  out << schedule.entries << " entries, " << schedule.agents << " agents, seed "
-      << schedule.seed << "\n";
-  for (const PoolStep& step : schedule.steps) {
-    out << "  +" << step.delay.count() / 1'000 << " ms "
-        << kStepNames[static_cast<int>(step.kind)] << " " << step.operand_a
-        << " " << step.operand_b << "\n";
-  }
-  return out;
-}
-
 std::vector<std::string> RunPoolSchedule(const PoolSchedule& schedule) {
   return Runner(schedule).Run();
 }
--- a/tests/support/pool_schedule.h
+++ b/tests/support/pool_schedule.h
@@ -37,10 +37,16 @@
   kStoreDown,
   kStoreUp,
   kChangeConfig,
+  kSubmitOverReset,
+  kSubmitLong,
+  kCancel,
+  kSubmitCopy,
+  kStopUnderLoad,
+  kPassMinute,
 };
 
 inline constexpr int kPoolStepKinds =
-    static_cast<int>(PoolStepKind::kChangeConfig) + 1;
+    static_cast<int>(PoolStepKind::kPassMinute) + 1;
 
 // One step. `operand_a` and `operand_b` select processes, minions, jobs and
 // sizes, modulo their number.
@@ -57,6 +63,8 @@
   int entries = 3;
   int agents = 3;
   std::uint64_t seed = 1;
+  // Duration of a turn of an entry's event loop; 0 handles each event at once.
+  milliseconds entry_turn{0};
   std::vector<PoolStep> steps;
   friend bool operator==(const PoolSchedule&, const PoolSchedule&) = default;
 };
@@ -64,7 +72,8 @@
 std::ostream& operator<<(std::ostream& out, const PoolSchedule& schedule);
 
 // Runs the schedule, ends all faults, and checks the guarantees: no concurrent
-// runs of a task, no minion over its capacity, no refused job that has begun,
+// runs of a task, no minion over its capacity, no refused job that begins, no
+// start after an acknowledged cancel,
 // no task that crashes minion after minion, no return to an older
 // configuration, and full service after the faults. Returns the violations;
 // empty if there are none.
--- a/tests/support/test_pool.cpp
+++ b/tests/support/test_pool.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds kReportInterval{1'500};
 // Agent and minion are on the same machine.
 constexpr BootTime kLocalDelay{50};
+// A process that exits flushes its messages for this long.
+constexpr milliseconds kExitFlushDelay{100};
 constexpr const char* kService = "checks";
 
 template <typename T>
@@ -137,7 +139,9 @@
         return;
       std::vector<Endpoint> entries;
       for (int n = 0; n < options_.entries; ++n) {
-        if (processes_[n].state == ProcessState::kRunning) {
+        // The registration of a frozen entry lapses only after 8 s.
+        if (processes_[n].state == ProcessState::kRunning ||
+            processes_[n].state == ProcessState::kFrozen) {
           entries.push_back(AddressOf(n));
         }
       }
@@ -191,7 +195,19 @@
   if (it.state == ProcessState::kFrozen) {
     it.pending_entry_events.push_back(std::move(event));
   } else if (it.state == ProcessState::kRunning) {
-    RunEntry(process, {std::move(event)});
+    if (options_.entry_turn.count() == 0) {
+      return RunEntry(process, {std::move(event)});
+    }
+    it.pending_entry_events.push_back(std::move(event));
+    if (std::exchange(it.is_turn_scheduled, true)) return;
+    clock_.ScheduleAfter(
+        options_.entry_turn, [this, process, incarnation = it.incarnation] {
+          Process& turning = processes_[process];
+          if (turning.incarnation != incarnation) return;
+          turning.is_turn_scheduled = false;
+          if (turning.state != ProcessState::kRunning) return;
+          RunEntry(process, std::exchange(turning.pending_entry_events, {}));
+        });
   }
 }
 
@@ -210,7 +226,9 @@
   const milliseconds pause = PauseDuration(
       std::exchange(it.last_turn, now.boot), now.boot, kTickInterval);
   if (pause.count() > 0) events.insert(events.begin(), EntryPaused{pause});
-  const auto effects = Advance(&it.entry, events, now);
+  const auto effects = Advance(
+      &it.entry, events, now,
+      [this](const CallId& call) { return !reset_calls_.contains(call); });
   const std::uint64_t version = it.entry.config.version;
   if (version < it.config_version) ++config_regressions_;
   it.config_version = version;
@@ -231,52 +249,6 @@
   }
 }
 
-CallId TestPool::Submit(int entry, const JobSpec& job,
-                        milliseconds client_timeout) {
-  const CallId call{next_id_++};
-  const ProcessState state = processes_[entry].state;
-  calls_[call] = CallState::kOpen;
-  if (state == ProcessState::kEnded) calls_[call] = CallState::kBroken;
-  if (state == ProcessState::kEnded || state == ProcessState::kPoweredOff) {
-    return call;
-  }
-  processes_[entry].calls.insert(call);
-  Post(entry,
-       EntryEvent{JobSubmitted{call, "request", options_.queue.host,
-                               options_.queue.path_prefix + JobIdToText(job.id),
-                               job, client_timeout}});
-  return call;
-}
-
-CallId TestPool::Cancel(int entry, std::uint64_t job) {
-  const CallId call{next_id_++};
-  calls_[call] = CallState::kOpen;
-  processes_[entry].calls.insert(call);
-  Post(entry, EntryEvent{JobCancelRequested{call, job}});
-  return call;
-}
-
-void TestPool::LeaveCall(CallId call) {
-  for (int n = 0; n < options_.entries; ++n) {
-    if (processes_[n].calls.erase(call) == 0) continue;
-    Post(n, EntryEvent{CallerDisconnected{call}});
-  }
-  calls_[call] = CallState::kBroken;
-}
-
-CallState TestPool::StateOf(CallId call) const { return calls_.at(call); }
-
-const PoolReply* TestPool::ReplyOf(CallId call) const {
-  const auto it = replies_.find(call);
-  return it == replies_.end() ? nullptr : &it->second;
-}
-
-void TestPool::BreakCalls(int process) {
-  for (const CallId& call : std::exchange(processes_[process].calls, {})) {
-    calls_[call] = CallState::kBroken;
-  }
-}
-
 void TestPool::EndProcess(int process, ProcessState state) {
   Process& it = processes_[process];
   if (it.state == ProcessState::kEnded) return;
@@ -346,7 +318,14 @@
   replies_[effect.call] = {effect.kind, clock_.now()};
 }
 
-void TestPool::HandleEffect(int process, const ExitEntry&) { Kill(process); }
+void TestPool::HandleEffect(int process, const ExitEntry&) {
+  processes_[process].state = ProcessState::kExiting;
+  clock_.ScheduleAfter(
+      kExitFlushDelay,
+      [this, process, incarnation = processes_[process].incarnation] {
+        if (processes_[process].incarnation == incarnation) Kill(process);
+      });
+}
 
 void TestPool::HandleEffect(int process, const ExitAgent&) { Kill(process); }
 
--- a/tests/support/test_pool.h
+++ b/tests/support/test_pool.h
@@ -33,6 +33,9 @@
   // Number of entries that a process links to.
   std::size_t max_entry_links = pool::AgentSettings{}.max_entry_links;
   std::uint64_t seed = 1;
+  // Duration of a turn of an entry's event loop. Events that arrive during a
+  // turn are handled together; 0 handles each at once.
+  BootTime entry_turn{0};
 
   static pool::QueueConfig DefaultQueue();
 };
@@ -72,6 +75,10 @@
   // if the process does not run.
   CallId Submit(int entry, const pool::JobSpec& job,
                 milliseconds client_timeout);
+  // As Submit, over a connection that has been reset before the entry reads the
+  // job. The entry notices the end of the connection some turns later.
+  CallId SubmitOverResetConnection(int entry, const pool::JobSpec& job,
+                                   milliseconds client_timeout);
   CallId Cancel(int entry, std::uint64_t job);
   // The client closes the connection of its call.
   void LeaveCall(CallId call);
@@ -114,7 +121,14 @@
   int config_regressions() const { return config_regressions_; }
 
  private:
-  enum class ProcessState { kRunning, kFrozen, kEnded, kPoweredOff };
+  enum class ProcessState {
+    kRunning,
+    kFrozen,
+    // Handles no events, but its messages still leave.
+    kExiting,
+    kEnded,
+    kPoweredOff
+  };
   // A process; `entry` or `agent` is in use.
   struct Process {
     pool::EntryBoard entry;
@@ -124,6 +138,7 @@
     BootTime last_turn{0};
     std::uint64_t config_version = 0;
     std::vector<pool::EntryEvent> pending_entry_events;
+    bool is_turn_scheduled = false;
     std::vector<pool::AgentEvent> pending_agent_events;
     std::set<CallId> calls;
   };
@@ -196,6 +211,8 @@
   std::set<std::pair<int, int>> cuts_;
   std::map<CallId, PoolReply> replies_;
   std::map<CallId, CallState> calls_;
+  // Calls whose connections have been reset.
+  std::set<CallId> reset_calls_;
   pool::PoolConfig config_;
   bool store_down_ = false;
   std::uint64_t next_id_ = 1;
