Check only the connections of calls that this process has

Cause: a caller without a connection to this entry, such as another entry that has forwarded a job, would count as disconnected before the first start. Change: such calls count as connected. A call that was removed because its connection has closed has its event in the same batch, before the placement.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -293,8 +293,10 @@
 }
 
 bool PoolEntry::IsCallerConnected(const CallId& call) const {
+  // Calls without a connection here have not been disconnected, or the event is
+  // in the same batch.
   const auto it = open_calls_.find(call);
-  return it != open_calls_.end() &&
+  return it == open_calls_.end() ||
          client_server_.IsConnected(it->second.connection);
 }
 
