--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -380,10 +380,10 @@
 }
 
 bool PoolEntry::IsCallerConnected(const CallId& call) const {
-  // The loss of a peer's link is an event of its own.
-  if (IsForwardedCall(call)) return true;
+  // Calls without a connection here have not been disconnected, or the event is
+  // in the same batch. The loss of the link of a forwarded call is another event.
   const auto it = open_calls_.find(call);
-  return it != open_calls_.end() &&
+  return it == open_calls_.end() ||
          client_server_.IsConnected(it->second.connection);
 }
 
--- a/tests/support/pool_schedule.h
+++ b/tests/support/pool_schedule.h
@@ -37,6 +37,12 @@
   kStoreDown,
   kStoreUp,
   kChangeConfig,
+  kSubmitOverReset,
+  kSubmitLong,
+  kCancel,
+  kSubmitCopy,
+  kStopUnderLoad,
+  kPassMinute,
   // The entry forwards all jobs that its peers take, or stops forwarding.
   kOverload,
 };
@@ -59,6 +65,8 @@
   int entries = 3;
   int agents = 3;
   std::uint64_t seed = 1;
+  // Duration of a turn of an entry's event loop; 0 handles each event at once.
+  milliseconds entry_turn{0};
   std::vector<PoolStep> steps;
   friend bool operator==(const PoolSchedule&, const PoolSchedule&) = default;
 };
@@ -66,7 +74,8 @@
 std::ostream& operator<<(std::ostream& out, const PoolSchedule& schedule);
 
 // Runs the schedule, ends all faults, and checks the guarantees: no concurrent
-// runs of a task, no minion over its capacity, no refused job that has begun,
+// runs of a task, no minion over its capacity, no refused job that begins, no
+// start after an acknowledged cancel,
 // no task that crashes minion after minion, no return to an older
 // configuration, and full service after the faults. Returns the violations;
 // empty if there are none.
--- a/tests/support/test_pool.h
+++ b/tests/support/test_pool.h
@@ -45,6 +45,9 @@
   std::vector<double> entry_cores;
   // Load from which on an entry forwards jobs.
   double overload_enter_share = pool::EntrySettings{}.overload_enter_share;
+  // Duration of a turn of an entry's event loop. Events that arrive during a
+  // turn are handled together; 0 handles each at once.
+  BootTime entry_turn{0};
 
   static pool::QueueConfig DefaultQueue();
 };
@@ -84,6 +87,10 @@
   // if the process does not run.
   CallId Submit(int entry, const pool::JobSpec& job,
                 milliseconds client_timeout, std::size_t queue = 0);
+  // As Submit, over a connection that has been reset before the entry reads the
+  // job. The entry notices the end of the connection some turns later.
+  CallId SubmitOverResetConnection(int entry, const pool::JobSpec& job,
+                                   milliseconds client_timeout);
   CallId Cancel(int entry, std::uint64_t job);
   // The client closes the connection of its call.
   void LeaveCall(CallId call);
@@ -132,7 +139,14 @@
   int config_regressions() const { return config_regressions_; }
 
  private:
-  enum class ProcessState { kRunning, kFrozen, kEnded, kPoweredOff };
+  enum class ProcessState {
+    kRunning,
+    kFrozen,
+    // Handles no events, but its messages still leave.
+    kExiting,
+    kEnded,
+    kPoweredOff
+  };
   // A process; `entry` or `agent` is in use.
   struct Process {
     pool::EntryBoard entry;
@@ -226,6 +240,8 @@
   std::set<std::pair<int, int>> cuts_;
   std::map<CallId, PoolReply> replies_;
   std::map<CallId, CallState> calls_;
+  // Calls whose connections have been reset.
+  std::set<CallId> reset_calls_;
   pool::PoolConfig config_;
   bool store_down_ = false;
   std::set<int> store_cuts_;
