Announce overload on ticks only

Cause: an overloaded entry looked at all its links in each turn to find peers that do not know of its state.

--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -33,7 +33,6 @@
     ApplyChanges(PlaceTasks(*board_, now_));
     ApplyChanges(DialPeers(*board_, now_));
     ApplyChanges(OfferConfig(*board_));
-    ApplyChanges(AnnounceOverload(*board_));
     ApplyChanges(OfferCapacity(*board_, now_));
   }
 
@@ -125,6 +124,7 @@
   void OnEvent(const LoopLoadMeasured& e) {
     ApplyChanges(HandleLoopLoad(*board_, e));
     ApplyChanges(AdjustReportIntervals(*board_));
+    ApplyChanges(AnnounceOverload(*board_));
   }
   void OnEvent(const EntryStopRequested&) {
     if (board_->stopping) return;
