--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -154,9 +154,10 @@
             Post(EntriesListed{ParseEntryAddresses(view)});
           },
           [this](const Decision& refusal) { Execute(refusal); }),
-      metrics_(loop, ServerLimits(node_settings_),
-               WithReceptionGauges(loop, MakeGauges(board_, config_parse_time_)),
-               [this] { return DumpState(board_, ReadClocks()); }),
+      metrics_(
+          loop, ServerLimits(node_settings_),
+          WithReceptionGauges(loop, MakeGauges(board_, config_parse_time_)),
+          [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
                       [this](const users_platform::NodeSettings& new_settings) {
                         Post(EntrySeedsRead{new_settings.seeds});
@@ -381,7 +382,8 @@
 
 bool PoolEntry::IsCallerConnected(const CallId& call) const {
   // Calls without a connection here have not been disconnected, or the event is
-  // in the same batch. The loss of the link of a forwarded call is another event.
+  // in the same batch. The loss of the link of a forwarded call is another
+  // event.
   const auto it = open_calls_.find(call);
   return it == open_calls_.end() ||
          client_server_.IsConnected(it->second.connection);
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -41,7 +41,6 @@
     BeginJobs(&ForwardJobs);
     BeginJobs(&PlaceTasks);
     ApplyChanges(DialPeers(*board_, now_));
-    ApplyChanges(AnnounceOverload(*board_));
     ApplyChanges(OfferCapacity(*board_, now_));
   }
 
@@ -153,6 +152,7 @@
   void OnEvent(const LoopLoadMeasured& e) {
     ApplyChanges(HandleLoopLoad(*board_, e));
     ApplyChanges(AdjustReportIntervals(*board_));
+    ApplyChanges(AnnounceOverload(*board_));
   }
   void OnEvent(const EntryStopRequested&) {
     if (board_->stopping) return;
--- a/tests/pool_properties/forwarding_faults_test.cpp
+++ b/tests/pool_properties/forwarding_faults_test.cpp
@@ -156,9 +156,9 @@
     CHECK(it.pool.ledger().violations.empty());
     REQUIRE(it.pool.ReplyOf(second) != nullptr);
     // A cancelled job does not run again.
-    CHECK(it.pool.ReplyOf(second)->kind ==
-          (row.fault == Fault::kCancelled ? ReplyKind::kCancelled
-                                          : ReplyKind::kCompleted));
+    CHECK(it.pool.ReplyOf(second)->kind == (row.fault == Fault::kCancelled
+                                                ? ReplyKind::kCancelled
+                                                : ReplyKind::kCompleted));
   }
 }
 
