--- a/src/core/pool/config.h
+++ b/src/core/pool/config.h
@@ -17,7 +17,7 @@
   std::string path_prefix;
   // Minions of this service run the tasks.
   std::string service;
-  // 0 is the highest. Not used yet: tasks are ordered by their latest start.
+  // 0 is the highest. Not used; see docs/design/shortage.md.
   int priority = 0;
   // Number of failed runs of one task after which the job fails.
   int max_attempts = 1;
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -16,8 +16,8 @@
 // slowness is a mean of few runs.
 constexpr double kSlownessMargin = 1.1;
 // The margin does not apply to a minion that is slower than the fastest by less
-// than this factor, since the learned slowness of equal minions differs by up to
-// 30% where 3% of the jobs take 7 times their estimate.
+// than this factor, since the learned slowness of equal minions differs by up
+// to 30% where 3% of the jobs take 7 times their estimate.
 constexpr double kSimilarSlowness = 1.4;
 constexpr double kUnlimited = std::numeric_limits<double>::infinity();
 // An agent pings idle links every 100 ms, so that an agent that has been silent
