Bound the latest refusal instead of the mean of a few

Cause: shortage_test failed on K with late starts: two refused jobs of licence had a mean age of 0.88 of their timeout, since their starts had been lost; the bound was 0.8.

--- a/bench/shortage/measure.cpp
+++ b/bench/shortage/measure.cpp
@@ -13,8 +13,10 @@
     ++it->failed;
     if (!result.refused) return;
     ++it->refused;
-    it->refusal_age += static_cast<double>((result.ended_at - job.at).count()) /
+    const double age = static_cast<double>((result.ended_at - job.at).count()) /
                        static_cast<double>(BootTime{job.deadline}.count());
+    it->refusal_age += age;
+    it->max_refusal_age = std::max(it->max_refusal_age, age);
   } else if (result.response > ObjectiveOf(job)) {
     ++it->late;
   }
--- a/bench/shortage/measure.h
+++ b/bench/shortage/measure.h
@@ -17,9 +17,10 @@
   double late = 0;
   double failed = 0;
   double refused = 0;
-  // Mean time from the arrival of the refused jobs to their refusal, as a share
-  // of their clients' timeout.
+  // Mean and longest time from the arrival of the refused jobs to their
+  // refusal, as a share of their clients' timeout.
   double refusal_age = 0;
+  double max_refusal_age = 0;
   // Value of the answers divided by that of answers which are all in time.
   double value = 0;
   friend bool operator==(const QueueOutcome&, const QueueOutcome&) = default;
