--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -59,7 +59,7 @@
                                          const Now& now) {
   std::vector<Candidate> candidates;
   for (const auto& [link, agent] : board.agents) {
-    if (!agent.load.accepting || agent.free.cpu_millis <= 0) continue;
+    if (!agent.load.accepting) continue;
     MinionOption minion;
     minion.free = agent.free;
     minion.used_share = UsedShare(agent, agent.free);
@@ -78,15 +78,14 @@
   double of_reliable = kUnlimited;
 };
 
-LowestSlowness FindLowestSlowness(const EntryBoard& board,
-                                  const std::string& service, const Now& now) {
+LowestSlowness FindLowestSlowness(const std::vector<Candidate>& candidates,
+                                  const std::string& service) {
   LowestSlowness lowest;
-  for (const auto& [link, agent] : board.agents) {
-    if (!agent.load.accepting || agent.hello->service != service) continue;
-    const double slowness = std::exp(agent.load.log_slowness);
-    lowest.of_all = std::min(lowest.of_all, slowness);
-    if (MayLoseStarts(board, agent, now)) continue;
-    lowest.of_reliable = std::min(lowest.of_reliable, slowness);
+  for (const Candidate& it : candidates) {
+    if (it.agent->hello->service != service) continue;
+    lowest.of_all = std::min(lowest.of_all, it.minion.slowness);
+    if (it.minion.may_lose_starts) continue;
+    lowest.of_reliable = std::min(lowest.of_reliable, it.minion.slowness);
   }
   return lowest;
 }
@@ -134,6 +133,7 @@
   double best_cost = kUnlimited;
   for (Candidate& it : *candidates) {
     const AgentHello& hello = *it.agent->hello;
+    if (it.minion.free.cpu_millis <= 0) continue;
     if (hello.service != waiting.job->service) continue;
     it.minion.has_failed_task = HasFailedOn(*waiting.task, hello.minion);
     const double cost = CostOfStart(demand, it.minion);
@@ -202,7 +202,7 @@
   for (const WaitingTask& it : waiting) {
     const std::string& service = it.job->service;
     if (!lowest_slowness.contains(service)) {
-      lowest_slowness[service] = FindLowestSlowness(board, service, now);
+      lowest_slowness[service] = FindLowestSlowness(candidates, service);
     }
     const StartDemand demand = MakeDemand(it, lowest_slowness[service], now);
     Candidate* candidate = ChooseCandidate(&candidates, it, demand);
