Place tasks by label, rack, and the rest of their step

Cause: jobs with affinity, colocated, anti_affinity or requirements were refused with 503, and nothing decided how long a wait for a near minion pays. Change: steps carry placement rules; the entry waits for a near minion only while that ends the task earlier, before its goal, and not longer in all than it saves. Agents check required labels again. Jobs with rules are not forwarded. A job whose required label no minion has is refused at once. The comparison with never and always waiting in the model was not made.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -89,6 +89,7 @@
   board.settings.address = node_settings.internal_address;
   board.settings.config_transfer.link_mbps = node_settings.link_mbps;
   board.settings.data_centre = node_settings.data_centre;
+  board.settings.remote_factor = node_settings.remote_factor;
   board.settings.cpu_cores = node_settings.cpu_cores;
   if (node_settings.overload_share > 0) {
     SetOverloadShare(node_settings.overload_share, &board.settings);
--- a/src/core/pool/agent/board.h
+++ b/src/core/pool/agent/board.h
@@ -27,6 +27,7 @@
   std::string service;
   std::string data_centre;
   std::string rack;
+  std::vector<std::string> labels{};
   Resources capacity;
   bool draining = false;
   // Increases with each report of an instance.
--- a/src/core/pool/agent/links.cpp
+++ b/src/core/pool/agent/links.cpp
@@ -93,6 +93,7 @@
   hello.service = minion.service;
   hello.data_centre = minion.data_centre;
   hello.rack = minion.rack;
+  hello.labels = minion.labels;
   hello.capacity = minion.capacity;
   return hello;
 }
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -51,12 +51,22 @@
   return it != board.runs.end() && it->first.task == task;
 }
 
+bool HasRequiredLabel(const AgentBoard& board, const StartRun& start) {
+  if (start.required_label.empty()) return true;
+  const auto& labels = board.minion->labels;
+  return std::find(labels.begin(), labels.end(), start.required_label) !=
+         labels.end();
+}
+
 // Returns why the run cannot be started now, or null if it can.
 const char* FindStartObstacle(const AgentBoard& board, const StartRun& start,
                               const Now& now) {
   if (IsEvacuated(board)) return "the data centre is evacuated";
   if (!IsAccepting(board, now)) return "the minion takes no runs";
   if (!Fits(start.needs, AvailableResources(board, now))) return "no room";
+  if (!HasRequiredLabel(board, start)) {
+    return "the minion lacks the required label";
+  }
   if (HasRunOfTask(board, start.run.task)) {
     return "another run of the task has not ended";
   }
--- a/src/core/pool/entry/backlog.cpp
+++ b/src/core/pool/entry/backlog.cpp
@@ -85,19 +85,21 @@
          static_cast<double>(task.estimate.count());
 }
 
-double EstimateDrainRate(const EntryBoard& board, const std::string& service,
-                         const Now& now) {
-  const ServiceCapacity capacity = SumCapacity(board, service, now);
-  // Each agent shares its minion among the entries that it links to.
+double SharersOfMinions(const EntryBoard& board) {
   std::size_t entry_count = 1;
   for (const auto& [address, peer] : board.peers) {
     if (peer.link) ++entry_count;
   }
-  const auto sharers = static_cast<double>(
+  return static_cast<double>(
       std::min(entry_count, board.settings.max_entry_links));
+}
+
+double EstimateDrainRate(const EntryBoard& board, const std::string& service,
+                         const Now& now) {
+  const ServiceCapacity capacity = SumCapacity(board, service, now);
   // An entry with more clients than others gets a larger share of the resources
   // that become free.
-  double share = 1 / sharers;
+  double share = 1 / SharersOfMinions(board);
   if (capacity.used > 0) {
     share = std::max(share, SumOwnUse(board, service) / capacity.used);
   }
--- a/src/core/pool/entry/backlog.h
+++ b/src/core/pool/entry/backlog.h
@@ -22,6 +22,9 @@
 milliseconds EstimateDrainTime(const EntryBoard& board,
                                const std::string& service, const Now& now);
 
+// Number of entries among which each agent shares its minion.
+double SharersOfMinions(const EntryBoard& board);
+
 // Speed at which this entry's share of the service's minions does work, in
 // thousandths of a core of a minion of slowness 1.
 double EstimateDrainRate(const EntryBoard& board, const std::string& service,
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -82,6 +82,7 @@
   TaskKey key;
   Resources needs;
   milliseconds estimate{0};
+  PlacementRules rules;
   TaskState state = TaskState::kWaiting;
   // Number of the last start; 0 before the first.
   std::uint64_t run_number = 0;
--- a/src/core/pool/entry/forwarding.cpp
+++ b/src/core/pool/entry/forwarding.cpp
@@ -76,6 +76,8 @@
   for (auto it = begin; it != end; ++it) {
     const TaskRow& task = it->second;
     if (task.state != TaskState::kWaiting || task.run_number != 0) return {};
+    // Messages between entries do not carry placement rules.
+    if (task.rules != PlacementRules{}) return {};
     if (task.key.step >= steps.size()) steps.resize(task.key.step + 1);
     StepSpec& step = steps[task.key.step];
     step = {step.count + 1, task.needs, task.estimate};
--- a/src/core/pool/entry/minion_choice.cpp
+++ b/src/core/pool/entry/minion_choice.cpp
@@ -17,14 +17,14 @@
 }  // namespace
 
 double CostOfStart(const StartDemand& task, const MinionOption& minion) {
-  if (!Fits(task.needs, minion.free)) return kNever;
-  const bool has_time_for_loss =
-      minion.slowness <= task.max_slowness_after_loss;
-  if (minion.slowness > task.max_slowness) return kNever;
+  if (minion.is_forbidden || !Fits(task.needs, minion.free)) return kNever;
+  const double slowness = minion.slowness * minion.remote_factor;
+  const bool has_time_for_loss = slowness <= task.max_slowness_after_loss;
+  if (slowness > task.max_slowness) return kNever;
   if (minion.is_silent && !has_time_for_loss) return kNever;
   // Two suspect tasks on one minion could not be told apart after a crash.
   if (task.is_suspect && minion.has_suspect) return kNever;
-  double cost = task.is_suspect ? 1 + minion.used_share : minion.slowness;
+  double cost = task.is_suspect ? 1 + minion.used_share : slowness;
   if (minion.misses_starts && !has_time_for_loss) {
     cost *= kMissedStartCostFactor;
   }
--- a/src/core/pool/entry/minion_choice.h
+++ b/src/core/pool/entry/minion_choice.h
@@ -19,6 +19,12 @@
   // The agent has been silent for longer than an idle link is, so that it may
   // have been lost with its runs.
   bool is_silent = false;
+  // The task must not run here: a required label is missing, or too many tasks
+  // of its step run here.
+  bool is_forbidden = false;
+  // How many times as long the task takes here because it is away from its data
+  // or from the rest of its step.
+  double remote_factor = 1;
   // A run of the task has failed on this minion.
   bool has_failed_task = false;
   friend bool operator==(const MinionOption&, const MinionOption&) = default;
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -5,7 +5,9 @@
 #include <limits>
 #include <map>
 
+#include "core/pool/entry/backlog.h"
 #include "core/pool/entry/evacuation.h"
+#include "core/pool/entry/locality.h"
 #include "core/pool/entry/minion_choice.h"
 #include "core/pool/entry/waiting_tasks.h"
 
@@ -33,6 +35,8 @@
   const AgentRow* agent = nullptr;
   MinionOption minion;
   std::vector<UnreportedStart> starts;
+  // Tasks of the starts.
+  std::vector<TaskKey> tasks;
 };
 
 bool HasSuspect(const AgentRow& agent) {
@@ -65,7 +69,7 @@
     minion.has_suspect = HasSuspect(agent);
     minion.misses_starts = agent.load.misses_starts;
     minion.is_silent = IsSilent(board, agent, now);
-    candidates.push_back({&agent, minion, {}});
+    candidates.push_back({&agent, minion, {}, {}});
   }
   return candidates;
 }
@@ -101,8 +105,11 @@
       it.task->estimate.count() <= 0) {
     return demand;
   }
-  // The fast minions may be those on which the task has failed.
-  if (!it.task->failed_minions.empty()) return demand;
+  // The fast minions may be those on which the task has failed, or may be away
+  // from its data or without the required label.
+  if (!it.task->failed_minions.empty() || it.task->rules != PlacementRules{}) {
+    return demand;
+  }
   using Microseconds = std::chrono::duration<double, std::micro>;
   const double estimate_us = Microseconds{it.task->estimate}.count();
   const BootTime remaining = it.job->goal_at - now.boot;
@@ -126,6 +133,51 @@
   return std::find(failed.begin(), failed.end(), minion) != failed.end();
 }
 
+// Number of starts of the task's step that this placement has assigned.
+std::uint32_t CountStartsOfStep(const Candidate& candidate,
+                                const TaskRow& task) {
+  return static_cast<std::uint32_t>(std::count_if(
+      candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskKey& it) {
+        return it.job == task.key.job && it.step == task.key.step;
+      }));
+}
+
+// Sets what the task's placement rules say of the candidates.
+void ApplyRules(const EntryBoard& board, const TaskRow& task,
+                const std::string& near_rack,
+                std::vector<Candidate>* candidates) {
+  for (Candidate& it : *candidates) {
+    const TaskView view = ViewOf(board, task, *it.agent->hello, near_rack,
+                                 CountStartsOfStep(it, task));
+    it.minion.is_forbidden = !view.is_allowed;
+    it.minion.remote_factor = view.is_near ? 1 : board.settings.remote_factor;
+  }
+}
+
+void ClearRules(std::vector<Candidate>* candidates) {
+  for (Candidate& it : *candidates) {
+    it.minion.is_forbidden = false;
+    it.minion.remote_factor = 1;
+  }
+}
+
+// Whether the task waits for a near minion instead of this remote one.
+bool WaitsForNear(const EntryBoard& board, const WaitingTask& it,
+                  const std::string& near_rack, const Candidate& remote,
+                  double work_ahead, const Now& now) {
+  if (remote.minion.remote_factor <= 1) return false;
+  RemoteStart start;
+  start.run_time = it.task->estimate;
+  start.remote_factor = remote.minion.remote_factor;
+  start.near_delay = EstimateNearDelay(board, *it.task, it.job->service,
+                                       near_rack, work_ahead);
+  start.waited =
+      std::chrono::duration_cast<milliseconds>(now.boot - it.job->arrived_at);
+  start.time_left =
+      std::chrono::duration_cast<milliseconds>(it.job->goal_at - now.boot);
+  return ShouldWaitForNear(start);
+}
+
 Candidate* ChooseCandidate(std::vector<Candidate>* candidates,
                            const WaitingTask& waiting,
                            const StartDemand& demand) {
@@ -174,7 +226,9 @@
                                                 waiting.job->payload,
                                                 task.needs,
                                                 task.estimate,
-                                                waiting.urgency.is_suspect}});
+                                                waiting.urgency.is_suspect,
+                                                task.rules.required_label}});
+  candidate->tasks.push_back(task.key);
   changes->Add(Put<TaskRow>{task});
 }
 
@@ -212,6 +266,8 @@
   const auto waiting = CollectWaitingTasks(board, now);
   std::map<std::uint64_t, const JobRow*> started_jobs;
   std::map<std::string, LowestSlowness> lowest_slowness;
+  // Work of the tasks that wait for a rack.
+  std::map<std::string, double> rack_work;
   for (const WaitingTask& it : waiting) {
     if (largest_room < smallest_cpu) break;
     if (it.task->needs.cpu_millis > largest_room) continue;
@@ -220,8 +276,19 @@
       lowest_slowness[service] = FindLowestSlowness(candidates, service);
     }
     const StartDemand demand = MakeDemand(it, lowest_slowness[service], now);
+    const bool has_rules = it.task->rules != PlacementRules{};
+    std::string near_rack;
+    if (has_rules) {
+      near_rack = NearRackOf(board, *it.task);
+      ApplyRules(board, *it.task, near_rack, &candidates);
+    }
     Candidate* candidate = ChooseCandidate(&candidates, it, demand);
-    if (candidate == nullptr) continue;
+    const bool waits = candidate != nullptr && has_rules &&
+                       WaitsForNear(board, it, near_rack, *candidate,
+                                    rack_work[near_rack], now);
+    if (waits) rack_work[near_rack] += WorkOf(*it.task);
+    if (has_rules) ClearRules(&candidates);
+    if (candidate == nullptr || waits) continue;
     PlaceTask(it, candidate, now, &changes);
     largest_room = LargestRoom(candidates);
     if (!it.job->may_have_started) started_jobs.emplace(it.job->id, it.job);
--- a/src/core/pool/entry/settings.h
+++ b/src/core/pool/entry/settings.h
@@ -70,6 +70,9 @@
   ConfigTransferSettings config_transfer{};
 
   std::string data_centre;
+  // How many times as long a task takes away from its data or from the rest of
+  // its step.
+  double remote_factor = 1;
   // Processor share of this machine in cores; 0 if it is not known.
   double cpu_cores = 0;
   // Processor time of one load report: a wake-up, its system calls and a turn.
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -6,6 +6,7 @@
 #include "core/pool/entry/backlog.h"
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/evacuation.h"
+#include "core/pool/entry/locality.h"
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/past_jobs.h"
 #include "core/pool/entry/refusal.h"
@@ -66,6 +67,7 @@
   task.key = key;
   task.needs = step.needs;
   task.estimate = step.estimate;
+  task.rules = step.rules;
   return task;
 }
 
@@ -188,6 +190,10 @@
     return RefuseJob(board, e, ReplyKind::kNoMinions, kRetryAfter,
                      {.texts = {{"reason", kOnlyEvacuatedMinions}}});
   }
+  if (is_warmed_up && !HasRequiredMinions(board, queue->service, e.job)) {
+    return RefuseJob(board, e, ReplyKind::kNoMinions, kRetryAfter,
+                     {.texts = {{"reason", "no minion has a required label"}}});
+  }
   if (is_warmed_up && backlog + LongestEstimate(e.job) > e.client_timeout) {
     return RefuseJob(board, e, ReplyKind::kOverloaded,
                      DelayOfRetry(board, queue->service, e.job.id, now),
--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -41,6 +41,9 @@
   // A minion has crashed with an earlier run of the task. An agent accepts one
   // such run at a time.
   bool is_suspect = false;
+  // The minion must have this label; checked by the agent, since another
+  // instance may have taken the minion's place. Empty if any will do.
+  std::string required_label{};
   friend bool operator==(const StartRun&, const StartRun&) = default;
 };
 
--- a/src/core/pool/task.h
+++ b/src/core/pool/task.h
@@ -67,12 +67,27 @@
          needs.accelerators <= available.accelerators;
 }
 
+// Where the tasks of a step may run, and where they run fastest.
+struct PlacementRules {
+  // Label that the minion must have; empty if any will do.
+  std::string required_label{};
+  // Rack of the tasks' data; empty if they run equally fast on all racks.
+  std::string data_rack{};
+  // At most this many tasks of the step run on one minion; 0 is no limit.
+  std::uint32_t max_per_minion = 0;
+  // The tasks run slower unless all of them run on one rack.
+  bool is_colocated = false;
+  friend bool operator==(const PlacementRules&,
+                         const PlacementRules&) = default;
+};
+
 // One step of a job: `count` equal tasks.
 struct StepSpec {
   std::uint32_t count = 0;
   Resources needs;
   // The client's estimate of the duration of one task; often inaccurate.
   milliseconds estimate{0};
+  PlacementRules rules{};
   friend bool operator==(const StepSpec&, const StepSpec&) = default;
 };
 
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -170,10 +170,12 @@
   const auto payload = builder->CreateString(*it.payload);
   const auto run = ToWire(it.run);
   const auto needs = ToWire(it.needs);
-  return {wire::Body::StartRun,
-          wire::CreateStartRun(*builder, it.sequence, &run, payload, &needs,
-                               it.estimate.count(), it.is_suspect)
-              .Union()};
+  const auto required_label = builder->CreateString(it.required_label);
+  return {
+      wire::Body::StartRun,
+      wire::CreateStartRun(*builder, it.sequence, &run, payload, &needs,
+                           it.estimate.count(), it.is_suspect, required_label)
+          .Union()};
 }
 
 Body Write(Builder* builder, const StopRun& it) {
@@ -325,7 +327,8 @@
                   FromWire(it.payload()),
                   FromWire(*it.needs()),
                   milliseconds{it.estimate_ms()},
-                  it.is_suspect()};
+                  it.is_suspect(),
+                  FromWire(it.required_label())};
 }
 
 Message Read(const wire::StopRun& it) {
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -69,6 +69,22 @@
     ("pool_settled_reports", POOL_AGENT + "links.cpp", [
         ("const bool is_earlier = run.entry == link.entry && "
          "run.link != link.id;", "const bool is_earlier = false;")]),
+    ("pool_bound_of_a_wait_for_a_rack", POOL_ENTRY + "locality.cpp", [
+        ("|| start.waited >= saved", "")]),
+    ("pool_goal_of_a_wait_for_a_rack", POOL_ENTRY + "locality.cpp", [
+        ("return *start.near_delay + start.run_time <= start.time_left;",
+         "return true;")]),
+    ("pool_required_labels", POOL_AGENT + "runs.cpp", [
+        ("if (!HasRequiredLabel(board, start)) {", "if (false) {")]),
+    ("pool_lost_runs_of_a_step", POOL_ENTRY + "locality.cpp", [
+        ("task.state == TaskState::kStopping || task.state == TaskState::kLost;",
+         "task.state == TaskState::kStopping;")]),
+    ("pool_replaced_polls", POOL_AGENT + "poll_timing.cpp", [
+        ("if (poll.wait.count() > 0 && now.boot >= answer_due_at) {",
+         "if (false) {")]),
+    ("pool_stop_of_a_listed_run", POOL_AGENT + "polls.cpp", [
+        ("(run.has_begun ? board.settings.max_run_stop_time "
+         ": milliseconds{0})", "milliseconds{0}")]),
     ("pool_room_check", POOL_AGENT + "runs.cpp", [
         ('if (!Fits(start.needs, AvailableResources(board, now))) return "no room";',
          "")]),
--- a/tests/pool/codec_test.cpp
+++ b/tests/pool/codec_test.cpp
@@ -38,8 +38,8 @@
                         milliseconds{50}};
     case 1:
       return StartRun{
-          3,   kRun, std::string("payload"), {6'200, 64, 1}, milliseconds{99},
-          true};
+          3,    kRun, std::string("payload"), {6'200, 64, 1}, milliseconds{99},
+          true, "b"};
     case 2:
       return StopRun{kRun};
     case 3:
--- a/tests/users_platform/job_test.cpp
+++ b/tests/users_platform/job_test.cpp
@@ -63,14 +63,16 @@
   // Guards against swapped fields and wrong units.
   const auto job = ParseJobSpec(
       7, R"({"best_effort":true,"spec":"text","steps":[{"count":8,"cpu":6200,)"
-         R"("task_memory_mb":64,"gpu":1,"estimated_ms":99}]})");
+         R"("task_memory_mb":64,"gpu":1,"estimated_ms":99,"requirements":"b",)"
+         R"("affinity":"r1-3","anti_affinity":2,"colocated":true}]})");
   REQUIRE(job);
   CHECK(job.value().id == 7);
   CHECK(*job.value().payload == "text");
   CHECK(job.value().unsupported.empty());
   REQUIRE(job.value().steps.size() == 1);
   CHECK(job.value().steps[0] ==
-        pool::StepSpec{8, {6'200, 64, 1}, milliseconds{99}});
+        pool::StepSpec{
+            8, {6'200, 64, 1}, milliseconds{99}, {"b", "r1-3", 2, true}});
 }
 
 TEST_CASE("A job with unsupported fields is marked as unsupported",
@@ -92,9 +94,11 @@
        {R"("best_effort":true,"repetitions":3)", "", false},
        {R"("best_effort":true)", R"(,"gang":true)", false},
        {R"("best_effort":true)", R"(,"after":[0])", false},
-       {R"("best_effort":true)", R"(,"requirements":"b")", false},
-       {R"("best_effort":true)", R"(,"affinity":"r1-3")", false},
-       {R"("best_effort":true)", R"(,"anti_affinity":1)", false},
+       {R"("best_effort":true)", R"(,"requirements":"b")", true},
+       {R"("best_effort":true)", R"(,"affinity":"r1-3")", true},
+       {R"("best_effort":true)", R"(,"anti_affinity":1)", true},
+       {R"("best_effort":true)", R"(,"colocated":true)", true},
+       {R"("best_effort":false)", R"(,"affinity":"r1-3")", false},
        {R"("best_effort":true)", R"(,"checkpointing":true)", false},
        {R"("best_effort":true)", R"(},{"count":1)", false}}));
   CAPTURE(row.job_fields, row.step_fields);
--- a/tests/users_platform/minion_test.cpp
+++ b/tests/users_platform/minion_test.cpp
@@ -30,6 +30,7 @@
   expected.service = "huvo11a";
   expected.data_centre = "kgn-a";
   expected.rack = "r1-3";
+  expected.labels = {"a", "r1-3"};
   expected.capacity = {16'000, 32'768, 0};
   expected.sequence = 4;
   expected.clock_ms = 482'113;
