Cover the missed starts of a load report in the codec test

Cause: the new field of LoadReport had its default in the test, so that a codec without it would have passed. Change: the test's report says that the minion misses starts. Result: pool_tests pass.

--- a/tests/pool/codec_test.cpp
+++ b/tests/pool/codec_test.cpp
@@ -58,7 +58,7 @@
                         SampleCrashes(),
                         {"a", "r1"}};
     case 7:
-      return LoadReport{4, {1, 2, 3}, true, true, 0.25, true};
+      return LoadReport{4, {1, 2, 3}, true, true, 0.25, true, true};
     case 8:
       return StartRefused{kRun, StartRefusal::kOldNumber};
     case 9:
