Keep the limit of 4 MiB for minions' reports

The bound of reception had lowered it to that of submissions, and the process test 'odd input' then failed: a report of 400 kB got 413 in plain text instead of 400 in JSON. The agent's servers have their former limit again, and its share of a connection follows from it.

--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -68,7 +68,7 @@
               },
               [this](LinkId link) { Post(EntryLinkClosed{link}); }}),
       report_server_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxReportBytes),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              reply(OnMinionRequest(request));
            },
@@ -84,7 +84,7 @@
             Post(EntriesRegistered{ParseEntryAddresses(values)});
           },
           [this](const Decision& refusal) { Execute(refusal); }),
-      metrics_(loop, ServerLimits(node_settings_),
+      metrics_(loop, ServerLimits(node_settings_, kMaxReportBytes),
                WithReceptionGauges(loop, MakeGauges(board_)),
                [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
@@ -99,7 +99,7 @@
       }) {}
 
 bool PoolAgent::Start() {
-  LimitReception(loop_, node_settings_,
+  LimitReception(loop_, node_settings_, kMaxReportBytes,
                  [this](const Decision& it) { Execute(it); });
   if (node_settings_.report_address.port == 0) {
     log_.Write("start_failed",
--- a/apps/pool_common/reception.cpp
+++ b/apps/pool_common/reception.cpp
@@ -7,13 +7,11 @@
 namespace dottereltrack::pool {
 namespace {
 
-// Largest body of a submission on the users' platform.
-constexpr std::size_t kMaxBodyBytes = 256U << 10;
-
-ReceptionLimits LimitsOf(const users_platform::NodeSettings& settings) {
+ReceptionLimits LimitsOf(const users_platform::NodeSettings& settings,
+                         std::size_t max_body_bytes) {
   return DeriveReceptionLimits(
       settings.memory_mb,
-      ConnectionsWithinDescriptors(settings.max_descriptors), kMaxBodyBytes);
+      ConnectionsWithinDescriptors(settings.max_descriptors), max_body_bytes);
 }
 
 Decision ToDecision(const ClosedConnection& closed) {
@@ -29,18 +27,20 @@
 
 }  // namespace
 
-HttpLimits ServerLimits(const users_platform::NodeSettings& settings) {
+HttpLimits ServerLimits(const users_platform::NodeSettings& settings,
+                        std::size_t max_body_bytes) {
   HttpLimits limits;
-  limits.max_body_bytes = kMaxBodyBytes;
-  limits.max_connections = LimitsOf(settings).max_connections;
+  limits.max_body_bytes = max_body_bytes;
+  limits.max_connections = LimitsOf(settings, max_body_bytes).max_connections;
   return limits;
 }
 
 void LimitReception(asio::io_context& loop,
                     const users_platform::NodeSettings& settings,
+                    std::size_t max_body_bytes,
                     std::function<void(const Decision&)> report) {
   ReceptionTable::Of(loop).SetLimits(
-      LimitsOf(settings),
+      LimitsOf(settings, max_body_bytes),
       [report = std::move(report)](const ClosedConnection& closed) {
         report(ToDecision(closed));
       });
--- a/apps/pool_common/reception.h
+++ b/apps/pool_common/reception.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <cstddef>
 #include <functional>
 #include <vector>
 
@@ -11,14 +12,21 @@
 
 namespace dottereltrack::pool {
 
+// Largest body of a submission on the users' platform, and of a minion's
+// report.
+inline constexpr std::size_t kMaxSubmissionBytes = 256U << 10;
+inline constexpr std::size_t kMaxReportBytes = 4U << 20;
+
 // Returns the limits of each HTTP server of a daemon.
-HttpLimits ServerLimits(const users_platform::NodeSettings& settings);
+HttpLimits ServerLimits(const users_platform::NodeSettings& settings,
+                        std::size_t max_body_bytes);
 
 // Limits what all connections of the event loop have in reception, by the
-// machine's memory and descriptors. Calls `report` for each connection that is
-// closed.
+// machine's memory and descriptors and the largest body of a server. Calls
+// `report` for each connection that is closed.
 void LimitReception(asio::io_context& loop,
                     const users_platform::NodeSettings& settings,
+                    std::size_t max_body_bytes,
                     std::function<void(const Decision&)> report);
 
 // Returns `gauges` and those of the bytes in reception.
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -75,7 +75,7 @@
               },
               [this](LinkId link) { Post(LinkClosed{link}); }}),
       client_server_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxSubmissionBytes),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              OnClientRequest(request, reply);
            },
@@ -84,7 +84,7 @@
            },
            {}}),
       readiness_server_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxSubmissionBytes),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              reply(users_platform::IsReadinessCheck(request)
                        ? users_platform::ReadinessResponse(IsReady(board_))
@@ -111,7 +111,7 @@
             Post(EntriesListed{ParseEntryAddresses(values)});
           },
           [this](const Decision& refusal) { Execute(refusal); }),
-      metrics_(loop, ServerLimits(node_settings_),
+      metrics_(loop, ServerLimits(node_settings_, kMaxSubmissionBytes),
                WithReceptionGauges(loop, MakeGauges(board_)),
                [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
@@ -126,7 +126,7 @@
       }) {}
 
 bool PoolEntry::Start() {
-  LimitReception(loop_, node_settings_,
+  LimitReception(loop_, node_settings_, kMaxSubmissionBytes,
                  [this](const Decision& it) { Execute(it); });
   if (!Listen()) return false;
   log_.Write("started", {{"clients", ToText(node_settings_.client_address)},
