--- a/apps/pool_agent/pool_agent.cpp
+++ b/apps/pool_agent/pool_agent.cpp
@@ -82,7 +82,7 @@
               },
               [this](LinkId link) { Post(EntryLinkClosed{link}); }}),
       report_server_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxReportBytes),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              reply(OnMinionRequest(request));
            },
@@ -98,7 +98,7 @@
             Post(EntriesRegistered{ParseEntryAddresses(view)});
           },
           [this](const Decision& refusal) { Execute(refusal); }),
-      metrics_(loop, ServerLimits(node_settings_),
+      metrics_(loop, ServerLimits(node_settings_, kMaxReportBytes),
                WithReceptionGauges(loop, MakeGauges(board_)),
                [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
@@ -113,7 +113,7 @@
       }) {}
 
 bool PoolAgent::Start() {
-  LimitReception(loop_, node_settings_,
+  LimitReception(loop_, node_settings_, kMaxReportBytes,
                  [this](const Decision& it) { Execute(it); });
   if (node_settings_.report_address.port == 0) {
     log_.Write("start_failed",
--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -113,7 +113,7 @@
               [this](LinkId link) { Post(LinkClosed{link}); },
               [this](LinkId link) { OnPartialFrame(link); }}),
       client_server_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxSubmissionBytes),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              OnClientRequest(request, reply);
            },
@@ -122,7 +122,7 @@
            },
            {}}),
       readiness_server_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxSubmissionBytes),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              reply(users_platform::IsReadinessCheck(request)
                        ? users_platform::ReadinessResponse(IsReady(board_))
@@ -156,7 +156,7 @@
           },
           [this](const Decision& refusal) { Execute(refusal); }),
       metrics_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxSubmissionBytes),
           WithReceptionGauges(loop, MakeGauges(board_, config_parse_time_)),
           [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
@@ -172,7 +172,7 @@
       }) {}
 
 bool PoolEntry::Start() {
-  LimitReception(loop_, node_settings_,
+  LimitReception(loop_, node_settings_, kMaxSubmissionBytes,
                  [this](const Decision& it) { Execute(it); });
   if (!Listen()) return false;
   log_.Write("started", {{"clients", ToText(node_settings_.client_address)},
