Quote the merged code in three mutations

Cause: the polls, the choice of a minion and the refusals have changed in merges. Change: the mutations quote and remove the same conditions as before.

--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -95,8 +95,9 @@
         ("unconfirmed.phase = RunPhase::kUnconfirmed;",
          "unconfirmed.phase = RunPhase::kRunning;")]),
     ("pool_stopping_runs_count", POOL_AGENT + "polls.cpp", [
-        ("if (!run.stop_answered_at || sent_at < *run.stop_answered_at + "
-         "board.settings.max_run_stop_time) {", "if (!run.stop_answered_at) {")]),
+        ("if (sent_at < *run.stop_answered_at + "
+         "(run.has_begun ? board.settings.max_run_stop_time "
+         ": milliseconds{0})) {", "if (false) {")]),
     ("pool_found_runs", POOL_AGENT + "polls.cpp", [
         ("if (board.runs.Contains(listed.run)) continue;", "continue;")]),
     ("pool_token_of_a_restarted_minion", POOL_AGENT + "instances.cpp", [
@@ -127,7 +128,7 @@
         ("if (!link.surplus_since || HasRuns(board, id)) continue;",
          "if (!link.surplus_since) continue;")]),
     ("pool_wait_for_a_fast_minion", POOL_ENTRY + "minion_choice.cpp", [
-        ("minion.slowness > max_slowness", "minion.slowness < 0")]),
+        ("if (slowness > task.max_slowness) return kNever;", "")]),
     ("pool_minions_that_miss_starts", POOL_AGENT + "polls.cpp", [
         ("*health = WithMissedStart(*health, now);", "")]),
     ("pool_choice_of_reliable_minions", POOL_ENTRY + "minion_choice.cpp", [
@@ -142,8 +143,7 @@
     ("pool_refusal_before_the_deadline", POOL_ENTRY + "advance.cpp", [
         ("ApplyChanges(RefuseHopelessJobs(*board_, now_));", "")]),
     ("pool_true_early_refusals", POOL_ENTRY + "refusal.cpp", [
-        ("job->may_have_started ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;",
-         "ReplyKind::kOverloaded;")]),
+        ("RefusalOf(*job, ReplyKind::kOverloaded),", "ReplyKind::kOverloaded,")]),
     ("pool_refusal_with_high_estimates", POOL_ENTRY + "refusal.cpp", [
         ("constexpr double kMinEstimateShare = 0.7;",
          "constexpr double kMinEstimateShare = 1.0;")]),
