--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -89,6 +89,7 @@
   board.settings.address = node_settings.internal_address;
   board.settings.config_transfer.link_mbps = node_settings.link_mbps;
   board.settings.data_centre = node_settings.data_centre;
+  board.settings.remote_factor = node_settings.remote_factor;
   board.settings.cpu_cores = node_settings.cpu_cores;
   if (node_settings.overload_share > 0) {
     SetOverloadShare(node_settings.overload_share, &board.settings);
@@ -112,7 +113,7 @@
               [this](LinkId link) { Post(LinkClosed{link}); },
               [this](LinkId link) { OnPartialFrame(link); }}),
       client_server_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxSubmissionBytes),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              OnClientRequest(request, reply);
            },
@@ -121,7 +122,7 @@
            },
            {}}),
       readiness_server_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxSubmissionBytes),
           {[this](const HttpRequest& request, const HttpReplier& reply) {
              reply(users_platform::IsReadinessCheck(request)
                        ? users_platform::ReadinessResponse(IsReady(board_))
@@ -155,7 +156,7 @@
           },
           [this](const Decision& refusal) { Execute(refusal); }),
       metrics_(
-          loop, ServerLimits(node_settings_),
+          loop, ServerLimits(node_settings_, kMaxSubmissionBytes),
           WithReceptionGauges(loop, MakeGauges(board_, config_parse_time_)),
           [this] { return DumpState(board_, ReadClocks()); }),
       settings_watch_(loop, file, log,
@@ -171,7 +172,7 @@
       }) {}
 
 bool PoolEntry::Start() {
-  LimitReception(loop_, node_settings_,
+  LimitReception(loop_, node_settings_, kMaxSubmissionBytes,
                  [this](const Decision& it) { Execute(it); });
   if (!Listen()) return false;
   log_.Write("started", {{"clients", ToText(node_settings_.client_address)},
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -69,6 +69,22 @@
     ("pool_settled_reports", POOL_AGENT + "links.cpp", [
         ("const bool is_earlier = run.entry == link.entry && "
          "run.link != link.id;", "const bool is_earlier = false;")]),
+    ("pool_bound_of_a_wait_for_a_rack", POOL_ENTRY + "locality.cpp", [
+        ("|| start.waited >= saved", "")]),
+    ("pool_goal_of_a_wait_for_a_rack", POOL_ENTRY + "locality.cpp", [
+        ("return *start.near_delay + start.run_time <= start.time_left;",
+         "return true;")]),
+    ("pool_required_labels", POOL_AGENT + "runs.cpp", [
+        ("if (!HasRequiredLabel(board, start)) {", "if (false) {")]),
+    ("pool_lost_runs_of_a_step", POOL_ENTRY + "locality.cpp", [
+        ("task.state == TaskState::kStopping || task.state == TaskState::kLost;",
+         "task.state == TaskState::kStopping;")]),
+    ("pool_replaced_polls", POOL_AGENT + "poll_timing.cpp", [
+        ("if (poll.wait.count() > 0 && now.boot >= answer_due_at) {",
+         "if (false) {")]),
+    ("pool_stop_of_a_listed_run", POOL_AGENT + "polls.cpp", [
+        ("(run.has_begun ? board.settings.max_run_stop_time "
+         ": milliseconds{0})", "milliseconds{0}")]),
     ("pool_room_check", POOL_AGENT + "runs.cpp", [
         ('if (!Fits(start.needs, AvailableResources(board, now))) return "no room";',
          "")]),
@@ -79,8 +95,9 @@
         ("unconfirmed.phase = RunPhase::kUnconfirmed;",
          "unconfirmed.phase = RunPhase::kRunning;")]),
     ("pool_stopping_runs_count", POOL_AGENT + "polls.cpp", [
-        ("if (!run.stop_answered_at || sent_at < *run.stop_answered_at + "
-         "board.settings.max_run_stop_time) {", "if (!run.stop_answered_at) {")]),
+        ("if (sent_at < *run.stop_answered_at + "
+         "(run.has_begun ? board.settings.max_run_stop_time "
+         ": milliseconds{0})) {", "if (false) {")]),
     ("pool_found_runs", POOL_AGENT + "polls.cpp", [
         ("if (board.runs.Contains(listed.run)) continue;", "continue;")]),
     ("pool_token_of_a_restarted_minion", POOL_AGENT + "instances.cpp", [
@@ -111,7 +128,7 @@
         ("if (!link.surplus_since || HasRuns(board, id)) continue;",
          "if (!link.surplus_since) continue;")]),
     ("pool_wait_for_a_fast_minion", POOL_ENTRY + "minion_choice.cpp", [
-        ("minion.slowness > max_slowness", "minion.slowness < 0")]),
+        ("if (slowness > task.max_slowness) return kNever;", "")]),
     ("pool_minions_that_miss_starts", POOL_AGENT + "polls.cpp", [
         ("*health = WithMissedStart(*health, now);", "")]),
     ("pool_choice_of_reliable_minions", POOL_ENTRY + "minion_choice.cpp", [
@@ -126,8 +143,7 @@
     ("pool_refusal_before_the_deadline", POOL_ENTRY + "advance.cpp", [
         ("ApplyChanges(RefuseHopelessJobs(*board_, now_));", "")]),
     ("pool_true_early_refusals", POOL_ENTRY + "refusal.cpp", [
-        ("job->may_have_started ? ReplyKind::kGivenUp : ReplyKind::kOverloaded;",
-         "ReplyKind::kOverloaded;")]),
+        ("RefusalOf(*job, ReplyKind::kOverloaded),", "ReplyKind::kOverloaded,")]),
     ("pool_refusal_with_high_estimates", POOL_ENTRY + "refusal.cpp", [
         ("constexpr double kMinEstimateShare = 0.7;",
          "constexpr double kMinEstimateShare = 1.0;")]),
--- a/tests/pool/codec_test.cpp
+++ b/tests/pool/codec_test.cpp
@@ -38,8 +38,8 @@
                         milliseconds{50}};
     case 1:
       return StartRun{
-          3,   kRun, std::string("payload"), {6'200, 64, 1}, milliseconds{99},
-          true};
+          3,    kRun, std::string("payload"), {6'200, 64, 1}, milliseconds{99},
+          true, "b"};
     case 2:
       return StopRun{kRun};
     case 3:
@@ -58,7 +58,7 @@
                         SampleCrashes(),
                         {"a", "r1"}};
     case 7:
-      return LoadReport{4, {1, 2, 3}, true, true, 0.25, true};
+      return LoadReport{4, {1, 2, 3}, true, true, 0.25, true, true};
     case 8:
       return StartRefused{kRun, StartRefusal::kOldNumber};
     case 9:
