--- a/bench/entry_cost.cpp
+++ b/bench/entry_cost.cpp
@@ -90,7 +90,7 @@
 
  private:
   void Connect() {
-    PoolConfig config{1, {}};
+    std::vector<QueueConfig> queues;
     for (const Queue& it : kQueues) {
       QueueConfig queue;
       queue.name = it.name;
@@ -99,9 +99,9 @@
       queue.service = kService;
       queue.stretch = 1.6;
       queue.target_latency = milliseconds{60};
-      config.queues.push_back(queue);
+      queues.push_back(queue);
     }
-    Turn({ConfigRead{config, std::string("config")}});
+    Turn({ConfigRead{PoolConfig{1, std::move(queues)}, std::string("config")}});
     for (int n = 0; n < kAgents; ++n) {
       const LinkId link{static_cast<std::uint64_t>(n + 1)};
       free_[link] = kMinionCpuMillis;
