--- a/src/json/json_stream.cpp
+++ b/src/json/json_stream.cpp
@@ -128,8 +128,9 @@
 std::optional<JsonError> ReadJsonStream(std::string_view text,
                                         JsonStreamReader* reader,
                                         const JsonLimits& limits) {
-  if (text.size() > limits.max_bytes)
+  if (text.size() > limits.max_bytes) {
     return TooManyBytesError(limits.max_bytes);
+  }
   BoundedStream stream(reader, limits);
   if (ReadOnce(text, reader, &stream)) return std::nullopt;
   if (!stream.HasNumberOverflow()) return stream.Error();
