Spread starts over minions of similar speed

Change: minions whose cost is within 10% of the lowest count as equal, and the emptiest of them is taken.

--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -22,6 +22,10 @@
 // than this factor, since the learned slowness of equal minions differs by up
 // to 30% where 3% of the jobs take 7 times their estimate.
 constexpr double kSimilarSlowness = 1.4;
+// Costs that differ by less than this factor count as equal. The learned
+// slowness of equal minions differs by some percent; without this, one of them
+// would get all tasks at low load, and the others none.
+constexpr double kSimilarCost = 1.1;
 constexpr double kUnlimited = std::numeric_limits<double>::infinity();
 // An agent pings idle links every 100 ms, so that an agent that has been silent
 // for this long has missed a ping: it may have been lost.
@@ -34,6 +38,8 @@
 struct Candidate {
   const AgentRow* agent = nullptr;
   MinionOption minion;
+  // Cost of the task that is being placed.
+  double cost = 0;
   std::vector<UnreportedStart> starts;
   // Tasks of the starts.
   std::vector<TaskKey> tasks;
@@ -69,7 +75,7 @@
     minion.has_suspect = HasSuspect(agent);
     minion.misses_starts = agent.load.misses_starts;
     minion.is_silent = IsSilent(board, agent, now);
-    candidates.push_back({&agent, minion, {}, {}});
+    candidates.push_back({&agent, minion, 0, {}, {}});
   }
   return candidates;
 }
@@ -178,25 +184,28 @@
   return ShouldWaitForNear(start);
 }
 
+// Returns the emptiest of the candidates whose cost is near the lowest.
 Candidate* ChooseCandidate(std::vector<Candidate>* candidates,
                            const WaitingTask& waiting,
                            const StartDemand& demand) {
-  Candidate* best = nullptr;
-  double best_cost = kUnlimited;
+  double lowest_cost = kUnlimited;
   for (Candidate& it : *candidates) {
+    it.cost = kUnlimited;
     const AgentHello& hello = *it.agent->hello;
     if (it.minion.free.cpu_millis <= 0) continue;
     if (hello.service != waiting.job->service) continue;
     it.minion.has_failed_task = HasFailedOn(*waiting.task, hello.minion);
-    const double cost = CostOfStart(demand, it.minion);
-    if (cost == kUnlimited) continue;
-    const bool is_better =
-        best == nullptr || cost < best_cost ||
-        (cost == best_cost &&
-         it.minion.free.cpu_millis > best->minion.free.cpu_millis);
-    if (!is_better) continue;
-    best = &it;
-    best_cost = cost;
+    it.cost = CostOfStart(demand, it.minion);
+    lowest_cost = std::min(lowest_cost, it.cost);
+  }
+  if (lowest_cost == kUnlimited) return nullptr;
+  Candidate* best = nullptr;
+  for (Candidate& it : *candidates) {
+    if (it.cost > lowest_cost * kSimilarCost) continue;
+    if (best == nullptr ||
+        it.minion.free.cpu_millis > best->minion.free.cpu_millis) {
+      best = &it;
+    }
   }
   return best;
 }
