--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -81,8 +81,7 @@
 }
 
 // Smallest slowness among the minions of a service that accept runs, with or
-// without free resources: of all, and of those whose
-// agents are not silent.
+// without free resources: of all, and of those whose agents are not silent.
 struct LowestSlowness {
   double of_all = kUnlimited;
   double of_reliable = kUnlimited;
