Keep the tasks of a waiting step as a range

Seen by callers: beside 800 connections, each with a pipeline of 41 jobs of 100 tasks, an ordinary job got no answer in five attempts of 5 s, and its entry lost the links to its agent 61 times. An entry with 800 waiting jobs of 1,000 tasks took 570 MB of its 100 MB.

Cause: each task of an accepted job had a row of its own, with entries in three indexes, from the submission on. Each submission, placement and tick iterated all of them, so the turns grew with the number of tasks until the agents counted the entry as silent.

Change: tasks that have not been started are one row for each step, with the first index and the number, and get rows when they are started. Suspects of a crash are given rows of their own, since they are placed one by one. The lost tasks of a forwarded job are such a range too, blocked until the owner's runs have ended. Choices are unchanged, but for one: the work of a job that is refused as hopeless no longer counts as being ahead of the jobs behind it.

The mutation "pool_runs_of_a_lost_owner" quotes the new code.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -7,6 +7,7 @@
 #include "apps/pool_common/reception.h"
 #include "apps/pool_entry/state_dump.h"
 #include "core/pool/entry/entry_load.h"
+#include "core/pool/entry/unstarted_tasks.h"
 #include "core/pool/pause.h"
 #include "platform/config.h"
 #include "platform/evacuation.h"
@@ -52,7 +53,7 @@
       {"dottereltrack_entry_open_jobs", "Accepted jobs without an answer",
        [&board] { return static_cast<double>(board.active_jobs.size()); }},
       {"dottereltrack_entry_waiting_tasks", "Tasks that wait for room",
-       [&board] { return static_cast<double>(board.waiting_tasks.size()); }},
+       [&board] { return static_cast<double>(CountWaitingTasks(board)); }},
       {"dottereltrack_entry_lost_tasks", "Tasks whose lost run may still live",
        [&board] { return static_cast<double>(board.lost_tasks.size()); }},
       {"dottereltrack_entry_recent_crashes",
--- a/apps/pool_entry/state_dump.cpp
+++ b/apps/pool_entry/state_dump.cpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "apps/pool_common/table_json.h"
+#include "core/pool/entry/unstarted_tasks.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -65,6 +66,10 @@
   return row;
 }
 
+json RowToJson(const UnstartedTasks& tasks, const Now&) {
+  return {{"first_task", ToText(tasks.first)}, {"tasks", tasks.count}};
+}
+
 json RowToJson(const LinkRow& link, const Now& now) {
   return {{"link", link.id.value},
           {"heard_ms_ago", AgeMs(link.last_received_at, now)},
@@ -117,7 +122,7 @@
       {"age_ms", AgeMs(board.started_at, now)},
       {"stopping", board.stopping},
       {"config_version", board.config.version},
-      {"waiting_tasks", board.waiting_tasks.size()},
+      {"waiting_tasks", CountWaitingTasks(board)},
       {"lost_tasks", board.lost_tasks.size()},
       {"load", board.overload.pressure},
       {"overloaded", board.overload.is_overloaded},
@@ -125,6 +130,7 @@
       {"demands", TableToJson(board.demands, now, &RowToJson)},
       {"jobs", TableToJson(board.jobs, now, &RowToJson)},
       {"tasks", TableToJson(board.tasks, now, &RowToJson)},
+      {"unstarted_tasks", TableToJson(board.unstarted_tasks, now, &RowToJson)},
       {"agents", TableToJson(board.agents, now, &RowToJson)},
       {"crashes", TableToJson(board.crashes, now, &RowToJson)},
       {"evacuations",
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -15,6 +15,7 @@
 #include "core/pool/entry/placement.h"
 #include "core/pool/entry/refusal.h"
 #include "core/pool/entry/submission.h"
+#include "core/pool/entry/unstarted_tasks.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -34,6 +35,7 @@
   void RunControllers() {
     DropCalls(CallsOfLostPeers(*board_, now_),
               "the first entry is lost or silent");
+    ApplyChanges(SeparateSuspects(*board_, now_));
     ApplyChanges(EndCrashingJobs(*board_, now_));
     // Before starts and configurations are sent over the same links.
     ApplyChanges(SendEvacuations(*board_));
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -36,6 +36,14 @@
   needs.erase(needs.find(cpu_millis));
 }
 
+void RemoveUnstarted(EntryBoard* board, const TaskKey& first) {
+  const UnstartedTasks* tasks = board->unstarted_tasks.Find(first);
+  if (tasks == nullptr) return;
+  auto& needs = board->waiting_cpu_millis;
+  needs.erase(needs.find(tasks->needs.cpu_millis));
+  board->unstarted_count -= tasks->count;
+}
+
 // Adds `n` to the counts of a crash's suspects.
 void AddToCrashCounts(EntryBoard* board, const CrashSuspects& suspects, int n) {
   auto& counts = board->crash_counts;
@@ -82,6 +90,16 @@
     board->lost_tasks.erase(it.key);
     board->tasks.Erase(it.key);
   }
+  void operator()(const Put<UnstartedTasks>& it) const {
+    RemoveUnstarted(board, it.row.first);
+    board->waiting_cpu_millis.insert(it.row.needs.cpu_millis);
+    board->unstarted_count += it.row.count;
+    board->unstarted_tasks.Put(it.row);
+  }
+  void operator()(const Erase<UnstartedTasks>& it) const {
+    RemoveUnstarted(board, it.key);
+    board->unstarted_tasks.Erase(it.key);
+  }
   void operator()(const Put<AgentRow>& it) const { board->agents.Put(it.row); }
   void operator()(const Erase<AgentRow>& it) const {
     board->agents.Erase(it.key);
--- a/src/core/pool/entry/backlog.cpp
+++ b/src/core/pool/entry/backlog.cpp
@@ -6,6 +6,7 @@
 
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/evacuation.h"
+#include "core/pool/entry/unstarted_tasks.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -32,6 +33,14 @@
     const bool is_late = job->goal_at - task.estimate < now.boot;
     if (!is_late && !IsSuspect(board, key)) work.ahead += WorkOf(task);
   }
+  for (const auto& [first, tasks] : board.unstarted_tasks) {
+    const JobRow* job = board.jobs.Find(first.job);
+    if (job == nullptr || job->state != JobState::kActive) continue;
+    if (job->service != service || !MayStart(tasks, now)) continue;
+    work.total += WorkOf(tasks);
+    const bool is_late = job->goal_at - tasks.estimate < now.boot;
+    if (!is_late) work.ahead += WorkOf(tasks);
+  }
   return work;
 }
 
@@ -85,6 +94,10 @@
          static_cast<double>(task.estimate.count());
 }
 
+double WorkOf(const UnstartedTasks& tasks) {
+  return static_cast<double>(tasks.count) * WorkOf(MakeTaskRow(tasks, 0));
+}
+
 double SharersOfMinions(const EntryBoard& board) {
   std::size_t entry_count = 1;
   for (const auto& [address, peer] : board.peers) {
@@ -125,8 +138,8 @@
   for (const auto& [link, agent] : board.agents) {
     services.insert(agent.hello->service);
   }
-  for (const TaskKey& key : board.waiting_tasks) {
-    const JobRow* job = board.jobs.Find(key.job);
+  for (const std::uint64_t id : JobsWithWaitingTasks(board)) {
+    const JobRow* job = board.jobs.Find(id);
     if (job != nullptr && job->state == JobState::kActive) {
       services.insert(job->service);
     }
--- a/src/core/pool/entry/backlog.h
+++ b/src/core/pool/entry/backlog.h
@@ -32,5 +32,7 @@
 
 // Work of a task by its estimate, in thousandths of a core times milliseconds.
 double WorkOf(const TaskRow& task);
+// The same of all these tasks together.
+double WorkOf(const UnstartedTasks& tasks);
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -99,6 +99,24 @@
   friend bool operator==(const TaskRow&, const TaskRow&) = default;
 };
 
+// Tasks of one step with consecutive indexes that have not been started since
+// their job was accepted. They get rows when they are started, so that a
+// waiting job takes the same memory whatever its number of tasks.
+struct UnstartedTasks {
+  // The task that is started next.
+  TaskKey first;
+  std::uint32_t count = 0;
+  Resources needs;
+  milliseconds estimate{0};
+  PlacementRules rules;
+  // Runs that another entry has started may go on until this time.
+  BootTime blocked_until{0};
+
+  const TaskKey& Key() const { return first; }
+  friend bool operator==(const UnstartedTasks&,
+                         const UnstartedTasks&) = default;
+};
+
 // A start that the agent's last load report does not cover yet.
 struct UnreportedStart {
   std::uint64_t sequence = 0;
@@ -158,7 +176,9 @@
   // No further large configuration is sent before this time.
   BootTime config_upload_ends_at{0};
   Table<JobRow> jobs;
+  // Tasks that have been started, and those that wait with a history.
   Table<TaskRow> tasks;
+  Table<UnstartedTasks> unstarted_tasks;
   Table<AgentRow> agents;
   Table<LinkRow> links;
   // The other entries.
@@ -178,8 +198,12 @@
   std::set<std::uint64_t> active_jobs;
   std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
   std::set<std::pair<BootTime, std::uint64_t>> past_jobs_by_age;
+  // Rows of tasks that wait.
   std::set<TaskKey> waiting_tasks;
-  // Processor needs of the waiting tasks, in thousandths of a core.
+  // Number of tasks without a row.
+  std::size_t unstarted_count = 0;
+  // Processor needs of the waiting tasks, in thousandths of a core; one value
+  // for each row of `waiting_tasks` and `unstarted_tasks`.
   std::multiset<std::int64_t> waiting_cpu_millis;
   std::set<TaskKey> lost_tasks;
   std::map<TaskKey, CrashCount> crash_counts;
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -29,16 +29,15 @@
   OverloadState state;
 };
 
-using EntryRowChange =
-    std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
-                 Put<AgentRow>, Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>,
-                 Put<KnownEntry>, Erase<KnownEntry>, Put<MinionCrash>,
-                 Erase<MinionCrash>, Put<OfferRow>, Erase<OfferRow>,
-                 Put<DemandRow>, Erase<DemandRow>, Put<ForwardedCall>,
-                 Erase<ForwardedCall>, Put<PastJob>, Erase<PastJob>,
-                 Put<PendingCancel>, Erase<PendingCancel>, SetOverload,
-                 SetEvacuations, Put<ConfigPeer>, Erase<ConfigPeer>, SetConfig,
-                 SetConfigFetch, SetConfigUpload, SetEntryStopping>;
+using EntryRowChange = std::variant<
+    Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
+    Put<UnstartedTasks>, Erase<UnstartedTasks>, Put<AgentRow>, Erase<AgentRow>,
+    Put<LinkRow>, Erase<LinkRow>, Put<KnownEntry>, Erase<KnownEntry>,
+    Put<MinionCrash>, Erase<MinionCrash>, Put<OfferRow>, Erase<OfferRow>,
+    Put<DemandRow>, Erase<DemandRow>, Put<ForwardedCall>, Erase<ForwardedCall>,
+    Put<PastJob>, Erase<PastJob>, Put<PendingCancel>, Erase<PendingCancel>,
+    SetOverload, SetEvacuations, Put<ConfigPeer>, Erase<ConfigPeer>, SetConfig,
+    SetConfigFetch, SetConfigUpload, SetEntryStopping>;
 
 // Kind of the reply to a client.
 enum class ReplyKind {
--- a/src/core/pool/entry/forwarding.cpp
+++ b/src/core/pool/entry/forwarding.cpp
@@ -6,6 +6,7 @@
 
 #include "core/pool/entry/entry_load.h"
 #include "core/pool/entry/outcomes.h"
+#include "core/pool/entry/unstarted_tasks.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -70,17 +71,27 @@
 
 // Returns the steps of a job as submitted; empty if a task of it has been
 // started by an earlier submission.
-std::vector<StepSpec> StepsOf(const EntryBoard& board, const JobRow& job) {
+std::vector<StepSpec> StepsOf(const EntryBoard& board, const JobRow& job,
+                              const Now& now) {
   std::vector<StepSpec> steps;
+  const auto add = [&steps](std::uint32_t index, const StepSpec& part) {
+    if (index >= steps.size()) steps.resize(index + 1);
+    const std::uint32_t count = steps[index].count + part.count;
+    steps[index] = {count, part.needs, part.estimate};
+  };
   const auto [begin, end] = TasksOf(board, job.id);
   for (auto it = begin; it != end; ++it) {
     const TaskRow& task = it->second;
     if (task.state != TaskState::kWaiting || task.run_number != 0) return {};
     // Messages between entries do not carry placement rules.
     if (task.rules != PlacementRules{}) return {};
-    if (task.key.step >= steps.size()) steps.resize(task.key.step + 1);
-    StepSpec& step = steps[task.key.step];
-    step = {step.count + 1, task.needs, task.estimate};
+    add(task.key.step, {1, task.needs, task.estimate});
+  }
+  const auto [first, last] = UnstartedTasksOf(board, job.id);
+  for (auto it = first; it != last; ++it) {
+    const UnstartedTasks& tasks = it->second;
+    if (!MayStart(tasks, now) || tasks.rules != PlacementRules{}) return {};
+    add(tasks.first.step, {tasks.count, tasks.needs, tasks.estimate});
   }
   return steps;
 }
@@ -107,7 +118,7 @@
                   const OfferRow& offer, const Now& now,
                   EntryChanges* changes) {
   const QueueConfig* queue = FindQueueByName(board.config, job.queue);
-  std::vector<StepSpec> steps = StepsOf(board, job);
+  std::vector<StepSpec> steps = StepsOf(board, job, now);
   if (queue == nullptr || steps.empty()) return false;
   ForwardJob message;
   message.job = {job.id, job.payload, steps};
@@ -122,6 +133,7 @@
   for (auto it = begin; it != end; ++it) {
     changes->Add(Erase<TaskRow>{it->first});
   }
+  EraseUnstartedTasks(board, job.id, changes);
   JobRow row = job;
   row.forwarded_to = offer.link;
   row.forwarded_steps = std::move(steps);
@@ -137,27 +149,22 @@
   return true;
 }
 
-// Adds the rows of a forwarded job's tasks in the given state.
-void AddTasks(const JobRow& job, const TaskRow& sample, EntryChanges* changes) {
+// Adds a forwarded job's tasks, which may be started from a time on.
+void AddTasks(const JobRow& job, BootTime blocked_until,
+              EntryChanges* changes) {
   for (std::uint32_t step = 0; step < job.forwarded_steps.size(); ++step) {
     const StepSpec& spec = job.forwarded_steps[step];
-    for (std::uint32_t n = 0; n < spec.count; ++n) {
-      TaskRow task = sample;
-      task.key = {job.id, step, n};
-      task.needs = spec.needs;
-      task.estimate = spec.estimate;
-      changes->Add(Put<TaskRow>{std::move(task)});
-    }
+    UnstartedTasks tasks =
+        MakeUnstartedTasks({job.id, step, 0}, spec.count, spec);
+    tasks.blocked_until = blocked_until;
+    changes->Add(Put<UnstartedTasks>{std::move(tasks)});
   }
 }
 
 // Adds the tasks of a forwarded job, whose runs may live on at its owner.
 void AddLostTasks(const EntryBoard& board, const JobRow& job, const Now& now,
                   EntryChanges* changes) {
-  TaskRow lost;
-  lost.state = TaskState::kLost;
-  lost.lost_run_ends_by = now.boot + board.settings.max_forwarded_run_time;
-  AddTasks(job, lost, changes);
+  AddTasks(job, now.boot + board.settings.max_forwarded_run_time, changes);
 }
 
 // Ends a job that its owner has ended without an outcome.
@@ -191,7 +198,7 @@
   EntryChanges changes;
   changes.Add(ForwardDecision(job, Severity::kFailure, "forward_refused",
                               "this entry runs the job", now));
-  AddTasks(job, TaskRow{}, &changes);
+  AddTasks(job, BootTime{0}, &changes);
   row.forwarded_steps.clear();
   changes.Add(Put<JobRow>{std::move(row)});
   return changes;
@@ -206,7 +213,7 @@
 EntryChanges ForwardJobs(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
   if (!board.overload.is_overloaded || board.stopping ||
-      board.waiting_tasks.empty()) {
+      !HasWaitingTasks(board)) {
     return changes;
   }
   std::vector<Offer> offers = CollectOffers(board, now);
@@ -214,11 +221,8 @@
   if (offers.empty()) return changes;
   const double share = ForwardShare(board.overload.pressure, board.settings);
   OverloadState state = board.overload;
-  std::optional<std::uint64_t> last_job;
-  for (const TaskKey& key : board.waiting_tasks) {
-    if (last_job == key.job) continue;
-    last_job = key.job;
-    const JobRow* job = board.jobs.Find(key.job);
+  for (const std::uint64_t id : JobsWithWaitingTasks(board)) {
+    const JobRow* job = board.jobs.Find(id);
     if (job == nullptr || !MayForward(*job)) continue;
     const bool is_large = CountJobSize(*job, &state);
     double& due = is_large ? state.due_large_jobs : state.due_small_jobs;
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -8,6 +8,7 @@
 #include "core/pool/entry/evacuation.h"
 #include "core/pool/entry/forwarding.h"
 #include "core/pool/entry/past_jobs.h"
+#include "core/pool/entry/unstarted_tasks.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -44,6 +45,7 @@
 
 void StopRuns(const EntryBoard& board, const JobRow& job,
               EntryChanges* changes) {
+  EraseUnstartedTasks(board, job.id, changes);
   const auto [begin, end] = TasksOf(board, job.id);
   for (auto it = begin; it != end; ++it) {
     const TaskRow& task = it->second;
@@ -118,6 +120,7 @@
 
 void EraseTasks(const EntryBoard& board, std::uint64_t job,
                 EntryChanges* changes) {
+  EraseUnstartedTasks(board, job, changes);
   const auto [begin, end] = TasksOf(board, job);
   for (auto it = begin; it != end; ++it) {
     changes->Add(Erase<TaskRow>{it->first});
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -9,6 +9,7 @@
 #include "core/pool/entry/evacuation.h"
 #include "core/pool/entry/locality.h"
 #include "core/pool/entry/minion_choice.h"
+#include "core/pool/entry/unstarted_tasks.h"
 #include "core/pool/entry/waiting_tasks.h"
 
 namespace dottereltrack::pool {
@@ -102,21 +103,21 @@
 // Sets the slowness up to which a minion can meet the task's goal. A task that
 // some minion can finish in time does not start on one that cannot: it would
 // be late for certain, while its place on a faster minion may become free.
-StartDemand MakeDemand(const WaitingTask& it, const LowestSlowness& lowest,
+StartDemand MakeDemand(const WaitingTasks& it, const LowestSlowness& lowest,
                        const Now& now) {
-  StartDemand demand{it.task->needs, it.urgency.is_suspect, kUnlimited,
+  StartDemand demand{it.first.needs, it.urgency.is_suspect, kUnlimited,
                      kUnlimited};
   if (it.urgency.is_late || it.urgency.is_suspect ||
-      it.task->estimate.count() <= 0) {
+      it.first.estimate.count() <= 0) {
     return demand;
   }
   // The fast minions may be those on which the task has failed, or may be away
   // from its data or without the required label.
-  if (!it.task->failed_minions.empty() || it.task->rules != PlacementRules{}) {
+  if (!it.first.failed_minions.empty() || it.first.rules != PlacementRules{}) {
     return demand;
   }
   using Microseconds = std::chrono::duration<double, std::micro>;
-  const double estimate_us = Microseconds{it.task->estimate}.count();
+  const double estimate_us = Microseconds{it.first.estimate}.count();
   const BootTime remaining = it.job->goal_at - now.boot;
   const double max_slowness = Microseconds{remaining}.count() / estimate_us;
   if (lowest.of_all <= max_slowness) {
@@ -167,14 +168,14 @@
 }
 
 // Whether the task waits for a near minion instead of this remote one.
-bool WaitsForNear(const EntryBoard& board, const WaitingTask& it,
+bool WaitsForNear(const EntryBoard& board, const WaitingTasks& it,
                   const std::string& near_rack, const Candidate& remote,
                   double work_ahead, const Now& now) {
   if (remote.minion.remote_factor <= 1) return false;
   RemoteStart start;
-  start.run_time = it.task->estimate;
+  start.run_time = it.first.estimate;
   start.remote_factor = remote.minion.remote_factor;
-  start.near_delay = EstimateNearDelay(board, *it.task, it.job->service,
+  start.near_delay = EstimateNearDelay(board, it.first, it.job->service,
                                        near_rack, work_ahead);
   start.waited =
       std::chrono::duration_cast<milliseconds>(now.boot - it.job->arrived_at);
@@ -185,7 +186,7 @@
 
 // Returns the emptiest of the candidates whose cost is near the lowest.
 Candidate* ChooseCandidate(std::vector<Candidate>* candidates,
-                           const WaitingTask& waiting,
+                           const WaitingTasks& waiting,
                            const StartDemand& demand) {
   double lowest_cost = kUnlimited;
   for (Candidate& it : *candidates) {
@@ -193,7 +194,7 @@
     const AgentHello& hello = *it.agent->hello;
     if (it.minion.free.cpu_millis <= 0) continue;
     if (hello.service != waiting.job->service) continue;
-    it.minion.has_failed_task = HasFailedOn(*waiting.task, hello.minion);
+    it.minion.has_failed_task = HasFailedOn(waiting.first, hello.minion);
     it.cost = CostOfStart(demand, it.minion);
     lowest_cost = std::min(lowest_cost, it.cost);
   }
@@ -209,10 +210,12 @@
   return best;
 }
 
-void PlaceTask(const WaitingTask& waiting, Candidate* candidate, const Now& now,
-               EntryChanges* changes) {
+// Starts the `n`-th of the waiting tasks.
+void PlaceTask(const WaitingTasks& waiting, std::uint32_t n,
+               Candidate* candidate, const Now& now, EntryChanges* changes) {
   const AgentRow& agent = *candidate->agent;
-  TaskRow task = *waiting.task;
+  TaskRow task = waiting.first;
+  task.key.index += n;
   task.state = TaskState::kPlaced;
   // The wall clock makes the number higher than those that other entries have
   // given to earlier runs of the same task.
@@ -264,7 +267,7 @@
 
 EntryChanges PlaceTasks(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
-  if (board.waiting_tasks.empty()) return changes;
+  if (!HasWaitingTasks(board)) return changes;
   std::vector<Candidate> candidates = CollectCandidates(board, now);
   const std::int64_t smallest_cpu = *board.waiting_cpu_millis.begin();
   std::int64_t largest_room = LargestRoom(candidates);
@@ -276,29 +279,37 @@
   std::map<std::string, LowestSlowness> lowest_slowness;
   // Work of the tasks that wait for a rack.
   std::map<std::string, double> rack_work;
-  for (const WaitingTask& it : waiting) {
+  for (const WaitingTasks& it : waiting) {
     if (largest_room < smallest_cpu) break;
-    if (it.task->needs.cpu_millis > largest_room) continue;
     const std::string& service = it.job->service;
     if (!lowest_slowness.contains(service)) {
       lowest_slowness[service] = FindLowestSlowness(candidates, service);
     }
     const StartDemand demand = MakeDemand(it, lowest_slowness[service], now);
-    const bool has_rules = it.task->rules != PlacementRules{};
+    const bool has_rules = it.first.rules != PlacementRules{};
     std::string near_rack;
-    if (has_rules) {
-      near_rack = NearRackOf(board, *it.task);
-      ApplyRules(board, *it.task, near_rack, &candidates);
+    if (has_rules) near_rack = NearRackOf(board, it.first);
+    std::uint32_t placed = 0;
+    for (std::uint32_t n = 0; n < it.count; ++n) {
+      if (it.first.needs.cpu_millis > largest_room) break;
+      if (has_rules) ApplyRules(board, it.first, near_rack, &candidates);
+      Candidate* candidate = ChooseCandidate(&candidates, it, demand);
+      const bool waits = candidate != nullptr && has_rules &&
+                         WaitsForNear(board, it, near_rack, *candidate,
+                                      rack_work[near_rack], now);
+      if (waits) rack_work[near_rack] += WorkOf(it.first);
+      if (has_rules) ClearRules(&candidates);
+      // The further tasks are equal to this one.
+      if (candidate == nullptr) break;
+      if (waits) continue;
+      PlaceTask(it, placed, candidate, now, &changes);
+      ++placed;
+      largest_room = LargestRoom(candidates);
+    }
+    if (placed == 0) continue;
+    if (it.is_unstarted) {
+      RemoveFirst(*board.unstarted_tasks.Find(it.first.key), placed, &changes);
     }
-    Candidate* candidate = ChooseCandidate(&candidates, it, demand);
-    const bool waits = candidate != nullptr && has_rules &&
-                       WaitsForNear(board, it, near_rack, *candidate,
-                                    rack_work[near_rack], now);
-    if (waits) rack_work[near_rack] += WorkOf(*it.task);
-    if (has_rules) ClearRules(&candidates);
-    if (candidate == nullptr || waits) continue;
-    PlaceTask(it, candidate, now, &changes);
-    largest_room = LargestRoom(candidates);
     if (!it.job->may_have_started) started_jobs.emplace(it.job->id, it.job);
   }
   for (const auto& [id, job] : started_jobs) {
--- a/src/core/pool/entry/refusal.cpp
+++ b/src/core/pool/entry/refusal.cpp
@@ -8,6 +8,7 @@
 #include "core/pool/entry/backlog.h"
 #include "core/pool/entry/evacuation.h"
 #include "core/pool/entry/outcomes.h"
+#include "core/pool/entry/unstarted_tasks.h"
 #include "core/pool/entry/waiting_tasks.h"
 
 namespace dottereltrack::pool {
@@ -48,9 +49,10 @@
   double rate = 0;
   double slowness = 1;
 
-  milliseconds Delay() const {
+  // Time until a task is placed that has this much more work before it.
+  milliseconds DelayAfter(double further_work) const {
     if (rate == 0) return milliseconds{0};
-    return milliseconds{std::llround(work / rate)};
+    return milliseconds{std::llround((work + further_work) / rate)};
   }
 };
 
@@ -76,13 +78,13 @@
 
 EntryChanges RefuseHopelessJobs(const EntryBoard& board, const Now& now) {
   EntryChanges changes;
-  if (board.waiting_tasks.empty() ||
+  if (!HasWaitingTasks(board) ||
       now.boot < board.started_at + board.settings.warm_up_time) {
     return changes;
   }
   std::map<std::string, ServiceProgress> services;
   std::map<std::uint64_t, const JobRow*> hopeless;
-  for (const WaitingTask& it : CollectWaitingTasks(board, now)) {
+  for (const WaitingTasks& it : CollectWaitingTasks(board, now)) {
     const auto [found, is_new] = services.try_emplace(it.job->service);
     ServiceProgress& service = found->second;
     if (is_new) {
@@ -90,16 +92,19 @@
       service.slowness = FindLowestSlowness(board, found->first);
     }
     if (hopeless.contains(it.job->id)) continue;
-    // A job that has started may get the resources of its own runs.
-    const milliseconds delay =
-        it.job->may_have_started ? milliseconds{0} : service.Delay();
-    const JobOutlook outlook{delay, it.task->estimate, service.slowness,
+    const double work = WorkOf(it.first);
+    // A job that has started may get the resources of its own runs. Others end
+    // with the last of their tasks.
+    const milliseconds delay = it.job->may_have_started
+                                   ? milliseconds{0}
+                                   : service.DelayAfter((it.count - 1) * work);
+    const JobOutlook outlook{delay, it.first.estimate, service.slowness,
                              std::chrono::duration_cast<milliseconds>(
                                  it.job->deadline_at - now.boot)};
     if (it.urgency.is_late && IsHopeless(outlook)) {
       hopeless.emplace(it.job->id, it.job);
     } else {
-      service.work += WorkOf(*it.task);
+      service.work += it.count * work;
     }
   }
   std::map<std::string, milliseconds> drain_times;
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 #include "core/pool/entry/backlog.h"
 #include "core/pool/entry/crashes.h"
@@ -10,6 +11,7 @@
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/past_jobs.h"
 #include "core/pool/entry/refusal.h"
+#include "core/pool/entry/unstarted_tasks.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -62,15 +64,6 @@
   return now.boot + needed <= board.stopping_since + settings.max_shutdown_time;
 }
 
-TaskRow MakeTaskRow(const TaskKey& key, const StepSpec& step) {
-  TaskRow task;
-  task.key = key;
-  task.needs = step.needs;
-  task.estimate = step.estimate;
-  task.rules = step.rules;
-  return task;
-}
-
 JobRow MakeJobRow(const JobSubmitted& e, const QueueConfig& queue,
                   const Now& now) {
   JobRow job;
@@ -91,7 +84,54 @@
   return job;
 }
 
-// Adds the rows of a job and its tasks. Task rows of an earlier, abandoned
+// Tasks of a step that the board has, by their first index.
+struct KnownPart {
+  std::uint32_t count = 1;
+  bool is_done = false;
+};
+using KnownTasks = std::map<std::uint32_t, KnownPart>;
+
+KnownTasks FindKnownTasks(const EntryBoard& board, std::uint64_t job,
+                          std::uint32_t step) {
+  KnownTasks known;
+  const auto [begin, end] = TasksOf(board, job);
+  for (auto it = begin; it != end; ++it) {
+    const TaskRow& task = it->second;
+    if (task.key.step != step) continue;
+    known[task.key.index] = {1, task.state == TaskState::kDone};
+  }
+  const auto [first, last] = UnstartedTasksOf(board, job);
+  for (auto it = first; it != last; ++it) {
+    if (it->first.step == step) known[it->first.index] = {it->second.count};
+  }
+  return known;
+}
+
+// Adds the tasks of a step that the board does not have, and returns how many
+// tasks of the step have not ended.
+std::uint32_t AddTasksOfStep(const EntryBoard& board, std::uint64_t job,
+                             std::uint32_t step, const StepSpec& spec,
+                             EntryChanges* changes) {
+  const KnownTasks known = FindKnownTasks(board, job, step);
+  std::uint32_t done = 0;
+  std::uint32_t index = 0;
+  const auto add_until = [&](std::uint32_t end) {
+    if (end > index) {
+      changes->Add(Put<UnstartedTasks>{
+          MakeUnstartedTasks({job, step, index}, end - index, spec)});
+    }
+  };
+  for (const auto& [first, tasks] : known) {
+    if (first >= spec.count) break;
+    add_until(first);
+    index = std::min(first + tasks.count, spec.count);
+    if (tasks.is_done) ++done;
+  }
+  add_until(spec.count);
+  return spec.count - done;
+}
+
+// Adds the rows of a job and its tasks. Tasks of an earlier, abandoned
 // submission of the job are kept: they are done, or their runs may not have
 // ended yet.
 EntryChanges AcceptJob(const EntryBoard& board, const JobSubmitted& e,
@@ -100,16 +140,8 @@
   JobRow job = MakeJobRow(e, queue, now);
   job.may_have_run_before = MayHaveRunBefore(board, e.job.id);
   for (std::uint32_t step = 0; step < e.job.steps.size(); ++step) {
-    for (std::uint32_t n = 0; n < e.job.steps[step].count; ++n) {
-      const TaskKey key{job.id, step, n};
-      const TaskRow* known = board.tasks.Find(key);
-      if (known == nullptr) {
-        changes.Add(Put<TaskRow>{MakeTaskRow(key, e.job.steps[step])});
-      }
-      if (known == nullptr || known->state != TaskState::kDone) {
-        ++job.open_tasks;
-      }
-    }
+    job.open_tasks +=
+        AddTasksOfStep(board, job.id, step, e.job.steps[step], &changes);
   }
   changes.Add(Put<JobRow>{job});
   return changes;
--- /dev/null
+++ b/src/core/pool/entry/unstarted_tasks.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <utility>
+
+#include "core/pool/entry/changes.h"
+
+namespace dottereltrack::pool {
+
+// The unstarted tasks of a job as a range [begin, end) of the table.
+inline auto UnstartedTasksOf(const EntryBoard& board, std::uint64_t job) {
+  return std::pair(board.unstarted_tasks.LowerBound(FirstTaskOf(job)),
+                   board.unstarted_tasks.UpperBound(LastTaskOf(job)));
+}
+
+// Returns `count` unstarted tasks of a step, beginning with the task `first`.
+UnstartedTasks MakeUnstartedTasks(const TaskKey& first, std::uint32_t count,
+                                  const StepSpec& step);
+
+// Returns the row of the `n`-th of these tasks, as one that waits.
+TaskRow MakeTaskRow(const UnstartedTasks& tasks, std::uint32_t n);
+
+// Whether the tasks may be started as far as runs of other entries go.
+inline bool MayStart(const UnstartedTasks& tasks, const Now& now) {
+  return now.boot >= tasks.blocked_until;
+}
+
+// Adds the changes that remove the first `n` of these tasks, whose rows replace
+// them.
+void RemoveFirst(const UnstartedTasks& tasks, std::uint32_t n,
+                 EntryChanges* changes);
+
+// Adds the changes that remove all unstarted tasks of a job.
+void EraseUnstartedTasks(const EntryBoard& board, std::uint64_t job,
+                         EntryChanges* changes);
+
+// Number of tasks that wait for room, with and without a row.
+std::size_t CountWaitingTasks(const EntryBoard& board);
+bool HasWaitingTasks(const EntryBoard& board);
+std::set<std::uint64_t> JobsWithWaitingTasks(const EntryBoard& board);
+
+// Gives unstarted tasks that may have crashed a minion, as runs of other
+// entries, rows of their own, since each is placed by itself.
+EntryChanges SeparateSuspects(const EntryBoard& board, const Now& now);
+
+}  // namespace dottereltrack::pool
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -268,9 +268,9 @@
     ("pool_withdrawal_of_forwarded_jobs", POOL_ENTRY + "forwarding.cpp", [
         ("if (!job.forwarded_to) return changes;", "return changes;")]),
     ("pool_runs_of_a_lost_owner", POOL_ENTRY + "forwarding.cpp", [
-        ("lost.lost_run_ends_by = now.boot + "
-         "board.settings.max_forwarded_run_time;",
-         "lost.lost_run_ends_by = now.boot;")]),
+        ("AddTasks(job, now.boot + board.settings.max_forwarded_run_time, "
+         "changes);",
+         "(void)board;\n  AddTasks(job, now.boot, changes);")]),
     ("pool_jobs_of_a_lost_owner", POOL_ENTRY + "forwarding.cpp", [
         ("if (job.forwarded_to != link) continue;", "continue;")]),
     ("pool_jobs_of_a_lost_first_entry", POOL_ENTRY + "forwarded_jobs.cpp", [
@@ -279,7 +279,7 @@
     ("pool_jobs_of_a_silent_first_entry", POOL_ENTRY + "forwarded_jobs.cpp", [
         ("board.settings.forwarded_job_timeout) {", "seconds{60}) {")]),
     ("pool_refused_jobs_are_taken_back", POOL_ENTRY + "forwarding.cpp", [
-        ("AddTasks(job, TaskRow{}, &changes);", "")]),
+        ("AddTasks(job, BootTime{0}, &changes);", "")]),
     ("pool_older_configuration_of_an_owner", POOL_ENTRY + "forwarded_jobs.cpp", [
         ("if (message.config_version > board.config.version) {", "if (false) {")]),
     ("pool_fewer_load_reports", POOL_AGENT + "links.cpp", [
--- a/tests/pool/entry_evacuation_test.cpp
+++ b/tests/pool/entry_evacuation_test.cpp
@@ -4,6 +4,7 @@
 #include "core/pool/entry/backlog.h"
 #include "core/pool/entry/evacuation.h"
 #include "core/pool/entry/submission.h"
+#include "core/pool/entry/unstarted_tasks.h"
 #include "pool/entry_fixture.h"
 
 namespace dottereltrack::pool {
@@ -52,7 +53,7 @@
        SelectMessages<StartRun>(entry.Submit(kJob, 6))) {
     CHECK(link == 2);
   }
-  CHECK(entry.board.waiting_tasks.size() == 2);
+  CHECK(CountWaitingTasks(entry.board) == 2);
   // After the end, the fast minion serves the rest.
   const auto started = SelectMessages<StartRun>(entry.Step({NotEvacuated(20)}));
   REQUIRE(started.size() == 2);
--- a/tests/process/pool/cell.py
+++ b/tests/process/pool/cell.py
@@ -186,7 +186,9 @@
             name, self.host_address(1, n), f"z{n % 2}", listen
         )
         if n in self.overloaded_entries:
-            settings["limits"] = {"overload_share": MIN_OVERLOAD_SHARE}
+            settings["limits"] = {
+                **settings.get("limits", {}), "overload_share": MIN_OVERLOAD_SHARE
+            }
         program = self.build / "apps/pool_entry/dotterel-pool-entry"
         return Daemon(self, name, program, settings)
 
