--- a/tests/process/pool/run_untrusted_jobs.py
+++ b/tests/process/pool/run_untrusted_jobs.py
@@ -46,6 +46,7 @@
 CASES = {
     "entry-waiting-jobs": Case(job_crowd.waiting_job, 800),
     "entry-pipelined-jobs": Case(job_crowd.pipelined_jobs, 800),
+    "entry-large-specs": Case(job_crowd.large_specs, 800, batch=20),
     "peer-waiting-jobs": Case(
         job_crowd.waiting_job, 800, entries=2, overloaded=(0,)
     ),
--- a/tests/users_platform/job_test.cpp
+++ b/tests/users_platform/job_test.cpp
@@ -131,6 +131,22 @@
   CHECK(job.error().field == row.field);
 }
 
+TEST_CASE("A spec is limited by its bytes", "[platform][job]") {
+  // Guards against specs whose size is multiplied by the tasks that carry it,
+  // and against a refusal of the longest spec that the platform allows.
+  struct Row {
+    std::size_t bytes;
+    bool is_accepted;
+  };
+  const auto row = GENERATE(values<Row>({{4'000, true}, {4'001, false}}));
+  CAPTURE(row.bytes);
+  const auto job = ParseJobSpec(7, R"({"best_effort":true,"spec":")" +
+                                       std::string(row.bytes, 'x') +
+                                       R"(","steps":[{"count":1}]})");
+  REQUIRE(job.has_value() == row.is_accepted);
+  if (!row.is_accepted) CHECK(job.error().field == "spec");
+}
+
 TEST_CASE("Each kind of reply has its HTTP status", "[platform][job]") {
   // Guards against refusals that clients take for outcomes, and vice versa:
   // clients resubmit a job after 502 and 504, but not after 429 and 503.
