Keep of an ended job only what a repeated submission needs

Seen by callers: 800 connections, each with a pipeline of 60 jobs that end at once by their deadline of 1 ms, took an entry to 173 MB of its 100 MB.

Cause: the row of an ended job is kept for 10 s, with its spec and the steps that were sent to another entry, also if the job was refused before anything of it ran.

Change: an ended row drops the spec and the steps, as a repeated submission brings them again. A job that was refused and has not run leaves no row: a GET for it is answered 410 like one for a job that was refused at its submission, and a repeated submission is a new one, as before.

--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -85,13 +85,21 @@
   ReplyToWaiters(job, kind, retry_after, changes);
   StopRuns(board, job, changes);
   changes->Append(WithdrawJob(board, job, kind, now));
+  const auto end = EndOf(job, kind);
+  if (!end) {
+    // The job was refused and has not run, so nothing of it needs to be known.
+    changes->Add(Erase<JobRow>{job.id});
+    return;
+  }
   job.forwarded_to.reset();
   job.waiters.clear();
   job.state = state;
   job.ended_at = now.boot;
+  // A repeated submission brings them again.
+  job.payload = Bytes();
+  job.forwarded_steps.clear();
   changes->Add(Put<JobRow>{job});
-  const auto end = EndOf(job, kind);
-  if (end) changes->Add(Put<PastJob>{{job.id, *end, now.boot}});
+  changes->Add(Put<PastJob>{{job.id, *end, now.boot}});
 }
 
 // Returns the task whose current run a message of an agent refers to; null if
--- a/tests/pool/entry_outcomes_test.cpp
+++ b/tests/pool/entry_outcomes_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "core/pool/entry/unstarted_tasks.h"
 #include "pool/entry_fixture.h"
 
 namespace dottereltrack::pool {
@@ -247,5 +248,46 @@
   }
 }
 
+TEST_CASE("An ended job keeps only what a repeated submission needs",
+          "[pool][entry]") {
+  // Guards against outcomes that fill the memory: payloads that are kept with
+  // them, and rows of jobs that were refused before they ran.
+  struct Row {
+    const char* name;
+    int room;
+    std::vector<EntryEffect> (*end)(EntryFixture*);
+    bool is_kept;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"refused at its deadline", 0,
+       [](EntryFixture* entry) { return entry->AdvanceTime(seconds{2}); },
+       false},
+      {"left by its caller before it has run", 0,
+       [](EntryFixture* entry) {
+         return entry->Step({CallerDisconnected{{1}}});
+       },
+       false},
+      {"given up at its deadline", 1,
+       [](EntryFixture* entry) { return entry->AdvanceTime(seconds{2}); },
+       true},
+      {"cancelled before it has run", 0,
+       [](EntryFixture* entry) {
+         return entry->Step({JobCancelRequested{{90}, kJob}});
+       },
+       true},
+  }));
+  CAPTURE(row.name);
+  EntryFixture entry;
+  entry.AddAgent(1, "m1", ResourcesFor(row.room));
+  entry.Submit(kJob, 1);
+  REQUIRE(entry.board.active_jobs.size() == 1);
+  row.end(&entry);
+  REQUIRE(entry.board.active_jobs.empty());
+  const JobRow* job = entry.board.jobs.Find(kJob);
+  REQUIRE((job != nullptr) == row.is_kept);
+  if (job != nullptr) CHECK(job->payload->empty());
+  CHECK(CountWaitingTasks(entry.board) == 0);
+}
+
 }  // namespace
 }  // namespace dottereltrack::pool
