Limit the starts that are under way

Seen by callers: 60 connections, each with a job of 4,000 tasks that state no needs and a spec of 3,900 bytes, took an entry to 296 MB of its 100 MB; its links to the agent were closed 15 times for unsent bytes and 16 times by pauses of its loop.

Cause: tasks without needs fit on a minion in any number. The entry gave all of them rows, and put all starts with their specs into the buffers of the links in one turn. The agent accepted any number of runs, though a minion lists at most 500.

Change: the starts to one agent that its load reports do not cover yet are limited by their bytes (512 KiB, or an agent's part of an eighth of the machine's memory, at least 64 KiB). Tasks get no rows when accepted work exceeds its limit by half. An agent has at most 500 runs and reports no room then. The rest waits as a range. 100 tasks with the longest spec fit into the window, more than run on a minion of the users at a time.

--- a/src/core/pool/agent/capacity.cpp
+++ b/src/core/pool/agent/capacity.cpp
@@ -12,12 +12,16 @@
 }  // namespace
 
 Resources FreeResources(const AgentBoard& board) {
-  if (!board.minion) return {};
+  if (!board.minion || HasAllRuns(board)) return {};
   Resources free = board.minion->capacity;
   for (const auto& [key, run] : board.runs) free -= run.needs;
   return free;
 }
 
+bool HasAllRuns(const AgentBoard& board) {
+  return board.runs.size() >= board.settings.max_runs;
+}
+
 bool HasSuspect(const AgentBoard& board) {
   return std::any_of(board.runs.begin(), board.runs.end(),
                      [](const auto& it) { return it.second.is_suspect; });
--- a/src/core/pool/agent/capacity.h
+++ b/src/core/pool/agent/capacity.h
@@ -4,7 +4,8 @@
 
 namespace dottereltrack::pool {
 
-// The minion's capacity minus the needs of all runs whose end is not known.
+// The minion's capacity minus the needs of all runs whose end is not known;
+// nothing if it has as many runs as allowed.
 Resources FreeResources(const AgentBoard& board);
 
 // Whether the minion's data centre is evacuated.
@@ -18,6 +19,9 @@
 // seconds after an evacuation, since the minion may be cold.
 Resources AvailableResources(const AgentBoard& board, const Now& now);
 
+// Whether the minion has as many runs as this agent allows.
+bool HasAllRuns(const AgentBoard& board);
+
 // Whether a run of a suspect task is in progress.
 bool HasSuspect(const AgentBoard& board);
 
--- a/src/core/pool/agent/runs.cpp
+++ b/src/core/pool/agent/runs.cpp
@@ -63,6 +63,7 @@
                               const Now& now) {
   if (IsEvacuated(board)) return "the data centre is evacuated";
   if (!IsAccepting(board, now)) return "the minion takes no runs";
+  if (HasAllRuns(board)) return "too many runs";
   if (!Fits(start.needs, AvailableResources(board, now))) return "no room";
   if (!HasRequiredLabel(board, start)) {
     return "the minion lacks the required label";
--- a/src/core/pool/agent/settings.h
+++ b/src/core/pool/agent/settings.h
@@ -102,6 +102,9 @@
   milliseconds max_suspension_duration{4'000};
   // As in EntrySettings.
   std::size_t max_crashes = kMaxCrashes;
+  // Runs on the minion at the same time. Tasks without needs fit in any number,
+  // but a minion lists at most 500 runs.
+  std::size_t max_runs = 500;
   // The process exits at the latest this long after a stop request, before the
   // platform's grace period of 6 s expires.
   milliseconds max_shutdown_time{5'500};
--- a/src/core/pool/entry/accepted_memory.cpp
+++ b/src/core/pool/entry/accepted_memory.cpp
@@ -1,5 +1,7 @@
 #include "core/pool/entry/accepted_memory.h"
 
+#include <algorithm>
+
 namespace dottereltrack::pool {
 namespace {
 
@@ -16,6 +18,14 @@
 constexpr std::size_t kStepBytes = 512;
 constexpr std::size_t kTaskBytes = 512;
 
+// Size of a start's message without the texts of its task.
+constexpr std::size_t kStartBytes = 128;
+// Limits of the starts that one agent's load reports do not cover: the lower
+// one holds 15 starts with the longest spec, the upper one more than a minion
+// of 100 cores takes.
+constexpr std::size_t kMinStartWindow = 64U << 10;
+constexpr std::size_t kMaxStartWindow = 512U << 10;
+
 std::size_t MemoryOf(const PlacementRules& rules) {
   return rules.required_label.size() + rules.data_rack.size();
 }
@@ -44,6 +54,27 @@
   settings->max_accepted_bytes = memory / kAcceptedShare;
 }
 
+std::size_t StartBytes(const JobRow& job, const TaskRow& task) {
+  return kStartBytes + job.payload->size() + task.rules.required_label.size();
+}
+
+std::size_t UnreportedBytes(const AgentRow& agent) {
+  std::size_t bytes = 0;
+  for (const UnreportedStart& it : agent.unreported_starts) bytes += it.bytes;
+  return bytes;
+}
+
+std::size_t StartWindow(const EntryBoard& board) {
+  const std::size_t agents = std::max<std::size_t>(board.agents.size(), 1);
+  return std::clamp(board.settings.max_accepted_bytes / agents, kMinStartWindow,
+                    kMaxStartWindow);
+}
+
+bool HasMemoryForRows(const EntryBoard& board, std::size_t tasks) {
+  const std::size_t limit = board.settings.max_accepted_bytes;
+  return board.accepted.bytes + tasks * kTaskBytes <= limit + limit / 2;
+}
+
 std::optional<std::string> FindMemoryShortage(const EntryBoard& board,
                                               const JobSubmitted& e) {
   const std::size_t limit = board.settings.max_accepted_bytes;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -127,6 +127,8 @@
   std::uint64_t sequence = 0;
   Resources needs;
   bool is_suspect = false;
+  // Size of the message, without what does not depend on the task.
+  std::size_t bytes = 0;
   friend bool operator==(const UnreportedStart&,
                          const UnreportedStart&) = default;
 };
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <map>
 
+#include "core/pool/entry/accepted_memory.h"
 #include "core/pool/entry/backlog.h"
 #include "core/pool/entry/evacuation.h"
 #include "core/pool/entry/locality.h"
@@ -42,6 +43,8 @@
   // Cost of the task that is being placed.
   double cost = 0;
   std::vector<UnreportedStart> starts;
+  // Of the starts that are not covered by load reports, these included.
+  std::size_t unreported_bytes = 0;
   // Tasks of the starts.
   std::vector<TaskKey> tasks;
 };
@@ -76,7 +79,7 @@
     minion.has_suspect = HasSuspect(agent);
     minion.misses_starts = agent.load.misses_starts;
     minion.is_silent = IsSilent(board, agent, now);
-    candidates.push_back({&agent, minion, 0, {}, {}});
+    candidates.push_back({&agent, minion, 0, {}, UnreportedBytes(agent), {}});
   }
   return candidates;
 }
@@ -187,13 +190,18 @@
 // Returns the emptiest of the candidates whose cost is near the lowest.
 Candidate* ChooseCandidate(std::vector<Candidate>* candidates,
                            const WaitingTasks& waiting,
-                           const StartDemand& demand) {
+                           const StartDemand& demand,
+                           std::size_t start_window) {
+  const std::size_t bytes = StartBytes(*waiting.job, waiting.first);
   double lowest_cost = kUnlimited;
   for (Candidate& it : *candidates) {
     it.cost = kUnlimited;
     const AgentHello& hello = *it.agent->hello;
     if (it.minion.free.cpu_millis <= 0) continue;
     if (hello.service != waiting.job->service) continue;
+    if (it.unreported_bytes > 0 && it.unreported_bytes + bytes > start_window) {
+      continue;
+    }
     it.minion.has_failed_task = HasFailedOn(waiting.first, hello.minion);
     it.cost = CostOfStart(demand, it.minion);
     lowest_cost = std::min(lowest_cost, it.cost);
@@ -230,8 +238,10 @@
   minion.has_suspect = minion.has_suspect || waiting.urgency.is_suspect;
   const std::uint64_t sequence =
       agent.starts_sent + candidate->starts.size() + 1;
+  const std::size_t bytes = StartBytes(*waiting.job, task);
   candidate->starts.push_back(
-      {sequence, task.needs, waiting.urgency.is_suspect});
+      {sequence, task.needs, waiting.urgency.is_suspect, bytes});
+  candidate->unreported_bytes += bytes;
   changes->Add(SendMessage{agent.link, StartRun{sequence,
                                                 {task.key, task.run_number},
                                                 waiting.job->payload,
@@ -279,6 +289,8 @@
   std::map<std::string, LowestSlowness> lowest_slowness;
   // Work of the tasks that wait for a rack.
   std::map<std::string, double> rack_work;
+  const std::size_t start_window = StartWindow(board);
+  std::size_t total_placed = 0;
   for (const WaitingTasks& it : waiting) {
     if (largest_room < smallest_cpu) break;
     const std::string& service = it.job->service;
@@ -292,8 +304,10 @@
     std::uint32_t placed = 0;
     for (std::uint32_t n = 0; n < it.count; ++n) {
       if (it.first.needs.cpu_millis > largest_room) break;
+      if (!HasMemoryForRows(board, total_placed + 1)) break;
       if (has_rules) ApplyRules(board, it.first, near_rack, &candidates);
-      Candidate* candidate = ChooseCandidate(&candidates, it, demand);
+      Candidate* candidate =
+          ChooseCandidate(&candidates, it, demand, start_window);
       const bool waits = candidate != nullptr && has_rules &&
                          WaitsForNear(board, it, near_rack, *candidate,
                                       rack_work[near_rack], now);
@@ -304,6 +318,7 @@
       if (waits) continue;
       PlaceTask(it, placed, candidate, now, &changes);
       ++placed;
+      ++total_placed;
       largest_room = LargestRoom(candidates);
     }
     if (placed == 0) continue;
--- a/tests/process/pool/run_untrusted_jobs.py
+++ b/tests/process/pool/run_untrusted_jobs.py
@@ -49,6 +49,7 @@
     "entry-large-specs": Case(job_crowd.large_specs, 800, batch=20),
     "entry-large-labels": Case(job_crowd.large_label, 800, batch=20),
     "entry-ended-jobs": Case(job_crowd.ended_jobs, 800),
+    "entry-tasks-without-needs": Case(job_crowd.tasks_without_needs, 60),
     "peer-waiting-jobs": Case(
         job_crowd.waiting_job, 800, entries=2, overloaded=(0,)
     ),
