Limit the memory of open jobs in dotterel-entry

Seen by callers: 120 connections, each with one waiting job whose payload has a megabyte, took a dispatcher to 151 MB of its 100 MB.

Cause: the queue was limited by the number of tasks (100,000) and each payload by its size (1 MiB), but not their product. Calls that wait for a dispatcher, or for one that is being replaced, held their bodies without a limit too, and each repeated submission of a job held another copy of its body until it was answered.

Change: the board counts an estimate of the memory of open jobs, in total and for each team. A job that would exceed a quarter of memory_mb, or three quarters of that for its team, is refused at once as overloaded, with the proof that nothing ran and a Retry-After. An entry that does not dispatch limits the submissions that wait there in the same way; it claims that nothing ran only for keys that it has made. A repeated submission shares the body of its job.

--- a/apps/entry/entry_process.cpp
+++ b/apps/entry/entry_process.cpp
@@ -11,10 +11,14 @@
 namespace {
 
 constexpr milliseconds kTickInterval{50};
+// Part of the machine's memory for open jobs and calls.
+constexpr std::size_t kAcceptedShare = 4;
 
 EntryBoard MakeBoard(const EntryDaemonSettings& settings) {
   EntryBoard board;
   board.settings = settings.core;
+  board.settings.max_accepted_bytes =
+      (std::size_t{settings.machine.memory_mb} << 20) / kAcceptedShare;
   return board;
 }
 
--- a/src/core/entry/admission.cpp
+++ b/src/core/entry/admission.cpp
@@ -123,6 +123,7 @@
   job.accepted_at = now.boot;
   job.deadline_at = now.boot + request->deadline;
   job.body = request;
+  job.memory_bytes = MemoryOf(*request);
   return job;
 }
 
--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -2,6 +2,7 @@
 #include <type_traits>
 
 #include "core/entry/changes.h"
+#include "core/entry/queue_limits.h"
 
 namespace dottereltrack {
 namespace {
@@ -41,7 +42,25 @@
   return job.state != JobState::kComplete && job.state != JobState::kFailed;
 }
 
+// Adds the memory of a job to the sums, or subtracts it.
+void CountMemory(EntryBoard* board, const Job& job, bool is_added) {
+  const std::size_t bytes = job.memory_bytes;
+  if (bytes == 0) return;
+  std::size_t& of_team = board->accepted_bytes_by_team[job.team];
+  std::size_t& total = board->accepted_bytes;
+  of_team = is_added ? of_team + bytes : of_team - bytes;
+  total = is_added ? total + bytes : total - bytes;
+  if (of_team == 0) board->accepted_bytes_by_team.erase(job.team);
+}
+
+std::size_t UnservedBytes(const OpenCall* call) {
+  const bool is_counted =
+      call != nullptr && !call->served_here && call->kind == CallKind::kSubmit;
+  return is_counted ? MemoryOf(*call->request) : 0;
+}
+
 void IndexJob(EntryBoard* board, const Job& job) {
+  CountMemory(board, job, true);
   if (IsOpen(job)) {
     board->open_jobs_by_deadline.emplace(job.deadline_at, job.id);
     if (job.state == JobState::kClosing) {
@@ -56,6 +75,7 @@
 }
 
 void UnindexJob(EntryBoard* board, const Job& job) {
+  CountMemory(board, job, false);
   board->open_jobs_by_deadline.erase({job.deadline_at, job.id});
   board->ended_jobs_by_finish_time.erase({job.finished_at, job.id});
   board->decided_jobs.erase(job.id);
@@ -262,6 +282,8 @@
   }
   void operator()(const Put<OpenCall>& change) const {
     const OpenCall& call = change.row;
+    board->unserved_bytes -= UnservedBytes(board->open_calls.Find(call.id));
+    board->unserved_bytes += UnservedBytes(&call);
     board->open_calls.Put(call);
     if (call.served_here || call.forwarded_to != LinkId{}) {
       board->unrouted_calls.erase(call.id);
@@ -270,6 +292,7 @@
     }
   }
   void operator()(const Erase<OpenCall>& change) const {
+    board->unserved_bytes -= UnservedBytes(board->open_calls.Find(change.key));
     board->open_calls.Erase(change.key);
     board->unrouted_calls.erase(change.key);
   }
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -384,6 +384,11 @@
   // Indexes that `Apply` derives from the tables above.
   TeamQueues queue_by_team;
   std::size_t queued_tasks = 0;
+  // Estimated memory of the open jobs, and of those of each team.
+  std::size_t accepted_bytes = 0;
+  std::map<std::string, std::size_t> accepted_bytes_by_team;
+  // Estimated memory of the submissions that this entry does not serve itself.
+  std::size_t unserved_bytes = 0;
   std::map<std::string, std::uint32_t> in_progress_by_team;
   std::map<AgentId, std::set<TaskId>> sent_tasks_by_agent;
   std::map<AgentId, ResourceUsage> usage_by_agent;
--- a/src/core/entry/forwarding.cpp
+++ b/src/core/entry/forwarding.cpp
@@ -4,6 +4,7 @@
 
 #include "core/entry/admission.h"
 #include "core/entry/cancellation.h"
+#include "core/entry/queue_limits.h"
 #include "core/entry/replies.h"
 
 namespace dottereltrack {
@@ -46,6 +47,13 @@
   return changes;
 }
 
+// Whether the call repeats the submission of an open job, so that both can
+// share one body.
+bool IsSameOpenJob(const Job& job, const OpenCall& call) {
+  return call.kind == CallKind::kSubmit && !job.body->tasks.empty() &&
+         job.body_digest == call.request->body_digest;
+}
+
 EntryChanges ServeCallLocally(const EntryBoard& board, const OpenCall& call,
                               const Now& now) {
   OpenCall next = call;
@@ -55,6 +63,8 @@
   next.request_id = 0;
   next.served_here = true;
   next.ever_routed = true;
+  const Job* job = board.jobs.Find(call.submission);
+  if (job != nullptr && IsSameOpenJob(*job, call)) next.request = job->body;
   EntryChanges changes;
   changes.Add(Put<OpenCall>{next});
   const ReplyTo reply_to{call.id};
@@ -125,6 +135,15 @@
     changes.Add(Count{Counter::kRefusals});
     return changes;
   }
+  if (!IsDispatchingHere(board)) {
+    if (auto refusal = CheckUnservedCalls(board, *event.request)) {
+      // A key of the caller may have been submitted through another entry.
+      if (!event.key_made_here) refusal->not_run.reset();
+      changes.Add(ReplyToCaller{event.call, *refusal});
+      changes.Add(Count{Counter::kRefusals});
+      return changes;
+    }
+  }
   OpenCall call;
   call.id = event.call;
   call.kind = CallKind::kSubmit;
--- a/src/core/entry/outcomes.cpp
+++ b/src/core/entry/outcomes.cpp
@@ -175,6 +175,7 @@
   next.state = complete ? JobState::kComplete : JobState::kFailed;
   next.finished_at = now.boot;
   next.body = {};
+  next.memory_bytes = 0;
   if (!complete && next.failure.empty()) next.failure = "submission_closed";
   EntryChanges changes;
   changes.Add(Put<Job>{next});
--- a/src/core/entry/queue_limits.cpp
+++ b/src/core/entry/queue_limits.cpp
@@ -18,6 +18,9 @@
 // room.
 constexpr double kMaxTeamQueueShare = 0.75;
 constexpr milliseconds kMinRetryAfter{1'000};
+// The rows of a job and of a task, with their entries in the indexes.
+constexpr std::size_t kJobBytes = 2U << 10;
+constexpr std::size_t kTaskBytes = 512;
 
 double ToSeconds(BootTime time) {
   return std::chrono::duration<double>(time).count();
@@ -82,6 +85,12 @@
                  ProveNeverAccepted(), std::max(wait, kMinRetryAfter)};
 }
 
+// Returns the part of a limit that one team may use.
+std::size_t TeamPartOf(std::size_t limit) {
+  return static_cast<std::size_t>(static_cast<double>(limit) *
+                                  kMaxTeamQueueShare);
+}
+
 std::optional<Refusal> CheckQueueLength(const EntryBoard& board,
                                         const SubmitRequest& request,
                                         BootTime wait) {
@@ -94,8 +103,7 @@
         wait / 2);
   }
   const auto team = board.queue_by_team.find(request.team);
-  const auto team_limit =
-      static_cast<std::size_t>(static_cast<double>(limit) * kMaxTeamQueueShare);
+  const std::size_t team_limit = TeamPartOf(limit);
   if (team == board.queue_by_team.end()) return std::nullopt;
   if (team->second.task_count + request.tasks.size() <= team_limit) {
     return std::nullopt;
@@ -108,6 +116,30 @@
       wait / 2);
 }
 
+std::optional<Refusal> CheckMemory(const EntryBoard& board,
+                                   const SubmitRequest& request,
+                                   BootTime wait) {
+  const std::size_t limit = board.settings.max_accepted_bytes;
+  const std::size_t bytes = MemoryOf(request);
+  if (board.accepted_bytes + bytes > limit) {
+    return MakeOverloadedRefusal(
+        "the open jobs take " + std::to_string(board.accepted_bytes) + " of " +
+            std::to_string(limit) + " bytes; submit again later with a new key",
+        wait / 2);
+  }
+  const auto team = board.accepted_bytes_by_team.find(request.team);
+  if (team == board.accepted_bytes_by_team.end() ||
+      team->second + bytes <= TeamPartOf(limit)) {
+    return std::nullopt;
+  }
+  return MakeOverloadedRefusal("the open jobs of team '" + request.team +
+                                   "' take " + std::to_string(team->second) +
+                                   " of at most " +
+                                   std::to_string(TeamPartOf(limit)) +
+                                   " bytes; submit again later with a new key",
+                               wait / 2);
+}
+
 double SlotsAvailableTo(const EntryBoard& board, const SubmitRequest& request) {
   const double slots = EligibleSlots(board, request.selector);
   const double limit = TeamConfigOf(board, request.team).max_in_progress;
@@ -116,6 +148,31 @@
 
 }  // namespace
 
+std::size_t MemoryOf(const SubmitRequest& request) {
+  std::size_t bytes = kJobBytes;
+  for (const TaskSpec& task : request.tasks) {
+    bytes += kTaskBytes + task.payload->size();
+  }
+  for (const auto& [label, values] : request.selector.allowed) {
+    bytes += label.size();
+    for (const std::string& value : values) {
+      bytes += sizeof(value) + value.size();
+    }
+  }
+  return bytes;
+}
+
+std::optional<Refusal> CheckUnservedCalls(const EntryBoard& board,
+                                          const SubmitRequest& request) {
+  const std::size_t limit = board.settings.max_accepted_bytes;
+  if (board.unserved_bytes + MemoryOf(request) <= limit) return std::nullopt;
+  return MakeOverloadedRefusal("the calls that wait for the dispatcher take " +
+                                   std::to_string(board.unserved_bytes) +
+                                   " of " + std::to_string(limit) +
+                                   " bytes; submit again later, or elsewhere",
+                               kMinRetryAfter);
+}
+
 BootTime ExpectedWait(const EntryBoard& board, const SubmitRequest& request,
                       const Now& now) {
   const auto own_queue = board.queue_by_team.find(request.team);
@@ -141,6 +198,7 @@
                                              const Now& now) {
   const BootTime wait = ExpectedWait(board, request, now);
   if (auto refusal = CheckQueueLength(board, request, wait)) return refusal;
+  if (auto refusal = CheckMemory(board, request, wait)) return refusal;
   const double slots = SlotsAvailableTo(board, request);
   if (slots == 0) return std::nullopt;
   const BootTime job_time =
--- a/src/core/entry/queue_limits.h
+++ b/src/core/entry/queue_limits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 
 #include "core/entry/board.h"
@@ -11,6 +12,14 @@
 BootTime ExpectedWait(const EntryBoard& board, const SubmitRequest& request,
                       const Now& now);
 
+// Estimate of the memory of a request and of its queued tasks.
+std::size_t MemoryOf(const SubmitRequest& request);
+
+// Refuses a submission that cannot wait here for the dispatcher, because the
+// calls that do so use the memory for them.
+std::optional<Refusal> CheckUnservedCalls(const EntryBoard& board,
+                                          const SubmitRequest& request);
+
 // Refuses a job that does not fit into the bounded queue or that would not end
 // by its deadline. The refusal states that nothing has run.
 std::optional<Refusal> CheckQueueAndDeadline(const EntryBoard& board,
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -98,6 +99,8 @@
   BootTime finished_at{0};
   // The submitted request; cleared when the job has been answered.
   Shared<SubmitRequest> body;
+  // Estimate of the memory of the body and of the tasks while the job is open.
+  std::size_t memory_bytes = 0;
   std::uint32_t final_tasks = 0;
   std::uint32_t unsuccessful_tasks = 0;
   // A caller has cancelled the job. Tasks that have not started never will.
