Admit a job without looking at all waiting ones

Seen by callers: beside 1,500 connections with 41 jobs each in their pipelines, and for some seconds after they had left, jobs got 503 "no minion" although minions were free. The entry had lost the links to its agents, since its turns took too long.

Cause: each submission summed the work of all waiting jobs, twice if it was refused, and the use of all running ones; the end of a connection searched all open jobs and all open calls; a GET of a queue counted all open jobs. With 3,000 waiting jobs and 60,000 submissions the loop did little else, and each turn copied the rows of all waiting tasks to order them.

Change: the board keeps the waiting work of each service, in total and of the tasks that can meet their goal, the placed tasks, the job of each call and the number of pending jobs of each queue. A turn moves the time before which a start is late. The order of waiting tasks refers to the rows. Blocked tasks of a forwarded job are released by the tick, like lost ones.

--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -337,6 +337,7 @@
                               const HttpReplier& reply) {
   const CallId id{next_call_id_++};
   open_calls_.emplace(id, OpenCall{request.connection, reply});
+  calls_by_connection_[request.connection].insert(id);
   return id;
 }
 
@@ -398,20 +399,22 @@
 }
 
 void PoolEntry::OnClientDisconnected(std::uint64_t connection) {
-  for (auto it = open_calls_.begin(); it != open_calls_.end();) {
-    if (it->second.connection != connection) {
-      ++it;
-      continue;
-    }
-    Post(CallerDisconnected{it->first});
-    it = open_calls_.erase(it);
+  const auto found = calls_by_connection_.find(connection);
+  if (found == calls_by_connection_.end()) return;
+  for (const CallId& call : found->second) {
+    Post(CallerDisconnected{call});
+    open_calls_.erase(call);
   }
+  calls_by_connection_.erase(found);
 }
 
 void PoolEntry::Execute(const Reply& effect) {
   const auto it = open_calls_.find(effect.call);
   if (it == open_calls_.end()) return;
   const HttpReplier reply = std::move(it->second.reply);
+  const auto calls = calls_by_connection_.find(it->second.connection);
+  calls->second.erase(effect.call);
+  if (calls->second.empty()) calls_by_connection_.erase(calls);
   open_calls_.erase(it);
   HttpResponse response = users_platform::ResponseFor(effect);
   // Closing the connection makes the client send its next call to another
--- a/apps/pool_entry/pool_entry.h
+++ b/apps/pool_entry/pool_entry.h
@@ -4,6 +4,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "apps/pool_common/daemon.h"
@@ -99,6 +100,7 @@
   std::uint64_t config_revision_ = 0;
   std::uint64_t next_call_id_ = 1;
   std::map<CallId, OpenCall> open_calls_;
+  std::map<std::uint64_t, std::set<CallId>> calls_by_connection_;
 };
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -26,7 +26,11 @@
  public:
   ControllerRunner(EntryBoard* board, const Now& now,
                    const CallerCheck& is_connected)
-      : board_(board), now_(now), is_connected_(is_connected) {}
+      : board_(board), now_(now), is_connected_(is_connected) {
+    EntryChanges changes;
+    changes.Add(SetLateBefore{now.boot});
+    ApplyChanges(std::move(changes));
+  }
 
   void Handle(const EntryEvent& event) {
     std::visit([this](const auto& e) { OnEvent(e); }, event);
@@ -35,7 +39,7 @@
   void RunControllers() {
     DropCalls(CallsOfLostPeers(*board_, now_),
               "the first entry is lost or silent");
-    ApplyChanges(SeparateSuspects(*board_, now_));
+    ApplyChanges(SeparateSuspects(*board_));
     ApplyChanges(EndCrashingJobs(*board_, now_));
     // Before starts and configurations are sent over the same links.
     ApplyChanges(SendEvacuations(*board_));
@@ -288,11 +292,8 @@
 }
 
 std::size_t CountPending(const EntryBoard& board, const std::string& queue) {
-  return std::count_if(board.active_jobs.begin(), board.active_jobs.end(),
-                       [&](std::uint64_t id) {
-                         const JobRow& job = *board.jobs.Find(id);
-                         return !job.may_have_started && job.queue == queue;
-                       });
+  const auto pending = board.pending_by_queue.find(queue);
+  return pending == board.pending_by_queue.end() ? 0 : pending->second;
 }
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "core/pool/entry/accepted_memory.h"
+#include "core/pool/entry/backlog.h"
 #include "core/pool/entry/changes.h"
 
 namespace dottereltrack::pool {
@@ -17,16 +18,30 @@
   if (used == 0) accepted.by_source.erase(job.source);
 }
 
+// Adds the job to the pending ones of its queue, or subtracts it.
+void CountPending(EntryBoard* board, const JobRow& job, bool is_added) {
+  if (job.state != JobState::kActive || job.may_have_started) return;
+  std::size_t& pending = board->pending_by_queue[job.queue];
+  pending = is_added ? pending + 1 : pending - 1;
+  if (pending == 0) board->pending_by_queue.erase(job.queue);
+}
+
 void RemoveFromIndexes(EntryBoard* board, std::uint64_t id) {
   const JobRow* job = board->jobs.Find(id);
   if (job == nullptr) return;
   CountMemory(board, *job, false);
+  for (const CallId& call : job->waiters) board->job_by_call.erase(call);
+  CountPending(board, *job, false);
   board->active_jobs.erase(id);
   board->ended_jobs_by_age.erase({job->ended_at, id});
 }
 
 void AddToIndexes(EntryBoard* board, const JobRow& job) {
   CountMemory(board, job, true);
+  for (const CallId& call : job.waiters) {
+    board->job_by_call.insert_or_assign(call, job.id);
+  }
+  CountPending(board, job, true);
   if (job.state == JobState::kActive) {
     board->active_jobs.insert(job.id);
   } else {
@@ -55,12 +70,58 @@
   if (task != nullptr) board->accepted.bytes -= MemoryOf(*task);
 }
 
+void AddWork(EntryBoard* board, const UnstartedTasks& tasks) {
+  if (tasks.IsBlocked()) return;
+  UnstartedWork& sum = board->unstarted_work[tasks.service];
+  const double work = WorkOf(tasks);
+  ++sum.rows;
+  sum.total += work;
+  if (tasks.latest_start < board->late_before) return;
+  sum.on_time += work;
+  UnstartedWork::Part& part = sum.on_time_by_start[tasks.latest_start];
+  ++part.rows;
+  part.work += work;
+}
+
+void SubtractWork(EntryBoard* board, const UnstartedTasks& tasks) {
+  if (tasks.IsBlocked()) return;
+  const auto found = board->unstarted_work.find(tasks.service);
+  UnstartedWork& sum = found->second;
+  if (--sum.rows == 0) {
+    // Removes what rounding has left in the sums, too.
+    board->unstarted_work.erase(found);
+    return;
+  }
+  const double work = WorkOf(tasks);
+  sum.total -= work;
+  if (tasks.latest_start < board->late_before) return;
+  sum.on_time -= work;
+  const auto part = sum.on_time_by_start.find(tasks.latest_start);
+  part->second.work -= work;
+  if (--part->second.rows == 0) sum.on_time_by_start.erase(part);
+}
+
+void CountLateWork(EntryBoard* board, BootTime late_before) {
+  for (auto& [service, sum] : board->unstarted_work) {
+    auto& parts = sum.on_time_by_start;
+    while (!parts.empty() && parts.begin()->first < late_before) {
+      sum.on_time -= parts.begin()->second.work;
+      parts.erase(parts.begin());
+    }
+    if (parts.empty()) sum.on_time = 0;
+  }
+  // A row is counted by the same time when it is added and when it is removed.
+  board->late_before = std::max(board->late_before, late_before);
+}
+
 void RemoveUnstarted(EntryBoard* board, const TaskKey& first) {
   const UnstartedTasks* tasks = board->unstarted_tasks.Find(first);
   if (tasks == nullptr) return;
   auto& needs = board->waiting_cpu_millis;
   needs.erase(needs.find(tasks->needs.cpu_millis));
   board->unstarted_count -= tasks->count;
+  board->blocked_tasks.erase(first);
+  SubtractWork(board, *tasks);
 }
 
 // Adds `n` to the counts of a crash's suspects.
@@ -102,6 +163,8 @@
       board->waiting_cpu_millis.insert(it.row.needs.cpu_millis);
     }
     UpdateMembership(&board->lost_tasks, it.row.key, state == TaskState::kLost);
+    UpdateMembership(&board->placed_tasks, it.row.key,
+                     state == TaskState::kPlaced);
     RemoveTaskMemory(board, it.row.key);
     board->accepted.bytes += MemoryOf(it.row);
     board->tasks.Put(it.row);
@@ -109,6 +172,7 @@
   void operator()(const Erase<TaskRow>& it) const {
     RemoveFromWaiting(board, it.key);
     board->lost_tasks.erase(it.key);
+    board->placed_tasks.erase(it.key);
     RemoveTaskMemory(board, it.key);
     board->tasks.Erase(it.key);
   }
@@ -116,6 +180,8 @@
     RemoveUnstarted(board, it.row.first);
     board->waiting_cpu_millis.insert(it.row.needs.cpu_millis);
     board->unstarted_count += it.row.count;
+    if (it.row.IsBlocked()) board->blocked_tasks.insert(it.row.first);
+    AddWork(board, it.row);
     board->unstarted_tasks.Put(it.row);
   }
   void operator()(const Erase<UnstartedTasks>& it) const {
@@ -161,6 +227,9 @@
   void operator()(const Erase<ForwardedCall>& it) const {
     board->forwarded_calls.Erase(it.key);
   }
+  void operator()(const SetLateBefore& it) const {
+    CountLateWork(board, it.time);
+  }
   void operator()(const SetOverload& it) const { board->overload = it.state; }
   void operator()(const Put<PastJob>& it) const {
     RemoveFromPastJobIndex(board, it.row.id);
--- a/src/core/pool/entry/backlog.cpp
+++ b/src/core/pool/entry/backlog.cpp
@@ -6,7 +6,6 @@
 
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/evacuation.h"
-#include "core/pool/entry/unstarted_tasks.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -21,6 +20,16 @@
   double ahead = 0;
 };
 
+// The board counts as late what was late at the begin of the turn.
+double OnTimeWork(const UnstartedWork& sum, const Now& now) {
+  double work = sum.on_time;
+  for (const auto& [latest_start, part] : sum.on_time_by_start) {
+    if (latest_start >= now.boot) break;
+    work -= part.work;
+  }
+  return std::max(work, 0.0);
+}
+
 WaitingWork SumWaitingWork(const EntryBoard& board, const std::string& service,
                            const Now& now) {
   WaitingWork work;
@@ -33,13 +42,10 @@
     const bool is_late = job->goal_at - task.estimate < now.boot;
     if (!is_late && !IsSuspect(board, key)) work.ahead += WorkOf(task);
   }
-  for (const auto& [first, tasks] : board.unstarted_tasks) {
-    const JobRow* job = board.jobs.Find(first.job);
-    if (job == nullptr || job->state != JobState::kActive) continue;
-    if (job->service != service || !MayStart(tasks, now)) continue;
-    work.total += WorkOf(tasks);
-    const bool is_late = job->goal_at - tasks.estimate < now.boot;
-    if (!is_late) work.ahead += WorkOf(tasks);
+  const auto unstarted = board.unstarted_work.find(service);
+  if (unstarted != board.unstarted_work.end()) {
+    work.total += unstarted->second.total;
+    work.ahead += OnTimeWork(unstarted->second, now);
   }
   return work;
 }
@@ -70,14 +76,11 @@
 // Thousandths of a core that this entry's runs use.
 double SumOwnUse(const EntryBoard& board, const std::string& service) {
   double used = 0;
-  for (const std::uint64_t id : board.active_jobs) {
-    const JobRow& job = *board.jobs.Find(id);
-    if (!job.may_have_started || job.service != service) continue;
-    const auto [begin, end] = TasksOf(board, id);
-    for (auto it = begin; it != end; ++it) {
-      if (it->second.state != TaskState::kPlaced) continue;
-      used += static_cast<double>(it->second.needs.cpu_millis);
-    }
+  for (const TaskKey& key : board.placed_tasks) {
+    const JobRow* job = board.jobs.Find(key.job);
+    if (job == nullptr || job->state != JobState::kActive) continue;
+    if (job->service != service) continue;
+    used += static_cast<double>(board.tasks.Find(key)->needs.cpu_millis);
   }
   return used;
 }
@@ -95,7 +98,9 @@
 }
 
 double WorkOf(const UnstartedTasks& tasks) {
-  return static_cast<double>(tasks.count) * WorkOf(MakeTaskRow(tasks, 0));
+  return static_cast<double>(tasks.count) *
+         static_cast<double>(tasks.needs.cpu_millis) *
+         static_cast<double>(tasks.estimate.count());
 }
 
 double SharersOfMinions(const EntryBoard& board) {
@@ -138,12 +143,15 @@
   for (const auto& [link, agent] : board.agents) {
     services.insert(agent.hello->service);
   }
-  for (const std::uint64_t id : JobsWithWaitingTasks(board)) {
-    const JobRow* job = board.jobs.Find(id);
+  for (const TaskKey& key : board.waiting_tasks) {
+    const JobRow* job = board.jobs.Find(key.job);
     if (job != nullptr && job->state == JobState::kActive) {
       services.insert(job->service);
     }
   }
+  for (const auto& [service, work] : board.unstarted_work) {
+    services.insert(service);
+  }
   std::vector<ServiceBacklog> backlogs;
   for (const std::string& service : services) {
     const WaitingWork work = SumWaitingWork(board, service, now);
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -114,9 +114,16 @@
   Resources needs;
   milliseconds estimate{0};
   PlacementRules rules;
-  // Runs that another entry has started may go on until this time.
+  // Of their job.
+  std::string service;
+  // Latest start that meets the goal of their job.
+  BootTime latest_start{0};
+  // Runs that another entry has started may go on until this time; 0 if there
+  // are none.
   BootTime blocked_until{0};
 
+  bool IsBlocked() const { return blocked_until != BootTime{0}; }
+
   const TaskKey& Key() const { return first; }
   friend bool operator==(const UnstartedTasks&,
                          const UnstartedTasks&) = default;
@@ -172,6 +179,23 @@
   friend bool operator==(const LinkRow&, const LinkRow&) = default;
 };
 
+// Work of the unstarted tasks of one service that are not blocked, in
+// thousandths of a core times milliseconds.
+struct UnstartedWork {
+  // What starts at the same time at the latest.
+  struct Part {
+    std::size_t rows = 0;
+    double work = 0;
+    friend bool operator==(const Part&, const Part&) = default;
+  };
+  std::size_t rows = 0;
+  double total = 0;
+  // Of the tasks that can meet their goal.
+  double on_time = 0;
+  std::map<BootTime, Part> on_time_by_start;
+  friend bool operator==(const UnstartedWork&, const UnstartedWork&) = default;
+};
+
 // Estimated memory of accepted work.
 struct AcceptedMemory {
   // Of all jobs and of the tasks that have rows.
@@ -223,6 +247,16 @@
   // for each row of `waiting_tasks` and `unstarted_tasks`.
   std::multiset<std::int64_t> waiting_cpu_millis;
   std::set<TaskKey> lost_tasks;
+  std::set<TaskKey> placed_tasks;
+  // First tasks of the rows of `unstarted_tasks` that are blocked.
+  std::set<TaskKey> blocked_tasks;
+  std::map<std::string, UnstartedWork> unstarted_work;
+  // Tasks whose latest start is before this time count as late there.
+  BootTime late_before{0};
+  // The job that each call waits for.
+  std::map<CallId, std::uint64_t> job_by_call;
+  // Numbers of open jobs that have not been started, by queue.
+  std::map<std::string, std::size_t> pending_by_queue;
   AcceptedMemory accepted;
   std::map<TaskKey, CrashCount> crash_counts;
   BootTime started_at{0};
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -25,19 +25,25 @@
 struct SetEntryStopping {
   BootTime since{0};
 };
+// Tasks whose latest start is before this time count as late from now on.
+struct SetLateBefore {
+  BootTime time{0};
+};
 struct SetOverload {
   OverloadState state;
 };
 
-using EntryRowChange = std::variant<
-    Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
-    Put<UnstartedTasks>, Erase<UnstartedTasks>, Put<AgentRow>, Erase<AgentRow>,
-    Put<LinkRow>, Erase<LinkRow>, Put<KnownEntry>, Erase<KnownEntry>,
-    Put<MinionCrash>, Erase<MinionCrash>, Put<OfferRow>, Erase<OfferRow>,
-    Put<DemandRow>, Erase<DemandRow>, Put<ForwardedCall>, Erase<ForwardedCall>,
-    Put<PastJob>, Erase<PastJob>, Put<PendingCancel>, Erase<PendingCancel>,
-    SetOverload, SetEvacuations, Put<ConfigPeer>, Erase<ConfigPeer>, SetConfig,
-    SetConfigFetch, SetConfigUpload, SetEntryStopping>;
+using EntryRowChange =
+    std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
+                 Put<UnstartedTasks>, Erase<UnstartedTasks>, Put<AgentRow>,
+                 Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>, Put<KnownEntry>,
+                 Erase<KnownEntry>, Put<MinionCrash>, Erase<MinionCrash>,
+                 Put<OfferRow>, Erase<OfferRow>, Put<DemandRow>,
+                 Erase<DemandRow>, Put<ForwardedCall>, Erase<ForwardedCall>,
+                 Put<PastJob>, Erase<PastJob>, Put<PendingCancel>,
+                 Erase<PendingCancel>, SetLateBefore, SetOverload,
+                 SetEvacuations, Put<ConfigPeer>, Erase<ConfigPeer>, SetConfig,
+                 SetConfigFetch, SetConfigUpload, SetEntryStopping>;
 
 // Kind of the reply to a client.
 enum class ReplyKind {
--- a/src/core/pool/entry/forwarding.cpp
+++ b/src/core/pool/entry/forwarding.cpp
@@ -71,8 +71,7 @@
 
 // Returns the steps of a job as submitted; empty if a task of it has been
 // started by an earlier submission.
-std::vector<StepSpec> StepsOf(const EntryBoard& board, const JobRow& job,
-                              const Now& now) {
+std::vector<StepSpec> StepsOf(const EntryBoard& board, const JobRow& job) {
   std::vector<StepSpec> steps;
   const auto add = [&steps](std::uint32_t index, const StepSpec& part) {
     if (index >= steps.size()) steps.resize(index + 1);
@@ -90,7 +89,7 @@
   const auto [first, last] = UnstartedTasksOf(board, job.id);
   for (auto it = first; it != last; ++it) {
     const UnstartedTasks& tasks = it->second;
-    if (!MayStart(tasks, now) || tasks.rules != PlacementRules{}) return {};
+    if (tasks.IsBlocked() || tasks.rules != PlacementRules{}) return {};
     add(tasks.first.step, {tasks.count, tasks.needs, tasks.estimate});
   }
   return steps;
@@ -118,7 +117,7 @@
                   const OfferRow& offer, const Now& now,
                   EntryChanges* changes) {
   const QueueConfig* queue = FindQueueByName(board.config, job.queue);
-  std::vector<StepSpec> steps = StepsOf(board, job, now);
+  std::vector<StepSpec> steps = StepsOf(board, job);
   if (queue == nullptr || steps.empty()) return false;
   ForwardJob message;
   message.job = {job.id, job.payload, steps};
@@ -154,8 +153,7 @@
               EntryChanges* changes) {
   for (std::uint32_t step = 0; step < job.forwarded_steps.size(); ++step) {
     const StepSpec& spec = job.forwarded_steps[step];
-    UnstartedTasks tasks =
-        MakeUnstartedTasks({job.id, step, 0}, spec.count, spec);
+    UnstartedTasks tasks = MakeUnstartedTasks(job, step, 0, spec.count, spec);
     tasks.blocked_until = blocked_until;
     changes->Add(Put<UnstartedTasks>{std::move(tasks)});
   }
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -331,16 +331,10 @@
 
 EntryChanges HandleCallerDisconnected(const EntryBoard& board, CallId call,
                                       const Now& now) {
-  for (const std::uint64_t id : board.active_jobs) {
-    const JobRow& job = *board.jobs.Find(id);
-    const auto& waiters = job.waiters;
-    if (std::find(waiters.begin(), waiters.end(), call) == waiters.end()) {
-      continue;
-    }
-    return RemoveWaiter(board, job, call, "the caller closed its connection",
-                        now);
-  }
-  return {};
+  const auto found = board.job_by_call.find(call);
+  if (found == board.job_by_call.end()) return {};
+  return RemoveWaiter(board, *board.jobs.Find(found->second), call,
+                      "the caller closed its connection", now);
 }
 
 EntryChanges CheckTimeLimits(const EntryBoard& board, const Now& now) {
@@ -369,6 +363,7 @@
     const TaskRow& task = *board.tasks.Find(key);
     if (now.boot >= task.lost_run_ends_by) ReturnToWaiting(task, &changes);
   }
+  ReleaseBlockedTasks(board, now, &changes);
   for (const auto& [ended_at, id] : board.ended_jobs_by_age) {
     if (now.boot < ended_at + board.settings.outcome_retention) break;
     RemoveEndedJob(board, id, &changes);
--- a/src/core/pool/entry/placement.cpp
+++ b/src/core/pool/entry/placement.cpp
@@ -106,21 +106,21 @@
 // Sets the slowness up to which a minion can meet the task's goal. A task that
 // some minion can finish in time does not start on one that cannot: it would
 // be late for certain, while its place on a faster minion may become free.
-StartDemand MakeDemand(const WaitingTasks& it, const LowestSlowness& lowest,
-                       const Now& now) {
-  StartDemand demand{it.first.needs, it.urgency.is_suspect, kUnlimited,
+StartDemand MakeDemand(const WaitingTasks& it, const TaskRow& first,
+                       const LowestSlowness& lowest, const Now& now) {
+  StartDemand demand{first.needs, it.urgency.is_suspect, kUnlimited,
                      kUnlimited};
   if (it.urgency.is_late || it.urgency.is_suspect ||
-      it.first.estimate.count() <= 0) {
+      first.estimate.count() <= 0) {
     return demand;
   }
   // The fast minions may be those on which the task has failed, or may be away
   // from its data or without the required label.
-  if (!it.first.failed_minions.empty() || it.first.rules != PlacementRules{}) {
+  if (!first.failed_minions.empty() || first.rules != PlacementRules{}) {
     return demand;
   }
   using Microseconds = std::chrono::duration<double, std::micro>;
-  const double estimate_us = Microseconds{it.first.estimate}.count();
+  const double estimate_us = Microseconds{first.estimate}.count();
   const BootTime remaining = it.job->goal_at - now.boot;
   const double max_slowness = Microseconds{remaining}.count() / estimate_us;
   if (lowest.of_all <= max_slowness) {
@@ -172,14 +172,14 @@
 
 // Whether the task waits for a near minion instead of this remote one.
 bool WaitsForNear(const EntryBoard& board, const WaitingTasks& it,
-                  const std::string& near_rack, const Candidate& remote,
-                  double work_ahead, const Now& now) {
+                  const TaskRow& first, const std::string& near_rack,
+                  const Candidate& remote, double work_ahead, const Now& now) {
   if (remote.minion.remote_factor <= 1) return false;
   RemoteStart start;
-  start.run_time = it.first.estimate;
+  start.run_time = first.estimate;
   start.remote_factor = remote.minion.remote_factor;
-  start.near_delay = EstimateNearDelay(board, it.first, it.job->service,
-                                       near_rack, work_ahead);
+  start.near_delay =
+      EstimateNearDelay(board, first, it.job->service, near_rack, work_ahead);
   start.waited =
       std::chrono::duration_cast<milliseconds>(now.boot - it.job->arrived_at);
   start.time_left =
@@ -189,20 +189,20 @@
 
 // Returns the emptiest of the candidates whose cost is near the lowest.
 Candidate* ChooseCandidate(std::vector<Candidate>* candidates,
-                           const WaitingTasks& waiting,
+                           const JobRow& job, const TaskRow& task,
                            const StartDemand& demand,
                            std::size_t start_window) {
-  const std::size_t bytes = StartBytes(*waiting.job, waiting.first);
+  const std::size_t bytes = StartBytes(job, task);
   double lowest_cost = kUnlimited;
   for (Candidate& it : *candidates) {
     it.cost = kUnlimited;
     const AgentHello& hello = *it.agent->hello;
     if (it.minion.free.cpu_millis <= 0) continue;
-    if (hello.service != waiting.job->service) continue;
+    if (hello.service != job.service) continue;
     if (it.unreported_bytes > 0 && it.unreported_bytes + bytes > start_window) {
       continue;
     }
-    it.minion.has_failed_task = HasFailedOn(waiting.first, hello.minion);
+    it.minion.has_failed_task = HasFailedOn(task, hello.minion);
     it.cost = CostOfStart(demand, it.minion);
     lowest_cost = std::min(lowest_cost, it.cost);
   }
@@ -218,12 +218,10 @@
   return best;
 }
 
-// Starts the `n`-th of the waiting tasks.
-void PlaceTask(const WaitingTasks& waiting, std::uint32_t n,
-               Candidate* candidate, const Now& now, EntryChanges* changes) {
+// Starts a task, whose row as a waiting one is given.
+void PlaceTask(const WaitingTasks& waiting, TaskRow task, Candidate* candidate,
+               const Now& now, EntryChanges* changes) {
   const AgentRow& agent = *candidate->agent;
-  TaskRow task = waiting.first;
-  task.key.index += n;
   task.state = TaskState::kPlaced;
   // The wall clock makes the number higher than those that other entries have
   // given to earlier runs of the same task.
@@ -293,37 +291,41 @@
   std::size_t total_placed = 0;
   for (const WaitingTasks& it : waiting) {
     if (largest_room < smallest_cpu) break;
+    if (it.Needs().cpu_millis > largest_room) continue;
+    TaskRow task = FirstRowOf(it);
     const std::string& service = it.job->service;
     if (!lowest_slowness.contains(service)) {
       lowest_slowness[service] = FindLowestSlowness(candidates, service);
     }
-    const StartDemand demand = MakeDemand(it, lowest_slowness[service], now);
-    const bool has_rules = it.first.rules != PlacementRules{};
+    const StartDemand demand =
+        MakeDemand(it, task, lowest_slowness[service], now);
+    const bool has_rules = task.rules != PlacementRules{};
     std::string near_rack;
-    if (has_rules) near_rack = NearRackOf(board, it.first);
+    if (has_rules) near_rack = NearRackOf(board, task);
     std::uint32_t placed = 0;
-    for (std::uint32_t n = 0; n < it.count; ++n) {
-      if (it.first.needs.cpu_millis > largest_room) break;
+    for (std::uint32_t n = 0; n < it.Count(); ++n) {
+      if (task.needs.cpu_millis > largest_room) break;
       if (!HasMemoryForRows(board, total_placed + 1)) break;
-      if (has_rules) ApplyRules(board, it.first, near_rack, &candidates);
+      if (has_rules) ApplyRules(board, task, near_rack, &candidates);
       Candidate* candidate =
-          ChooseCandidate(&candidates, it, demand, start_window);
+          ChooseCandidate(&candidates, *it.job, task, demand, start_window);
       const bool waits = candidate != nullptr && has_rules &&
-                         WaitsForNear(board, it, near_rack, *candidate,
+                         WaitsForNear(board, it, task, near_rack, *candidate,
                                       rack_work[near_rack], now);
-      if (waits) rack_work[near_rack] += WorkOf(it.first);
+      if (waits) rack_work[near_rack] += WorkOf(task);
       if (has_rules) ClearRules(&candidates);
       // The further tasks are equal to this one.
       if (candidate == nullptr) break;
       if (waits) continue;
-      PlaceTask(it, placed, candidate, now, &changes);
+      PlaceTask(it, task, candidate, now, &changes);
+      ++task.key.index;
       ++placed;
       ++total_placed;
       largest_room = LargestRoom(candidates);
     }
     if (placed == 0) continue;
-    if (it.is_unstarted) {
-      RemoveFirst(*board.unstarted_tasks.Find(it.first.key), placed, &changes);
+    if (it.unstarted != nullptr) {
+      RemoveFirst(*it.unstarted, placed, &changes);
     }
     if (!it.job->may_have_started) started_jobs.emplace(it.job->id, it.job);
   }
--- a/src/core/pool/entry/refusal.cpp
+++ b/src/core/pool/entry/refusal.cpp
@@ -92,19 +92,20 @@
       service.slowness = FindLowestSlowness(board, found->first);
     }
     if (hopeless.contains(it.job->id)) continue;
-    const double work = WorkOf(it.first);
+    const double work =
+        it.task ? WorkOf(*it.task) : WorkOf(*it.unstarted) / it.Count();
     // A job that has started may get the resources of its own runs. Others end
     // with the last of their tasks.
-    const milliseconds delay = it.job->may_have_started
-                                   ? milliseconds{0}
-                                   : service.DelayAfter((it.count - 1) * work);
-    const JobOutlook outlook{delay, it.first.estimate, service.slowness,
+    const milliseconds delay =
+        it.job->may_have_started ? milliseconds{0}
+                                 : service.DelayAfter((it.Count() - 1) * work);
+    const JobOutlook outlook{delay, it.Estimate(), service.slowness,
                              std::chrono::duration_cast<milliseconds>(
                                  it.job->deadline_at - now.boot)};
     if (it.urgency.is_late && IsHopeless(outlook)) {
       hopeless.emplace(it.job->id, it.job);
     } else {
-      service.work += it.count * work;
+      service.work += it.Count() * work;
     }
   }
   std::map<std::string, milliseconds> drain_times;
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -112,16 +112,16 @@
 
 // Adds the tasks of a step that the board does not have, and returns how many
 // tasks of the step have not ended.
-std::uint32_t AddTasksOfStep(const EntryBoard& board, std::uint64_t job,
+std::uint32_t AddTasksOfStep(const EntryBoard& board, const JobRow& job,
                              std::uint32_t step, const StepSpec& spec,
                              EntryChanges* changes) {
-  const KnownTasks known = FindKnownTasks(board, job, step);
+  const KnownTasks known = FindKnownTasks(board, job.id, step);
   std::uint32_t done = 0;
   std::uint32_t index = 0;
   const auto add_until = [&](std::uint32_t end) {
     if (end > index) {
       changes->Add(Put<UnstartedTasks>{
-          MakeUnstartedTasks({job, step, index}, end - index, spec)});
+          MakeUnstartedTasks(job, step, index, end - index, spec)});
     }
   };
   for (const auto& [first, tasks] : known) {
@@ -144,7 +144,7 @@
   job.may_have_run_before = MayHaveRunBefore(board, e.job.id);
   for (std::uint32_t step = 0; step < e.job.steps.size(); ++step) {
     job.open_tasks +=
-        AddTasksOfStep(board, job.id, step, e.job.steps[step], &changes);
+        AddTasksOfStep(board, job, step, e.job.steps[step], &changes);
   }
   changes.Add(Put<JobRow>{job});
   return changes;
--- a/src/core/pool/entry/unstarted_tasks.cpp
+++ b/src/core/pool/entry/unstarted_tasks.cpp
@@ -2,6 +2,7 @@
 
 #include <iterator>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace dottereltrack::pool {
@@ -53,17 +54,39 @@
 
 }  // namespace
 
-UnstartedTasks MakeUnstartedTasks(const TaskKey& first, std::uint32_t count,
-                                  const StepSpec& step) {
+UnstartedTasks MakeUnstartedTasks(const JobRow& job, std::uint32_t step,
+                                  std::uint32_t index, std::uint32_t count,
+                                  const StepSpec& spec) {
   UnstartedTasks tasks;
-  tasks.first = first;
+  tasks.first = {job.id, step, index};
   tasks.count = count;
-  tasks.needs = step.needs;
-  tasks.estimate = step.estimate;
-  tasks.rules = step.rules;
+  tasks.needs = spec.needs;
+  tasks.estimate = spec.estimate;
+  tasks.rules = spec.rules;
+  tasks.service = job.service;
+  tasks.latest_start = job.goal_at - spec.estimate;
   return tasks;
 }
 
+void ReleaseBlockedTasks(const EntryBoard& board, const Now& now,
+                         EntryChanges* changes) {
+  for (const TaskKey& first : board.blocked_tasks) {
+    const UnstartedTasks& blocked = *board.unstarted_tasks.Find(first);
+    if (now.boot < blocked.blocked_until) continue;
+    const JobRow* job = board.jobs.Find(first.job);
+    if (job == nullptr || job->state != JobState::kActive) {
+      changes->Add(Erase<UnstartedTasks>{first});
+      continue;
+    }
+    // The job may have been submitted again, to another queue.
+    UnstartedTasks tasks = blocked;
+    tasks.service = job->service;
+    tasks.latest_start = job->goal_at - tasks.estimate;
+    tasks.blocked_until = BootTime{0};
+    changes->Add(Put<UnstartedTasks>{std::move(tasks)});
+  }
+}
+
 TaskRow MakeTaskRow(const UnstartedTasks& tasks, std::uint32_t n) {
   TaskRow task;
   task.key = tasks.first;
@@ -107,14 +130,14 @@
   return jobs;
 }
 
-EntryChanges SeparateSuspects(const EntryBoard& board, const Now& now) {
+EntryChanges SeparateSuspects(const EntryBoard& board) {
   EntryChanges changes;
   if (board.unstarted_tasks.empty()) return changes;
   std::map<TaskKey, std::vector<TaskKey>> suspects;
   for (const auto& [key, crashes] : board.crash_counts) {
     const UnstartedTasks* tasks = FindRangeWith(board, key);
     // A row would count as one that may be started.
-    if (tasks == nullptr || !MayStart(*tasks, now)) continue;
+    if (tasks == nullptr || tasks->IsBlocked()) continue;
     suspects[tasks->first].push_back(key);
   }
   for (const auto& [first, keys] : suspects) {
--- a/src/core/pool/entry/unstarted_tasks.h
+++ b/src/core/pool/entry/unstarted_tasks.h
@@ -15,23 +15,25 @@
                    board.unstarted_tasks.UpperBound(LastTaskOf(job)));
 }
 
-// Returns `count` unstarted tasks of a step, beginning with the task `first`.
-UnstartedTasks MakeUnstartedTasks(const TaskKey& first, std::uint32_t count,
-                                  const StepSpec& step);
+// Returns `count` unstarted tasks of a step of the job, beginning with the
+// `index`-th of the step.
+UnstartedTasks MakeUnstartedTasks(const JobRow& job, std::uint32_t step,
+                                  std::uint32_t index, std::uint32_t count,
+                                  const StepSpec& spec);
 
 // Returns the row of the `n`-th of these tasks, as one that waits.
 TaskRow MakeTaskRow(const UnstartedTasks& tasks, std::uint32_t n);
 
-// Whether the tasks may be started as far as runs of other entries go.
-inline bool MayStart(const UnstartedTasks& tasks, const Now& now) {
-  return now.boot >= tasks.blocked_until;
-}
-
 // Adds the changes that remove the first `n` of these tasks, whose rows replace
 // them.
 void RemoveFirst(const UnstartedTasks& tasks, std::uint32_t n,
                  EntryChanges* changes);
 
+// Adds the changes that let blocked tasks start whose time has come, or remove
+// them if their job has ended.
+void ReleaseBlockedTasks(const EntryBoard& board, const Now& now,
+                         EntryChanges* changes);
+
 // Adds the changes that remove all unstarted tasks of a job.
 void EraseUnstartedTasks(const EntryBoard& board, std::uint64_t job,
                          EntryChanges* changes);
@@ -43,6 +45,6 @@
 
 // Gives unstarted tasks that may have crashed a minion, as runs of other
 // entries, rows of their own, since each is placed by itself.
-EntryChanges SeparateSuspects(const EntryBoard& board, const Now& now);
+EntryChanges SeparateSuspects(const EntryBoard& board);
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/waiting_tasks.cpp
+++ b/src/core/pool/entry/waiting_tasks.cpp
@@ -1,7 +1,6 @@
 #include "core/pool/entry/waiting_tasks.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "core/pool/entry/backlog.h"
 #include "core/pool/entry/crashes.h"
@@ -10,20 +9,23 @@
 namespace dottereltrack::pool {
 namespace {
 
-StartUrgency MakeUrgency(const EntryBoard& board, const TaskRow& task,
-                         const JobRow& job, const Now& now) {
+StartUrgency MakeUrgency(const JobRow& job, const TaskKey& key,
+                         milliseconds estimate, double work, const Now& now) {
   StartUrgency urgency;
-  urgency.is_suspect = IsSuspect(board, task.key);
-  urgency.latest_start = job.goal_at - task.estimate;
+  urgency.latest_start = job.goal_at - estimate;
   urgency.is_late = urgency.latest_start < now.boot;
   urgency.job_has_started = job.may_have_started;
-  urgency.remaining_work = static_cast<double>(job.open_tasks) * WorkOf(task);
-  urgency.key = task.key;
+  urgency.remaining_work = static_cast<double>(job.open_tasks) * work;
+  urgency.key = key;
   return urgency;
 }
 
 }  // namespace
 
+TaskRow FirstRowOf(const WaitingTasks& tasks) {
+  return tasks.task ? *tasks.task : MakeTaskRow(*tasks.unstarted, 0);
+}
+
 std::vector<WaitingTasks> CollectWaitingTasks(const EntryBoard& board,
                                               const Now& now) {
   std::vector<WaitingTasks> waiting;
@@ -31,16 +33,18 @@
     const JobRow* job = board.jobs.Find(key.job);
     if (job == nullptr || job->state != JobState::kActive) continue;
     const TaskRow& task = *board.tasks.Find(key);
-    waiting.push_back(
-        {task, 1, false, job, MakeUrgency(board, task, *job, now)});
+    StartUrgency urgency =
+        MakeUrgency(*job, key, task.estimate, WorkOf(task), now);
+    urgency.is_suspect = IsSuspect(board, key);
+    waiting.push_back({&task, nullptr, job, urgency});
   }
   for (const auto& [first, tasks] : board.unstarted_tasks) {
     const JobRow* job = board.jobs.Find(first.job);
     if (job == nullptr || job->state != JobState::kActive) continue;
-    if (!MayStart(tasks, now)) continue;
-    TaskRow task = MakeTaskRow(tasks, 0);
-    StartUrgency urgency = MakeUrgency(board, task, *job, now);
-    waiting.push_back({std::move(task), tasks.count, true, job, urgency});
+    if (tasks.IsBlocked()) continue;
+    const double work = WorkOf(tasks) / tasks.count;
+    waiting.push_back({nullptr, &tasks, job,
+                       MakeUrgency(*job, first, tasks.estimate, work, now)});
   }
   std::sort(waiting.begin(), waiting.end(), [](const auto& a, const auto& b) {
     return IsPlacedBefore(a.urgency, b.urgency);
