Let the soak keep connections, send signals in series and submit crowds of jobs

The soak had clients that open a connection for each job, one signal at a time, and crowds that leave requests unfinished. Numbers of entries and agents can be given for large runs.

--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -1,12 +1,15 @@
-"""Randomized soak test of a pool of real processes: soak.py BUILD SEED [SECONDS].
+"""Randomized soak test of a pool of real processes:
+soak.py BUILD SEED [SECONDS [ENTRIES AGENTS]].
 
 Injects overlapping faults of all kinds: signals to the processes, faults of the minions
 and of the store, input that no process can use, and proxies before the store, the
 minions and the entries that delay traffic, block one or both directions or reset
-connections, and crowds of clients that leave requests and frames unfinished. The stand-ins check throughout that no task has two runs at once, that no
-minion exceeds its capacity, that no refused job has run and that no task crashes minion
-after minion. No process may exit by
-itself, and after the faults all jobs must complete. Equal seeds give equal faults; the
+connections, and crowds of clients that leave requests and frames unfinished or submit
+jobs that fill memory and minions. Signals also come in series. Some clients submit jobs
+over one connection each and keep using it until the process is gone. The stand-ins check
+throughout that no task has two runs at once, that no minion exceeds its capacity, that no
+refused job has run and that no task crashes minion after minion. No process may exit by
+itself or exceed its memory, and after the faults all jobs must complete. Equal seeds give equal faults; the
 timing of the processes differs.
 """
 
@@ -17,11 +20,12 @@
 import time
 
 import crowd
+import job_crowd
 import odd_input
 from cell import (CLIENT_PORT, LINK_PORT, METRICS_PORT, READINESS_PORT, REPORT_PORT,
                   LoadGenerator, Cell)
 from proxy import FROM_TARGET, TO_TARGET
-from web import call_json
+from web import call_json, read_message
 
 # Mean time between the starts of two faults, and the range of their durations.
 FAULT_INTERVAL_S = 0.5
@@ -42,6 +46,23 @@
 CROWD_SIZE_RANGE = (20, 120)
 CROWD_SEND_S = 2.0
 MACHINE_MEMORY_MB = 120
+JOB_PAYLOADS = (
+    job_crowd.waiting_job, job_crowd.pipelined_jobs, job_crowd.large_label,
+    job_crowd.ended_jobs, job_crowd.tasks_without_needs
+)
+
+# Mean time between two series of signals, and the pauses within a series.
+SERIES_INTERVAL_S = 3.0
+SERIES_PAUSE_RANGE_S = (0.0, 0.2)
+SERIES_SIGNALS = (2, 5)
+EXIT_TIMEOUT_S = 6.0
+
+# Clients of each entry that keep their connection, and what they do meanwhile.
+LASTING_CLIENTS = 3
+LASTING_PAUSE_S = 0.05
+LASTING_DEADLINE_MS = 1_500
+RECONNECT_PAUSE_S = 0.1
+REFUSALS = (404, 429, 503)
 
 
 class FaultInjector:
@@ -190,15 +211,21 @@
         ports = (CLIENT_PORT, READINESS_PORT, METRICS_PORT, LINK_PORT) if kind == 1 \
             else (REPORT_PORT, METRICS_PORT)
         port = self.random.choice(ports)
-        payload = self.random.choice(
-            (crowd.frame, crowd.short_frame) if port == LINK_PORT else (
-                crowd.large_chunks, crowd.small_chunks, crowd.chunk_extensions,
-                crowd.header
-            )
-        )
         count = self.random.randint(*CROWD_SIZE_RANGE)
+        if port == CLIENT_PORT and self.random.random() < 0.7:
+            payload = self.random.choice(JOB_PAYLOADS)
+            first = self.random.getrandbits(40)
+            groups = [((host, port), payload(first + n), 1) for n in range(count)]
+        else:
+            payload = self.random.choice(
+                (crowd.frame, crowd.short_frame) if port == LINK_PORT else (
+                    crowd.large_chunks, crowd.small_chunks, crowd.chunk_extensions,
+                    crowd.header
+                )
+            )
+            groups = [((host, port), payload(), count)]
         self.crowd_log.append(f"{count} x {payload.__name__} to {host}:{port}")
-        return crowd.Crowd([((host, port), payload(), count)])
+        return crowd.Crowd(groups)
 
     async def send(self, clients, open_s):
         try:
@@ -217,6 +244,96 @@
         await asyncio.gather(*running)
 
 
+class SignalInjector:
+    """Sends several signals to a process in series, the last ones also while it stops,
+    and starts it again. Has a generator of its own."""
+
+    def __init__(self, fault_injector, seed):
+        self.cell = fault_injector.cell
+        self.fault_injector = fault_injector
+        self.random = random.Random(f"signals {seed}")
+
+    async def send_series(self, daemon):
+        daemon.record_unexpected_exit()
+        kinds = [
+            self.random.choice((signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
+            for _ in range(self.random.randint(*SERIES_SIGNALS))
+        ]
+        for kind in kinds + [signal.SIGTERM]:
+            daemon.signal(kind)
+            await asyncio.sleep(self.random.uniform(*SERIES_PAUSE_RANGE_S))
+        code = await daemon.wait_for_exit(EXIT_TIMEOUT_S)
+        if code != 0:
+            names = ", ".join(kind.name for kind in kinds)
+            self.cell.run_checker.violations.append(
+                f"{daemon.name}: exit code {code} after {names}, SIGTERM"
+            )
+            daemon.signal(signal.SIGKILL)
+            daemon.process.wait()
+        daemon.start()
+
+    async def run(self, seconds):
+        end = time.monotonic() + seconds
+        running = []
+        while time.monotonic() < end:
+            await asyncio.sleep(self.random.expovariate(1 / SERIES_INTERVAL_S))
+            daemon = self.random.choice(self.cell.entries + self.cell.agents)
+            self.fault_injector.fault_log.append(f"series of signals to {daemon.name}")
+            running.append(
+                asyncio.create_task(
+                    self.fault_injector.run_exclusively(
+                        id(daemon), lambda it=daemon: self.send_series(it)
+                    )
+                )
+            )
+        await asyncio.gather(*running)
+
+
+class LastingClient:
+    """Submits jobs to one entry, one after the other, and keeps its connection until the
+    entry ends it."""
+
+    def __init__(self, cell, entry, number):
+        self.cell = cell
+        self.address = (cell.host_address(1, entry), CLIENT_PORT)
+        self.next_job = (entry * LASTING_CLIENTS + number + 1) << 50
+        self.refused_jobs = []
+        self.answers = 0
+
+    async def use_connection(self):
+        reader, writer = await asyncio.open_connection(*self.address)
+        try:
+            while True:
+                self.next_job += 1
+                writer.write(
+                    job_crowd.ordinary_job(self.next_job, LASTING_DEADLINE_MS)
+                )
+                message = await read_message(reader)
+                if message is None:
+                    return
+                self.answers += 1
+                if int(message[0][1]) in REFUSALS:
+                    self.refused_jobs.append(f"{self.next_job:016x}")
+                await asyncio.sleep(LASTING_PAUSE_S)
+        finally:
+            writer.close()
+
+    async def run(self):
+        while True:
+            try:
+                await self.use_connection()
+            except (OSError, asyncio.IncompleteReadError):
+                pass
+            await asyncio.sleep(RECONNECT_PAUSE_S)
+
+    def find_problems(self):
+        started = self.cell.run_checker.started_jobs
+        return [
+            f"job {job} was refused but has run"
+            for job in self.refused_jobs if job in started
+        ]
+
+
 async def reload_settings(daemon):
     daemon.signal(signal.SIGHUP)
 
@@ -316,17 +433,25 @@
 async def run(cell, seed, seconds):
     fault_injector = FaultInjector(cell, seed)
     crowd_injector = CrowdInjector(cell, seed)
+    signal_injector = SignalInjector(fault_injector, seed)
+    clients = [
+        LastingClient(cell, n, number)
+        for n in range(len(cell.entries)) for number in range(LASTING_CLIENTS)
+    ]
+    client_tasks = []
     try:
         await cell.start()
         if not await cell.wait_ready():
             return ["the entries are not ready after 10 s"], fault_injector
         load_generator = LoadGenerator(cell, seed, jobs_per_s=JOBS_PER_S)
         begin = time.monotonic()
+        client_tasks = [asyncio.create_task(it.run()) for it in clients]
         load_task = asyncio.create_task(load_generator.run(10 * seconds + 60))
-        zone, _, _ = await asyncio.gather(
+        zone, *_ = await asyncio.gather(
             evacuate_meanwhile(cell, seed, seconds),
             fault_injector.run(seconds),
             crowd_injector.run(seconds),
+            signal_injector.run(seconds),
         )
         fault_injector.fault_log += crowd_injector.crowd_log
         await asyncio.sleep(RECOVERY_S)
@@ -338,8 +463,15 @@
         await asyncio.sleep(LOAD_AFTER_RECOVERY_S)
         load_generator.stop()
         await load_task
-        return find_problems(cell, load_generator, recovered_at), fault_injector
+        problems = find_problems(cell, load_generator, recovered_at)
+        for client in clients:
+            problems += client.find_problems()
+            if client.answers == 0:
+                problems.append(f"no answer to the client of {client.address}")
+        return problems, fault_injector
     finally:
+        for task in client_tasks:
+            task.cancel()
         await cell.stop()
 
 
@@ -348,8 +480,10 @@
     seconds = float(sys.argv[3]) if len(sys.argv) > 3 else DEFAULT_SECONDS
     # Cells of different seeds use different addresses, so that they can run side by
     # side.
+    entries, agents = (int(it) for it in sys.argv[4:6] or (3, 4))
     cell = Cell(
-        sys.argv[1], 20 + seed % 100, use_proxies=True, overloaded_entries=(0,)
+        sys.argv[1], 20 + seed % 100, entries, agents, use_proxies=True,
+        overloaded_entries=(0,)
     )
     problems, fault_injector = asyncio.run(run(cell, seed, seconds))
     if not problems:
