Limit the memory of open jobs and kept answers together

Seen by callers: 200 connections, each with one short job whose result has a megabyte, took a dispatcher to 231 MB of its 100 MB. It grows with each further job for 15 minutes.

Cause: results are kept for retention_ms, so that a repeated submission gets the same answer, and nothing bounded their sum. Agents limit their outputs already.

Change: the board counts the results of all tasks by team. A job is refused as overloaded when open jobs and results would exceed half of memory_mb, or its team three quarters of that, with the time until the oldest answer expires. No answer is forgotten early. Callers of another team are still served; those of the same team wait. The default of 512 MB leaves 256 MB, or 284 KB of results a second.

The unit test "the memory of jobs is bounded, and one team cannot fill it" has the rows.

--- a/src/core/entry/apply.cpp
+++ b/src/core/entry/apply.cpp
@@ -42,15 +42,28 @@
   return job.state != JobState::kComplete && job.state != JobState::kFailed;
 }
 
-// Adds the memory of a job to the sums, or subtracts it.
-void CountMemory(EntryBoard* board, const Job& job, bool is_added) {
-  const std::size_t bytes = job.memory_bytes;
+void AddMemory(const std::string& team, std::size_t bytes, MemoryUse* use) {
   if (bytes == 0) return;
-  std::size_t& of_team = board->accepted_bytes_by_team[job.team];
-  std::size_t& total = board->accepted_bytes;
-  of_team = is_added ? of_team + bytes : of_team - bytes;
-  total = is_added ? total + bytes : total - bytes;
-  if (of_team == 0) board->accepted_bytes_by_team.erase(job.team);
+  use->bytes += bytes;
+  use->by_team[team] += bytes;
+}
+
+void SubtractMemory(const std::string& team, std::size_t bytes,
+                    MemoryUse* use) {
+  if (bytes == 0) return;
+  use->bytes -= bytes;
+  const auto of_team = use->by_team.find(team);
+  of_team->second -= bytes;
+  if (of_team->second == 0) use->by_team.erase(of_team);
+}
+
+std::size_t ResultBytes(const Task& task) {
+  if (!task.outcome) return 0;
+  if (const auto* done = std::get_if<Done>(&*task.outcome)) {
+    return done->result->size();
+  }
+  const auto* failed = std::get_if<Failed>(&*task.outcome);
+  return failed == nullptr ? 0 : failed->message.size();
 }
 
 std::size_t UnservedBytes(const OpenCall* call) {
@@ -60,7 +73,7 @@
 }
 
 void IndexJob(EntryBoard* board, const Job& job) {
-  CountMemory(board, job, true);
+  AddMemory(job.team, job.memory_bytes, &board->open_jobs_memory);
   if (IsOpen(job)) {
     board->open_jobs_by_deadline.emplace(job.deadline_at, job.id);
     if (job.state == JobState::kClosing) {
@@ -75,7 +88,7 @@
 }
 
 void UnindexJob(EntryBoard* board, const Job& job) {
-  CountMemory(board, job, false);
+  SubtractMemory(job.team, job.memory_bytes, &board->open_jobs_memory);
   board->open_jobs_by_deadline.erase({job.deadline_at, job.id});
   board->ended_jobs_by_finish_time.erase({job.finished_at, job.id});
   board->decided_jobs.erase(job.id);
@@ -133,6 +146,7 @@
   }
   const Job* job = board->jobs.Find(task.id.submission);
   if (job == nullptr) return;
+  AddMemory(job->team, ResultBytes(task), &board->results_memory);
   if (task.state == TaskState::kUnresolved) {
     ++board->queued_tasks;
   } else if (task.state == TaskState::kQueued) {
@@ -170,6 +184,7 @@
   UnindexTaskRecord(board, task);
   const Job* job = board->jobs.Find(task.id.submission);
   if (job == nullptr) return;
+  SubtractMemory(job->team, ResultBytes(task), &board->results_memory);
   if (task.state == TaskState::kUnresolved) --board->queued_tasks;
   if (task.state == TaskState::kQueued) {
     RemoveQueuedTask(*job, task.id.index, &board->queue_by_team);
--- a/src/core/entry/board.h
+++ b/src/core/entry/board.h
@@ -351,6 +351,18 @@
 inline constexpr std::size_t kCounterCount =
     static_cast<std::size_t>(Counter::kMessagesToPeers) + 1;
 
+// Bytes in total and of each team.
+struct MemoryUse {
+  std::size_t bytes = 0;
+  std::map<std::string, std::size_t> by_team;
+
+  std::size_t Of(const std::string& team) const {
+    const auto it = by_team.find(team);
+    return it == by_team.end() ? 0 : it->second;
+  }
+  friend bool operator==(const MemoryUse&, const MemoryUse&) = default;
+};
+
 // The complete state of an entry. Only `Apply` modifies it.
 struct EntryBoard {
   EntrySettings settings;
@@ -384,9 +396,9 @@
   // Indexes that `Apply` derives from the tables above.
   TeamQueues queue_by_team;
   std::size_t queued_tasks = 0;
-  // Estimated memory of the open jobs, and of those of each team.
-  std::size_t accepted_bytes = 0;
-  std::map<std::string, std::size_t> accepted_bytes_by_team;
+  // Estimated memory of the open jobs, and the results of all tasks.
+  MemoryUse open_jobs_memory;
+  MemoryUse results_memory;
   // Estimated memory of the submissions that this entry does not serve itself.
   std::size_t unserved_bytes = 0;
   std::map<std::string, std::uint32_t> in_progress_by_team;
--- a/src/core/entry/queue_limits.cpp
+++ b/src/core/entry/queue_limits.cpp
@@ -21,6 +21,9 @@
 // The rows of a job and of a task, with their entries in the indexes.
 constexpr std::size_t kJobBytes = 2U << 10;
 constexpr std::size_t kTaskBytes = 512;
+// Limit of open jobs and kept answers together, as a multiple of that of open
+// jobs.
+constexpr std::size_t kTotalFactor = 2;
 
 double ToSeconds(BootTime time) {
   return std::chrono::duration<double>(time).count();
@@ -116,28 +119,58 @@
       wait / 2);
 }
 
-std::optional<Refusal> CheckMemory(const EntryBoard& board,
-                                   const SubmitRequest& request,
-                                   BootTime wait) {
-  const std::size_t limit = board.settings.max_accepted_bytes;
+// Time until the oldest answer is forgotten.
+BootTime TimeToNextExpiry(const EntryBoard& board, const Now& now) {
+  if (board.ended_jobs_by_finish_time.empty()) return BootTime{0};
+  const BootTime finished_at = board.ended_jobs_by_finish_time.begin()->first;
+  return finished_at + board.settings.retention - now.boot;
+}
+
+// A limit of memory that jobs use, and what a refused caller is told.
+struct MemoryLimit {
+  std::string name;
+  std::size_t limit = 0;
+  std::size_t used = 0;
+  std::size_t used_by_team = 0;
+  BootTime retry_after{0};
+};
+
+std::optional<Refusal> CheckMemoryLimit(const MemoryLimit& it,
+                                        const SubmitRequest& request) {
   const std::size_t bytes = MemoryOf(request);
-  if (board.accepted_bytes + bytes > limit) {
+  if (it.used + bytes > it.limit) {
     return MakeOverloadedRefusal(
-        "the open jobs take " + std::to_string(board.accepted_bytes) + " of " +
-            std::to_string(limit) + " bytes; submit again later with a new key",
-        wait / 2);
+        it.name + " take " + std::to_string(it.used) + " of " +
+            std::to_string(it.limit) +
+            " bytes; submit again later with a new key",
+        it.retry_after);
   }
-  const auto team = board.accepted_bytes_by_team.find(request.team);
-  if (team == board.accepted_bytes_by_team.end() ||
-      team->second + bytes <= TeamPartOf(limit)) {
+  const std::size_t team_limit = TeamPartOf(it.limit);
+  if (it.used_by_team == 0 || it.used_by_team + bytes <= team_limit) {
     return std::nullopt;
   }
-  return MakeOverloadedRefusal("the open jobs of team '" + request.team +
-                                   "' take " + std::to_string(team->second) +
-                                   " of at most " +
-                                   std::to_string(TeamPartOf(limit)) +
+  return MakeOverloadedRefusal(it.name + " of team '" + request.team +
+                                   "' take " + std::to_string(it.used_by_team) +
+                                   " of at most " + std::to_string(team_limit) +
                                    " bytes; submit again later with a new key",
-                               wait / 2);
+                               it.retry_after);
+}
+
+std::optional<Refusal> CheckMemory(const EntryBoard& board,
+                                   const SubmitRequest& request, BootTime wait,
+                                   const Now& now) {
+  const MemoryUse& open = board.open_jobs_memory;
+  const MemoryUse& results = board.results_memory;
+  const std::size_t limit = board.settings.max_accepted_bytes;
+  const MemoryLimit open_limit{"the open jobs", limit, open.bytes,
+                               open.Of(request.team), wait / 2};
+  if (auto refusal = CheckMemoryLimit(open_limit, request)) return refusal;
+  const MemoryLimit total_limit{
+      "the open jobs and the kept answers", kTotalFactor * limit,
+      open.bytes + results.bytes,
+      open.Of(request.team) + results.Of(request.team),
+      TimeToNextExpiry(board, now)};
+  return CheckMemoryLimit(total_limit, request);
 }
 
 double SlotsAvailableTo(const EntryBoard& board, const SubmitRequest& request) {
@@ -198,7 +231,7 @@
                                              const Now& now) {
   const BootTime wait = ExpectedWait(board, request, now);
   if (auto refusal = CheckQueueLength(board, request, wait)) return refusal;
-  if (auto refusal = CheckMemory(board, request, wait)) return refusal;
+  if (auto refusal = CheckMemory(board, request, wait, now)) return refusal;
   const double slots = SlotsAvailableTo(board, request);
   if (slots == 0) return std::nullopt;
   const BootTime job_time =
--- a/src/core/entry/settings.h
+++ b/src/core/entry/settings.h
@@ -24,7 +24,8 @@
   std::uint32_t max_start_retries = 3;
   std::size_t max_payload_bytes = 1 << 20;
   // Estimated memory of the open jobs, and of the calls that wait for the
-  // dispatcher, in bytes. A quarter of the default memory of a machine.
+  // dispatcher, in bytes. A quarter of the default memory of a machine. Open
+  // jobs and kept answers together may take twice as much.
   std::size_t max_accepted_bytes = 128U << 20;
   std::size_t max_key_bytes = 128;
   // Maximum number of tasks in one message to an agent.
--- a/tests/core/accepted_memory_test.cpp
+++ b/tests/core/accepted_memory_test.cpp
@@ -17,7 +17,7 @@
 }
 
 void AddJob(EntryBoard* board, std::uint64_t number,
-            const SubmitRequest& request) {
+            const SubmitRequest& request, std::size_t result_bytes) {
   Job job;
   job.id = IdOfJob(number);
   job.team = request.team;
@@ -26,40 +26,54 @@
   job.memory_bytes = MemoryOf(request);
   EntryChanges changes;
   changes.Add(Put<Job>{job});
+  Task task;
+  task.id = {job.id, 0};
+  task.state = TaskState::kFinal;
+  task.outcome = Done{std::string(result_bytes, 'x')};
+  changes.Add(Put<Task>{task});
   Apply(board, changes);
 }
 
 }  // namespace
 
-// Guards against payloads of accepted jobs that fill the memory of the entry,
-// and against a team that takes the room of all others.
-TEST_CASE("the memory of open jobs is bounded, and one team cannot fill it",
+// Guards against payloads of open jobs and kept results that fill the memory of
+// the entry, and against a team that takes the room of all others.
+TEST_CASE("the memory of jobs is bounded, and one team cannot fill it",
           "[admission]") {
   struct Row {
     const char* team;
     std::size_t used_bytes;
+    std::size_t result_bytes;
     std::size_t payload_bytes;
     bool refused;
   };
-  const auto row =
-      GENERATE(values<Row>({{"north", 0, kLimit / 2, false},
-                            {"north", kLimit / 2, 1'000, false},
-                            {"north", kLimit / 2, kLimit / 4, true},
-                            {"south", kLimit / 2, kLimit / 4, false},
-                            {"south", kLimit, 1, true}}));
-  CAPTURE(row.team, row.used_bytes, row.payload_bytes);
+  constexpr std::size_t kHalf = kLimit / 2;
+  const auto row = GENERATE(values<Row>({
+      {"north", 0, 0, kHalf, false},
+      {"north", kHalf, 0, 1'000, false},
+      {"north", kHalf, 0, kLimit / 4, true},
+      {"south", kHalf, 0, kLimit / 4, false},
+      {"south", kLimit, 0, 1, true},
+      {"north", 0, kLimit, 1'000, false},
+      {"north", 0, 3 * kHalf, 1'000, true},
+      {"south", 0, 3 * kHalf, 1'000, false},
+      {"south", kHalf, 3 * kHalf, 1, true},
+  }));
+  CAPTURE(row.team, row.used_bytes, row.result_bytes, row.payload_bytes);
   EntryBoard board = BoardWith({{"a", 8}});
   board.settings.max_accepted_bytes = kLimit;
-  AddJob(&board, 1, RequestWithPayload("north", 1, row.used_bytes));
+  AddJob(&board, 1, RequestWithPayload("north", 1, row.used_bytes),
+         row.result_bytes);
   const auto refusal = CheckQueueAndDeadline(
       board, RequestWithPayload(row.team, 2, row.payload_bytes),
       NowAt(seconds{10}));
   REQUIRE(refusal.has_value() == row.refused);
   EntryChanges changes;
+  changes.Add(Erase<Task>{{IdOfJob(1), 0}});
   changes.Add(Erase<Job>{IdOfJob(1)});
   Apply(&board, changes);
-  CHECK(board.accepted_bytes == 0);
-  CHECK(board.accepted_bytes_by_team.empty());
+  CHECK(board.open_jobs_memory == MemoryUse{});
+  CHECK(board.results_memory == MemoryUse{});
   if (!refusal) return;
   CHECK(refusal->kind == RefusalKind::kOverloaded);
   CHECK(refusal->not_run.has_value());
--- a/tests/process/run_untrusted_jobs.py
+++ b/tests/process/run_untrusted_jobs.py
@@ -52,6 +52,11 @@
     return submission(job(payload, 1, 600_000))
 
 
+def large_result():
+    """The stand-in of a minion answers with the payload."""
+    return submission(job("10 " + "x" * LARGE_PAYLOAD_BYTES, 1, 600_000))
+
+
 def many_tasks():
     return submission(job(f"{TASK_MS} x", TASKS_OF_LARGE_JOB, 600_000))
 
@@ -61,6 +66,7 @@
 CASES = {
     "entry-waiting-payloads": (large_payload, 120, 4),
     "entry-waiting-tasks": (many_tasks, 400, 50),
+    "entry-kept-answers": (large_result, 200, 4),
 }
 
 
