Name the sizes of strings in the estimates of memory

Change: a named constant and another name; the values are the same. The tests of the pool and the core pass.

--- a/src/core/entry/queue_limits.cpp
+++ b/src/core/entry/queue_limits.cpp
@@ -21,6 +21,7 @@
 // The rows of a job and of a task, with their entries in the indexes.
 constexpr std::size_t kJobBytes = 2U << 10;
 constexpr std::size_t kTaskBytes = 512;
+constexpr std::size_t kStringBytes = sizeof(std::string);
 // Limit of open jobs and kept answers together, as a multiple of that of open
 // jobs.
 constexpr std::size_t kTotalFactor = 2;
@@ -189,7 +190,7 @@
   for (const auto& [label, values] : request.selector.allowed) {
     bytes += label.size();
     for (const std::string& value : values) {
-      bytes += sizeof(value) + value.size();
+      bytes += kStringBytes + value.size();
     }
   }
   return bytes;
--- a/src/core/pool/entry/accepted_memory.cpp
+++ b/src/core/pool/entry/accepted_memory.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kJobBytes = 3U << 10;
 constexpr std::size_t kStepBytes = 512;
 constexpr std::size_t kTaskBytes = 512;
+constexpr std::size_t kStringBytes = sizeof(std::string);
 
 // Size of a start's message without the texts of its task.
 constexpr std::size_t kStartBytes = 128;
@@ -43,7 +44,7 @@
 std::size_t MemoryOf(const TaskRow& task) {
   std::size_t bytes = kTaskBytes + MemoryOf(task.rules);
   for (const std::string& minion : task.failed_minions) {
-    bytes += sizeof(minion) + minion.size();
+    bytes += kStringBytes + minion.size();
   }
   return bytes;
 }
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -31,9 +31,9 @@
 // since a job may have thousands and get or lose one at a time.
 void ReplaceCalls(EntryBoard* board, std::uint64_t job,
                   const std::vector<CallId>& calls) {
-  static const std::vector<CallId> kNone;
+  const std::vector<CallId> none;
   const JobRow* known = board->jobs.Find(job);
-  const std::vector<CallId>& old = known == nullptr ? kNone : known->waiters;
+  const std::vector<CallId>& old = known == nullptr ? none : known->waiters;
   auto [first_old, first_new] =
       std::mismatch(old.begin(), old.end(), calls.begin(), calls.end());
   auto last_old = old.end();
