Notice that a client has left behind four unanswered requests

Seen by callers: 800 connections, each with four waiting jobs in its pipeline, were closed, and for minutes after that an ordinary job got 503 (five attempts of five): the jobs of the clients that had left were still held, and started on the minions.

Cause: RESTinio reads no further from a connection with four unanswered requests, and it notices the end of a connection only when it reads. The jobs lived on until their deadlines, 300 s here.

Change: while a connection has as many unanswered requests as are read, the server asks the kernel every 500 ms whether the client has left, as it does before a job is started. If so, the handler is told once, the requests are answered, so that RESTinio closes the connection, and the jobs are given up. Reason phrases and fixed responses move to http_responses.

--- a/src/runtime/http/http_server.cpp
+++ b/src/runtime/http/http_server.cpp
@@ -1,13 +1,16 @@
 #include "runtime/http/http_server.h"
 
 #include <algorithm>
+#include <asio/steady_timer.hpp>
 #include <cctype>
 #include <exception>
 #include <restinio/all.hpp>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
 #include "runtime/http/connection_sockets.h"
+#include "runtime/http/http_responses.h"
 #include "runtime/http/metered_socket.h"
 #include "runtime/reception/reception_table.h"
 
@@ -22,6 +25,10 @@
 // write.
 constexpr std::size_t kMaxPipelinedRequests = 4;
 
+// RESTinio reads no further from a connection with this many unanswered
+// requests, so that its end is looked for with this interval.
+constexpr milliseconds kClosedCheckInterval{500};
+
 // Connections beyond the limit are accepted, so that the reception table can
 // close others for them. Above this number, further ones wait.
 constexpr std::size_t kSpareConnections = 32;
@@ -83,37 +90,6 @@
   return request;
 }
 
-const char* ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 202:
-      return "Accepted";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 409:
-      return "Conflict";
-    case 410:
-      return "Gone";
-    case 413:
-      return "Payload Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return status < 400 ? "OK" : "Error";
-  }
-}
-
 // Responses passed to RESTinio but not yet sent.
 struct PendingResponses {
   std::size_t unsent_count = 0;
@@ -150,6 +126,10 @@
   CounterHandle counter;
 };
 
+// Shared by all copies of the replier, so that only one response is sent; null
+// once it has been.
+using PendingHandle = std::shared_ptr<std::shared_ptr<PendingRequest>>;
+
 std::shared_ptr<PendingRequest> MakePendingRequest(
     const restinio::request_handle_t& request, CounterHandle counter) {
   const bool should_keep_alive = request->header().should_keep_alive();
@@ -192,15 +172,6 @@
                     std::move(completion_tracker)](const asio::error_code&) {});
 }
 
-HttpResponse BodyTooLarge(std::size_t size, std::size_t limit) {
-  return {413,
-          "the body has " + std::to_string(size) + " bytes; send at most " +
-              std::to_string(limit) + "\n",
-          "text/plain",
-          {},
-          false};
-}
-
 }  // namespace
 
 class HttpServer::Impl {
@@ -209,7 +180,8 @@
       : loop_(loop),
         limits_(limits),
         handlers_(std::move(handlers)),
-        reception_(ReceptionTable::Of(loop)) {}
+        reception_(ReceptionTable::Of(loop)),
+        check_timer_(loop) {}
 
   std::optional<std::uint16_t> Listen(const Endpoint& address) {
     std::uint16_t port = 0;
@@ -287,9 +259,66 @@
       it->second->Remove();
       counters_.erase(it);
     }
+    pending_requests_.erase(connection);
+    if (ended_.erase(connection) == 0) NotifyDisconnect(connection);
+  }
+
+  void NotifyDisconnect(std::uint64_t connection) {
     if (handlers_.on_disconnect) handlers_.on_disconnect(connection);
   }
 
+  // Returns the unanswered requests of a connection, after the further one.
+  std::size_t AddPending(std::uint64_t connection,
+                         const PendingHandle& request) {
+    auto& pending = pending_requests_[connection];
+    std::erase_if(pending, [](const auto& it) {
+      const PendingHandle known = it.lock();
+      return !known || !*known;
+    });
+    pending.push_back(request);
+    return pending.size();
+  }
+
+  void ScheduleClosedCheck() {
+    if (is_check_scheduled_) return;
+    is_check_scheduled_ = true;
+    check_timer_.expires_after(kClosedCheckInterval);
+    check_timer_.async_wait([this](const asio::error_code& ec) {
+      if (ec) return;
+      is_check_scheduled_ = false;
+      EndClosedConnections();
+    });
+  }
+
+  // Ends the connections that RESTinio does not read and whose clients have
+  // left.
+  void EndClosedConnections() {
+    std::vector<std::vector<PendingHandle>> closed;
+    std::vector<std::uint64_t> closed_ids;
+    for (const auto& [connection, requests] : pending_requests_) {
+      std::vector<PendingHandle> pending;
+      for (const auto& it : requests) {
+        PendingHandle request = it.lock();
+        if (request && *request) pending.push_back(std::move(request));
+      }
+      if (pending.size() < kMaxPipelinedRequests) continue;
+      if (sockets_->IsOpen(connection)) {
+        ScheduleClosedCheck();
+        continue;
+      }
+      closed_ids.push_back(connection);
+      closed.push_back(std::move(pending));
+    }
+    for (std::size_t n = 0; n < closed.size(); ++n) {
+      ended_.insert(closed_ids[n]);
+      NotifyDisconnect(closed_ids[n]);
+      // The responses make RESTinio close the connection.
+      for (const PendingHandle& it : closed[n]) {
+        if (*it) Respond(std::exchange(*it, nullptr), ClientHasLeft());
+      }
+    }
+  }
+
   CounterHandle FindCounter(std::uint64_t connection) const {
     const auto it = counters_.find(connection);
     return it == counters_.end() ? nullptr : it->second;
@@ -309,9 +338,12 @@
     }
     HttpRequest received = ReadRequest(*request);
     if (counter) received.source = counter->source();
-    // Shared by all copies of the replier, so that only one response is sent.
     const auto pending = std::make_shared<std::shared_ptr<PendingRequest>>(
         MakePendingRequest(request, std::move(counter)));
+    if (AddPending(request->connection_id(), pending) >=
+        kMaxPipelinedRequests) {
+      ScheduleClosedCheck();
+    }
     handlers_.on_request(
         std::move(received), [this, pending](HttpResponse response) {
           if (!*pending) return;
@@ -336,6 +368,17 @@
       std::make_shared<ConnectionSockets>();
   ReceptionTable& reception_;
   std::unordered_map<std::uint64_t, CounterHandle> counters_;
+  // The last unanswered requests of each connection, at most as many as
+  // RESTinio reads. Their replies are owned by the handler.
+  std::unordered_map<
+      std::uint64_t,
+      std::vector<std::weak_ptr<std::shared_ptr<PendingRequest>>>>
+      pending_requests_;
+  // Connections whose end has been notified and that RESTinio has not closed
+  // yet.
+  std::set<std::uint64_t> ended_;
+  asio::steady_timer check_timer_;
+  bool is_check_scheduled_ = false;
   std::unique_ptr<restinio::http_server_t<Traits>> server_;
 };
 
@@ -359,14 +402,4 @@
   impl_->NotifyWhenAllSent(std::move(done));
 }
 
-void SetRetryAfter(milliseconds wait, HttpResponse* response) {
-  const auto whole_seconds = std::chrono::ceil<seconds>(wait);
-  response->headers["Retry-After"] = std::to_string(whole_seconds.count());
-}
-
-std::string GetHeader(const HttpRequest& request, const std::string& name) {
-  const auto it = request.headers.find(name);
-  return it == request.headers.end() ? std::string() : it->second;
-}
-
 }  // namespace dottereltrack
--- a/tests/process/pool/job_crowd.py
+++ b/tests/process/pool/job_crowd.py
@@ -49,6 +49,12 @@
     return submission(1, step) * PIPELINED_JOBS
 
 
+def unread_jobs(client):
+    """As many waiting jobs as the server reads from one connection."""
+    step = {"count": 1, "cpu": TASK_CPU_MILLIS}
+    return pipeline(client, 4, step, "30 6000 done")
+
+
 def large_specs(client):
     step = {"count": 1, "cpu": TASK_CPU_MILLIS}
     spec = SPEC + " " * LARGE_SPEC_BYTES
--- a/tests/process/pool/run_untrusted_jobs.py
+++ b/tests/process/pool/run_untrusted_jobs.py
@@ -47,6 +47,7 @@
     "entry-waiting-jobs": Case(job_crowd.waiting_job, 800),
     "entry-pipelined-jobs": Case(job_crowd.pipelined_jobs, 800),
     "entry-repeated-job": Case(job_crowd.repeated_job, 800),
+    "entry-callers-that-leave": Case(job_crowd.unread_jobs, 800),
     "entry-large-specs": Case(job_crowd.large_specs, 800, batch=20),
     "entry-large-labels": Case(job_crowd.large_label, 800, batch=20),
     "entry-ended-jobs": Case(job_crowd.ended_jobs, 800),
--- a/tests/runtime/http_server_test.cpp
+++ b/tests/runtime/http_server_test.cpp
@@ -171,6 +171,36 @@
   CHECK_FALSE(it.server.IsConnected(it.requests[0].connection));
 }
 
+// Guards against requests that are held for clients that have left: the server
+// reads no further after four unanswered requests, so that it reads no end.
+TEST_CASE("the end of a connection is noticed behind unanswered requests",
+          "[http][twice]") {
+  struct Row {
+    int requests;
+    bool is_closed;
+  };
+  const auto row = GENERATE(
+      values<Row>({{1, true}, {4, true}, {9, true}, {4, false}, {9, false}}));
+  CAPTURE(row.requests, row.is_closed);
+  Fixture it;
+  tcp::socket socket = it.Connect();
+  std::string pipeline;
+  for (int n = 0; n < row.requests; ++n) {
+    pipeline += "GET /v1/jobs HTTP/1.1\r\nHost: a\r\n\r\n";
+  }
+  asio::write(socket, asio::buffer(pipeline));
+  const std::size_t read = std::min(row.requests, 4);
+  REQUIRE(it.RunUntil([&] { return it.requests.size() == read; }));
+  if (row.is_closed) socket.close();
+  CHECK(it.RunUntil([&] { return it.disconnected.size() == 1; }) ==
+        row.is_closed);
+  // Responses of the handler have no effect any more, and an end is notified
+  // once.
+  for (const HttpReplier& replier : it.repliers) replier({});
+  while (it.loop.poll() > 0) continue;
+  CHECK(it.disconnected.size() == (row.is_closed ? 1U : 0U));
+}
+
 // Guards against a process that exits before its last response has been sent,
 // and against one that waits for a response to a disconnected caller.
 TEST_CASE("the server reports when all responses are sent", "[http]") {
