--- a/tests/users_platform/job_test.cpp
+++ b/tests/users_platform/job_test.cpp
@@ -113,7 +113,7 @@
 TEST_CASE("A malformed job is refused and the error names the field",
           "[platform][job]") {
   // Guards against jobs that run with default values in place of invalid or
-  // missing fields.
+  // missing fields, and against jobs without tasks, which never end.
   struct Row {
     const char* body;
     const char* field;
@@ -123,6 +123,8 @@
        {R"({"steps":[]})", "spec"},
        {R"({"spec":1,"steps":[]})", "spec"},
        {R"({"spec":"s"})", "steps"},
+       {R"({"spec":"s","steps":[]})", "steps"},
+       {R"({"spec":"s","steps":[{"count":0}]})", "steps"},
        {R"({"spec":"s","steps":[{"cpu":1}]})", "steps[0].count"},
        {R"({"spec":"s","steps":[{"count":-1}]})", "steps[0].count"}}));
   CAPTURE(row.body);
