Test that an evacuated service's job is refused before it is accepted

Change: besides the row, the test now looks at the decision, which is job_refused at the submission and job_given_up after an acceptance.

Measured: the tests of the pool pass; with the mutation, the test of evacuations fails again.

--- a/tests/pool/entry_evacuation_test.cpp
+++ b/tests/pool/entry_evacuation_test.cpp
@@ -92,11 +92,16 @@
       {{2}, ReplyKind::kNoMinions, milliseconds{1'000}}};
   CHECK(replies == (row.is_refused ? refusal : std::vector<Reply>{}));
   CHECK(entry.board.jobs.Find(kJob)->state == JobState::kActive);
-  replies = SelectEffects<Reply>(entry.Submit(kJob + 2, 1));
+  const auto effects = entry.Submit(kJob + 2, 1);
+  replies = SelectEffects<Reply>(effects);
   REQUIRE(replies.size() == (row.is_refused ? 1 : 0));
   if (row.is_refused) CHECK(replies[0].kind == ReplyKind::kNoMinions);
   // It is refused before it is accepted, and leaves nothing.
   CHECK(entry.board.jobs.Contains(kJob + 2) == !row.is_refused);
+  const auto decisions = SelectEffects<Decision>(effects);
+  CHECK(std::count_if(decisions.begin(), decisions.end(), [](const auto& it) {
+          return it.event == "job_refused";
+        }) == (row.is_refused ? 1 : 0));
 }
 
 TEST_CASE("Admission counts only the capacity that is usable",
