review: the cases name the site that lists their disruptions

The claims and the bounds of the stand-in deployment follow; no case reads the two bounds that differ.

--- a/review/common-3/pool.py
+++ b/review/common-3/pool.py
@@ -23,14 +23,14 @@
 SERVICE = "svc-1"
 ZONES = ("z-a", "z-b", "z-c", "z-d")
 FRONT, READINESS, CONTROL, APP, STORE, INTERNAL = 8161, 8167, 8166, 8165, 8169, 7720
-# Figures of the small deployments (SYSTEM.md).
+# Figures of brushwork-ja (SYSTEM.md).
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000,
     "catch_up_s": 4, "drain_ms": 2000, "grace_s": 6, "loss_slack_ms": 200,
     "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_stretch_ms": 5000,
     "recovery_s": 12, "hold_max_ms": 1000, "stop_ms": 50, "gang_timeout_ms": 3000,
     "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14,
-    "status_s": 120, "remote_factor": 1.5, "checkpoint_s": 0.5, "restore_ms": 600,
+    "status_s": 120, "remote_factor": 1.5, "checkpoint_s": 2, "restore_ms": 250,
     "notice_ms": 4500, "migration_s": 1.5, "maintenance_s": 2,
     "fencing_enforced": False, "lease_ms": 3000, "thaw_ms": 300, "pace_ms": 100,
     "harm_ms": 4000, "resend_ms": 1300,
