--- a/src/core/pool/entry/refusal.cpp
+++ b/src/core/pool/entry/refusal.cpp
@@ -10,6 +10,7 @@
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/unstarted_tasks.h"
 #include "core/pool/entry/waiting_tasks.h"
+#include "core/pool/mix_bits.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -25,14 +26,6 @@
 // Longer than any client timeout of the users' deployments.
 constexpr milliseconds kMaxRetryDelay{10'000};
 
-// Spreads close ids evenly (the finalizer of SplitMix64).
-std::uint64_t MixBits(std::uint64_t value) {
-  value += 0x9e3779b97f4a7c15;
-  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
-  value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
-  return value ^ (value >> 31);
-}
-
 double FindLowestSlowness(const EntryBoard& board, const std::string& service) {
   double lowest = std::numeric_limits<double>::infinity();
   for (const auto& [link, agent] : board.agents) {
@@ -68,7 +61,7 @@
       std::clamp(drain_time, kMinRetryDelay, kMaxRetryDelay);
   const auto spread =
       static_cast<std::uint64_t>(std::max(base, kMinRetrySpread).count());
-  return base + milliseconds{MixBits(job) % (spread + 1)};
+  return base + milliseconds{MixBits(job + kMixIncrement) % (spread + 1)};
 }
 
 milliseconds DelayOfRetry(const EntryBoard& board, const std::string& service,
--- a/src/core/pool/link_subset.cpp
+++ b/src/core/pool/link_subset.cpp
@@ -3,26 +3,19 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/pool/mix_bits.h"
+
 namespace dottereltrack::pool {
 namespace {
 
 constexpr milliseconds kRemoveUnlistedAfter{60'000};
 
-// Finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
-std::uint64_t Mix(std::uint64_t x) {
-  x ^= x >> 30;
-  x *= 0xbf58476d1ce4e5b9;
-  x ^= x >> 27;
-  x *= 0x94d049bb133111eb;
-  return x ^ (x >> 31);
-}
-
 std::uint64_t RankOf(std::uint64_t process, const Endpoint& address) {
-  std::uint64_t rank = Mix(process + 0x9e3779b97f4a7c15);
+  std::uint64_t rank = MixBits(process + kMixIncrement);
   for (const char byte : address.host) {
-    rank = Mix(rank ^ static_cast<unsigned char>(byte));
+    rank = MixBits(rank ^ static_cast<unsigned char>(byte));
   }
-  return Mix(rank ^ address.port);
+  return MixBits(rank ^ address.port);
 }
 
 bool IsDialDue(const KnownEntry& entry, const Now& now) {
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -148,7 +148,7 @@
         ("constexpr double kMinEstimateShare = 0.7;",
          "constexpr double kMinEstimateShare = 1.0;")]),
     ("pool_spread_retries", POOL_ENTRY + "refusal.cpp", [
-        ("MixBits(job) % (spread + 1)", "0")]),
+        ("MixBits(job + kMixIncrement) % (spread + 1)", "0")]),
     ("pool_backlog_of_slow_minions", POOL_ENTRY + "backlog.cpp", [
         ("total / std::exp(agent.load.log_slowness)", "total")]),
     ("pool_margin_of_the_slowness", POOL_ENTRY + "placement.cpp", [
