--- a/apps/pool_entry/pool_entry.cpp
+++ b/apps/pool_entry/pool_entry.cpp
@@ -6,6 +6,7 @@
 
 #include "apps/pool_common/reception.h"
 #include "apps/pool_entry/state_dump.h"
+#include "core/pool/entry/accepted_jobs.h"
 #include "core/pool/entry/accepted_memory.h"
 #include "core/pool/entry/entry_load.h"
 #include "core/pool/entry/unstarted_tasks.h"
@@ -84,6 +85,14 @@
       {"dottereltrack_entry_forwarded_jobs_in",
        "Open jobs that another entry has forwarded",
        [&board] { return static_cast<double>(board.forwarded_calls.size()); }},
+      {"dottereltrack_entry_held_submissions",
+       "Submissions that wait for what other entries know of their job",
+       [&board] {
+         return static_cast<double>(board.pending_submissions.size());
+       }},
+      {"dottereltrack_entry_peer_jobs",
+       "Recent jobs that other entries have announced",
+       [&board] { return static_cast<double>(CountPeerJobs(board)); }},
       {"dottereltrack_entry_offered_jobs", "Jobs that peers still take",
        [&board] { return static_cast<double>(CountOfferedJobs(board)); }}};
 }
--- a/apps/pool_entry/state_dump.cpp
+++ b/apps/pool_entry/state_dump.cpp
@@ -101,6 +101,22 @@
           {"offered_ms_ago", AgeMs(demand.offered_at, now)}};
 }
 
+json RowToJson(const PeerJobs& peer, const Now& now) {
+  json row = {{"link", peer.link.value},
+              {"address", peer.address.host},
+              {"jobs", CountDigests(peer.jobs)}};
+  if (peer.lost_at) row["lost_ms_ago"] = AgeMs(*peer.lost_at, now);
+  return row;
+}
+
+json RowToJson(const PendingSubmission& held, const Now& now) {
+  return {{"job", JobIdToText(held.submission.job.id)},
+          {"request", held.submission.request_id},
+          {"unanswered", held.unanswered.size()},
+          {"awaits_announcements", held.awaits_announcements},
+          {"held_ms", AgeMs(held.received_at, now)}};
+}
+
 json TasksToJson(const std::vector<TaskKey>& tasks) {
   json names = json::array();
   for (const TaskKey& task : tasks) names.push_back(ToText(task));
@@ -132,6 +148,10 @@
       {"tasks", TableToJson(board.tasks, now, &RowToJson)},
       {"unstarted_tasks", TableToJson(board.unstarted_tasks, now, &RowToJson)},
       {"agents", TableToJson(board.agents, now, &RowToJson)},
+      {"accepted_jobs", CountDigests(board.accepted_jobs.announced)},
+      {"peer_jobs", TableToJson(board.peer_jobs, now, &RowToJson)},
+      {"held_submissions",
+       TableToJson(board.pending_submissions, now, &RowToJson)},
       {"crashes", TableToJson(board.crashes, now, &RowToJson)},
       {"evacuations",
        TableToJson(board.evacuations.rows, now, &EvacuationToJson)},
--- a/src/core/pool/agent/advance.cpp
+++ b/src/core/pool/agent/advance.cpp
@@ -142,6 +142,8 @@
   void OnMessage(LinkId, const ForwardedJobEnded&) {}
   void OnMessage(LinkId, const CancelJob&) {}
   void OnMessage(LinkId, const JobCancelled&) {}
+  void OnMessage(LinkId, const AcceptedJobs&) {}
+  void OnMessage(LinkId, const FollowJob&) {}
 
   void ExitWhenIdle() {
     if (!board_->stopping) return;
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/pool/entry/accepted_jobs.h"
 #include "core/pool/entry/cancels.h"
 #include "core/pool/entry/config_exchange.h"
 #include "core/pool/entry/crashes.h"
@@ -12,6 +13,7 @@
 #include "core/pool/entry/links.h"
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/past_jobs.h"
+#include "core/pool/entry/pending_submissions.h"
 #include "core/pool/entry/placement.h"
 #include "core/pool/entry/refusal.h"
 #include "core/pool/entry/submission.h"
@@ -37,6 +39,7 @@
   }
 
   void RunControllers() {
+    ReleaseSubmissions();
     DropCalls(CallsOfLostPeers(*board_, now_),
               "the first entry is lost or silent");
     ApplyChanges(SeparateSuspects(*board_));
@@ -46,6 +49,7 @@
     ApplyChanges(RefuseEvacuatedJobs(*board_, now_));
     BeginJobs(&ForwardJobs);
     BeginJobs(&PlaceTasks);
+    ApplyChanges(AnnounceAcceptedJobs(*board_, now_));
     ApplyChanges(DialPeers(*board_, now_));
     ApplyChanges(OfferCapacity(*board_, now_));
   }
@@ -83,6 +87,25 @@
     }
   }
 
+  // Accepts or refuses the jobs that have been held for the peers.
+  void ReleaseSubmissions() {
+    for (const PendingSubmission& held :
+         FindAnsweredSubmissions(*board_, now_)) {
+      ApplyChanges(ReleaseSubmission(*board_, held));
+      PeerAnswers answers = held.answers;
+      answers.are_complete = !held.awaits_announcements;
+      ApplyChanges(
+          HandleSubmission(*board_, ResubmitNow(held, now_), now_, answers));
+    }
+  }
+
+  void GiveUpSubmissions(bool process_ends) {
+    for (const PendingSubmission& held :
+         FindOverdueSubmissions(*board_, process_ends, now_)) {
+      ApplyChanges(GiveUpSubmission(*board_, held, now_));
+    }
+  }
+
   // Forwards jobs or places tasks. A job is not begun for callers that have
   // disconnected: one that has lost its connection may submit the job to
   // another entry at once.
@@ -103,6 +126,7 @@
     ApplyChanges(HandleSubmission(*board_, e, now_));
   }
   void OnEvent(const CallerDisconnected& e) {
+    ApplyChanges(DropSubmission(*board_, e.call));
     ApplyChanges(HandleCallerDisconnected(*board_, e.call, now_));
   }
   void OnEvent(const JobCancelRequested& e) {
@@ -112,6 +136,8 @@
     ApplyChanges(RecordLinkActivity(*board_, e.link, now_));
   }
   void OnEvent(const LinkClosed& e) {
+    ApplyChanges(EndQuestionsToPeer(*board_, e.link, now_));
+    ApplyChanges(LosePeerJobs(*board_, e.link, now_));
     ApplyChanges(GiveUpForwardedJobs(*board_, e.link, now_));
     ApplyChanges(HandleLinkClosed(*board_, e.link, now_));
     ExchangeConfig();
@@ -148,8 +174,10 @@
     ApplyChanges(AbortSilentLinks(*board_, now_));
     ApplyChanges(CheckTimeLimits(*board_, now_));
     ApplyChanges(RefuseHopelessJobs(*board_, now_));
+    GiveUpSubmissions(false);
     ApplyChanges(EndOverdueCancels(*board_, now_));
     ApplyChanges(ForgetPastJobs(*board_, now_));
+    ApplyChanges(ForgetAcceptedJobs(*board_, now_));
     ApplyChanges(ForgetExcessCrashes(*board_));
     ExchangeConfig();
     ApplyChanges(PingIdleLinks(*board_, now_));
@@ -172,7 +200,7 @@
     ApplyChanges(std::move(changes));
   }
   void OnEvent(const EntryPaused& e) {
-    ApplyChanges(AbortAllLinks(*board_, e.duration));
+    ApplyChanges(AbortAllLinks(*board_, e.duration, now_));
   }
 
   void OnMessage(LinkId link, const AgentHello& message) {
@@ -188,7 +216,8 @@
   void OnMessage(LinkId link, const StartRefused& message) {
     ApplyChanges(HandleStartRefused(*board_, link, message, now_));
   }
-  void OnMessage(LinkId, const EntryHello& message) {
+  void OnMessage(LinkId link, const EntryHello& message) {
+    ApplyChanges(HandleAnnouncementRequest(*board_, link, message));
     ApplyChanges(
         AddPeers(*board_, message.known_entries, EntrySource::kHint, now_));
     ApplyChanges(HandleCrashReports(*board_, message.crashes, now_));
@@ -221,7 +250,14 @@
     ApplyChanges(std::move(changes));
     if (job) ApplyChanges(HandleSubmission(*board_, *job, now_));
   }
+  void OnMessage(LinkId link, const AcceptedJobs& message) {
+    ApplyChanges(HandleAcceptedJobs(*board_, link, message, now_));
+  }
+  void OnMessage(LinkId link, const FollowJob& message) {
+    ApplyChanges(HandleFollowJob(*board_, link, message, now_));
+  }
   void OnMessage(LinkId link, const ForwardedJobEnded& message) {
+    ApplyChanges(HandlePeerAnswer(*board_, link, message, now_));
     ApplyChanges(HandleForwardedJobEnded(*board_, link, message, now_));
   }
   void OnMessage(LinkId link, const CancelJob& message) {
@@ -250,11 +286,13 @@
     if (!board_->stopping) return;
     const EntrySettings& settings = board_->settings;
     const BootTime age = now_.boot - board_->stopping_since;
-    const bool is_idle = CountActive() == 0;
+    const bool is_idle =
+        CountActive() == 0 && board_->pending_submissions.empty();
     if (age < settings.max_shutdown_time &&
         !(is_idle && age >= settings.min_shutdown_time)) {
       return;
     }
+    GiveUpSubmissions(true);
     EntryChanges changes;
     for (const std::uint64_t id : board_->active_jobs) {
       const JobRow& job = *board_->jobs.Find(id);
--- a/src/core/pool/entry/apply.cpp
+++ b/src/core/pool/entry/apply.cpp
@@ -51,12 +51,28 @@
   }
 }
 
+// Adds the memory of a held submission to the sums, or subtracts it.
+void CountMemory(EntryBoard* board, const JobSubmitted& held, bool is_added) {
+  JobRow job;
+  job.source = held.source;
+  job.memory_bytes = MemoryOf(held.job);
+  CountMemory(board, job, is_added);
+}
+
+void RemoveSubmission(EntryBoard* board, const PendingSubmission::Id& id) {
+  const PendingSubmission* held = board->pending_submissions.Find(id);
+  if (held == nullptr) return;
+  CountMemory(board, held->submission, false);
+  board->job_by_call.erase(id.call);
+}
+
 void RemoveFromIndexes(EntryBoard* board, std::uint64_t id) {
   const JobRow* job = board->jobs.Find(id);
   if (job == nullptr) return;
   CountMemory(board, *job, false);
   CountPending(board, *job, false);
   board->active_jobs.erase(id);
+  board->active_jobs_by_digest.erase({DigestOf(id), id});
   board->ended_jobs_by_age.erase({job->ended_at, id});
 }
 
@@ -65,6 +81,7 @@
   CountPending(board, job, true);
   if (job.state == JobState::kActive) {
     board->active_jobs.insert(job.id);
+    board->active_jobs_by_digest.emplace(DigestOf(job.id), job.id);
   } else {
     board->ended_jobs_by_age.emplace(job.ended_at, job.id);
   }
@@ -269,6 +286,35 @@
   void operator()(const Erase<PendingCancel>& it) const {
     board->pending_cancels.Erase(it.key);
   }
+  void operator()(const Put<PeerJobs>& it) const {
+    board->peer_jobs.Put(it.row);
+  }
+  void operator()(const Erase<PeerJobs>& it) const {
+    board->peer_jobs.Erase(it.key);
+  }
+  void operator()(const Put<PendingSubmission>& it) const {
+    RemoveSubmission(board, it.row.Key());
+    CountMemory(board, it.row.submission, true);
+    board->job_by_call.insert_or_assign(it.row.submission.call,
+                                        it.row.submission.job.id);
+    board->pending_submissions.Put(it.row);
+  }
+  void operator()(const Erase<PendingSubmission>& it) const {
+    RemoveSubmission(board, it.key);
+    board->pending_submissions.Erase(it.key);
+  }
+  void operator()(const AddAcceptedJob& it) const {
+    board->accepted_jobs.unannounced.push_back(it.digest);
+  }
+  void operator()(const SetAcceptedJobs& it) const {
+    board->accepted_jobs = it.log;
+  }
+  void operator()(const SetAnnouncementDue&) const {
+    board->accepted_jobs.is_due = true;
+  }
+  void operator()(const SetPausedUntil& it) const {
+    board->paused_until = it.time;
+  }
   void operator()(const SetConfig& it) const {
     board->config = it.config;
     board->config_text = it.text;
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -13,9 +13,12 @@
 #include "core/ids.h"
 #include "core/pool/config.h"
 #include "core/pool/config_transfer.h"
+#include "core/pool/entry/job_digests.h"
 #include "core/pool/entry/load_rows.h"
 #include "core/pool/entry/past_job.h"
+#include "core/pool/entry/peer_jobs.h"
 #include "core/pool/entry/pending_cancel.h"
+#include "core/pool/entry/pending_submission.h"
 #include "core/pool/entry/settings.h"
 #include "core/pool/evacuation.h"
 #include "core/pool/known_entries.h"
@@ -58,14 +61,19 @@
   // An earlier submission of the job may have begun.
   bool may_have_run_before = false;
   BootTime ended_at{0};
-  // Link to the entry that owns the job; empty if this entry does. A forwarded
-  // job has no task rows.
+  // Link to the entry that owns the job; empty if this entry does. The tasks of
+  // a forwarded job have no rows, but those that this entry has started before;
+  // none is started.
   std::optional<LinkId> forwarded_to;
   std::vector<StepSpec> forwarded_steps;
   // Another entry has forwarded the job to this one.
   bool is_from_peer = false;
   // The job is not to be forwarded, or not again.
   bool is_kept = false;
+  // This entry has announced the job to its peers.
+  bool is_announced = false;
+  // Link to an entry that has accepted the job, too, and is to run it for both.
+  std::optional<LinkId> asked_to_take_over;
 
   std::uint64_t Key() const { return id; }
   friend bool operator==(const JobRow&, const JobRow&) = default;
@@ -174,6 +182,8 @@
   // Value of `EvacuationRegisters::changes` up to which the other side knows
   // the evacuations.
   std::uint64_t known_evacuation_changes = 0;
+  // The other side is an entry that this one announces its jobs to.
+  bool wants_accepted_jobs = false;
 
   const LinkId& Key() const { return id; }
   friend bool operator==(const LinkRow&, const LinkRow&) = default;
@@ -235,8 +245,12 @@
   // Ends of jobs and cancels of the last minute.
   Table<PastJob> past_jobs;
   Table<PendingCancel> pending_cancels;
+  AcceptedJobLog accepted_jobs;
+  Table<PeerJobs> peer_jobs;
+  Table<PendingSubmission> pending_submissions;
   // Indexes that `Apply` derives from the tables.
   std::set<std::uint64_t> active_jobs;
+  std::set<std::pair<JobDigest, std::uint64_t>> active_jobs_by_digest;
   std::set<std::pair<BootTime, std::uint64_t>> ended_jobs_by_age;
   std::set<std::pair<BootTime, std::uint64_t>> past_jobs_by_age;
   // Rows of tasks that wait.
@@ -253,13 +267,15 @@
   std::map<std::string, UnstartedWork> unstarted_work;
   // Tasks whose latest start is before this time count as late there.
   BootTime late_before{0};
-  // The job that each call waits for.
+  // The job that each call waits for, also while its submission is held.
   std::map<CallId, std::uint64_t> job_by_call;
   // Numbers of open jobs that have not been started, by queue.
   std::map<std::string, std::size_t> pending_by_queue;
   AcceptedMemory accepted;
   std::map<TaskKey, CrashCount> crash_counts;
   BootTime started_at{0};
+  // End of the last pause of this process.
+  BootTime paused_until{0};
   bool stopping = false;
   BootTime stopping_since{0};
 };
--- a/src/core/pool/entry/changes.h
+++ b/src/core/pool/entry/changes.h
@@ -29,21 +29,34 @@
 struct SetLateBefore {
   BootTime time{0};
 };
+// A client's job has been accepted.
+struct AddAcceptedJob {
+  JobDigest digest = 0;
+};
+struct SetAcceptedJobs {
+  AcceptedJobLog log;
+};
+// The jobs accepted so far are announced in this turn.
+struct SetAnnouncementDue {};
+struct SetPausedUntil {
+  BootTime time{0};
+};
 struct SetOverload {
   OverloadState state;
 };
 
-using EntryRowChange =
-    std::variant<Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
-                 Put<UnstartedTasks>, Erase<UnstartedTasks>, Put<AgentRow>,
-                 Erase<AgentRow>, Put<LinkRow>, Erase<LinkRow>, Put<KnownEntry>,
-                 Erase<KnownEntry>, Put<MinionCrash>, Erase<MinionCrash>,
-                 Put<OfferRow>, Erase<OfferRow>, Put<DemandRow>,
-                 Erase<DemandRow>, Put<ForwardedCall>, Erase<ForwardedCall>,
-                 Put<PastJob>, Erase<PastJob>, Put<PendingCancel>,
-                 Erase<PendingCancel>, SetLateBefore, SetOverload,
-                 SetEvacuations, Put<ConfigPeer>, Erase<ConfigPeer>, SetConfig,
-                 SetConfigFetch, SetConfigUpload, SetEntryStopping>;
+using EntryRowChange = std::variant<
+    Put<JobRow>, Erase<JobRow>, Put<TaskRow>, Erase<TaskRow>,
+    Put<UnstartedTasks>, Erase<UnstartedTasks>, Put<AgentRow>, Erase<AgentRow>,
+    Put<LinkRow>, Erase<LinkRow>, Put<KnownEntry>, Erase<KnownEntry>,
+    Put<MinionCrash>, Erase<MinionCrash>, Put<OfferRow>, Erase<OfferRow>,
+    Put<DemandRow>, Erase<DemandRow>, Put<ForwardedCall>, Erase<ForwardedCall>,
+    Put<PastJob>, Erase<PastJob>, Put<PendingCancel>, Erase<PendingCancel>,
+    Put<PeerJobs>, Erase<PeerJobs>, Put<PendingSubmission>,
+    Erase<PendingSubmission>, AddAcceptedJob, SetAcceptedJobs,
+    SetAnnouncementDue, SetPausedUntil, SetLateBefore, SetOverload,
+    SetEvacuations, Put<ConfigPeer>, Erase<ConfigPeer>, SetConfig,
+    SetConfigFetch, SetConfigUpload, SetEntryStopping>;
 
 // Kind of the reply to a client.
 enum class ReplyKind {
--- a/src/core/pool/entry/forwarded_jobs.cpp
+++ b/src/core/pool/entry/forwarded_jobs.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/pool/entry/outcomes.h"
+#include "core/pool/entry/pending_submissions.h"
 
 namespace dottereltrack::pool {
 namespace {
@@ -107,6 +108,7 @@
                                const std::string& reason, const Now& now) {
   EntryChanges changes;
   changes.Add(Erase<ForwardedCall>{call.call});
+  changes.Append(DropSubmission(board, call.call));
   if (const JobRow* job = board.jobs.Find(call.job)) {
     changes.Append(RemoveWaiter(board, *job, call.call, reason, now));
   }
--- a/src/core/pool/entry/forwarding.cpp
+++ b/src/core/pool/entry/forwarding.cpp
@@ -6,6 +6,7 @@
 
 #include "core/pool/entry/entry_load.h"
 #include "core/pool/entry/outcomes.h"
+#include "core/pool/entry/submission.h"
 #include "core/pool/entry/unstarted_tasks.h"
 
 namespace dottereltrack::pool {
@@ -58,7 +59,8 @@
 
 bool MayForward(const JobRow& job) {
   return job.state == JobState::kActive && !job.may_have_started &&
-         !job.forwarded_to && !job.is_from_peer && !job.is_kept;
+         !job.forwarded_to && !job.asked_to_take_over && !job.is_from_peer &&
+         !job.is_kept;
 }
 
 const QueueConfig* FindQueueByName(const PoolConfig& config,
@@ -148,21 +150,11 @@
   return true;
 }
 
-// Adds a forwarded job's tasks, which may be started from a time on.
-void AddTasks(const JobRow& job, BootTime blocked_until,
-              EntryChanges* changes) {
-  for (std::uint32_t step = 0; step < job.forwarded_steps.size(); ++step) {
-    const StepSpec& spec = job.forwarded_steps[step];
-    UnstartedTasks tasks = MakeUnstartedTasks(job, step, 0, spec.count, spec);
-    tasks.blocked_until = blocked_until;
-    changes->Add(Put<UnstartedTasks>{std::move(tasks)});
-  }
-}
-
 // Adds the tasks of a forwarded job, whose runs may live on at its owner.
 void AddLostTasks(const EntryBoard& board, const JobRow& job, const Now& now,
                   EntryChanges* changes) {
-  AddTasks(job, now.boot + board.settings.max_forwarded_run_time, changes);
+  AddMissingTasks(board, job, job.forwarded_steps,
+                  now.boot + board.settings.max_forwarded_run_time, changes);
 }
 
 // Ends a job that its owner has ended without an outcome.
@@ -181,7 +173,8 @@
                          const Now& now) {
   JobRow row = job;
   row.forwarded_to.reset();
-  row.may_have_started = false;
+  // The tasks of a job that the owner has taken over have rows here.
+  row.may_have_started = job.forwarded_steps.empty();
   row.is_kept = true;
   milliseconds longest{0};
   for (const StepSpec& step : job.forwarded_steps) {
@@ -196,7 +189,7 @@
   EntryChanges changes;
   changes.Add(ForwardDecision(job, Severity::kFailure, "forward_refused",
                               "this entry runs the job", now));
-  AddTasks(job, BootTime{0}, &changes);
+  AddMissingTasks(board, job, job.forwarded_steps, BootTime{0}, &changes);
   row.forwarded_steps.clear();
   changes.Add(Put<JobRow>{std::move(row)});
   return changes;
@@ -270,6 +263,10 @@
     case ForwardedOutcome::kGivenUp:
       return AbandonEndedJob(board, *job, ReplyKind::kGivenUp,
                              "given up by its owner", now);
+    case ForwardedOutcome::kUnknown:
+    case ForwardedOutcome::kAtWork:
+      // Answers to a question, see HandlePeerAnswer.
+      break;
   }
   return {};
 }
@@ -277,8 +274,6 @@
 EntryChanges GiveUpForwardedJobs(const EntryBoard& board, LinkId link,
                                  const Now& now) {
   EntryChanges changes;
-  // A link without forwarded jobs has no offer.
-  if (board.offers.Find(link) == nullptr) return changes;
   for (const std::uint64_t id : board.active_jobs) {
     const JobRow& job = *board.jobs.Find(id);
     if (job.forwarded_to != link) continue;
--- a/src/core/pool/entry/links.cpp
+++ b/src/core/pool/entry/links.cpp
@@ -160,6 +160,7 @@
   changes.Add(Put<LinkRow>{{*e.link, e.address, now.boot, now.boot}});
   EntryHello hello = MakeHello(board);
   hello.crashes = MakeCrashReports(board.crashes, now);
+  hello.wants_accepted_jobs = true;
   changes.Add(SendMessage{*e.link, std::move(hello)});
   changes.Add(Decision{Severity::kStateChange,
                        "entry_known",
@@ -201,8 +202,10 @@
   return changes;
 }
 
-EntryChanges AbortAllLinks(const EntryBoard& board, milliseconds pause) {
+EntryChanges AbortAllLinks(const EntryBoard& board, milliseconds pause,
+                           const Now& now) {
   EntryChanges changes;
+  changes.Add(SetPausedUntil{now.boot});
   for (const auto& [id, link] : board.links) changes.Add(AbortLink{id});
   changes.Add(Decision{
       Severity::kStateChange, "paused", 0, {}, {{"pause_ms", pause.count()}}});
--- a/src/core/pool/entry/links.h
+++ b/src/core/pool/entry/links.h
@@ -27,7 +27,8 @@
 // Aborts links that have received no message within the link timeout.
 EntryChanges AbortSilentLinks(const EntryBoard& board, const Now& now);
 // Aborts all links after a pause of the process.
-EntryChanges AbortAllLinks(const EntryBoard& board, milliseconds pause);
+EntryChanges AbortAllLinks(const EntryBoard& board, milliseconds pause,
+                           const Now& now);
 
 // Records that a message is sent over a link.
 EntryChanges RecordLinkSend(const EntryBoard& board, LinkId link,
--- a/src/core/pool/entry/outcomes.cpp
+++ b/src/core/pool/entry/outcomes.cpp
@@ -44,6 +44,15 @@
   }
 }
 
+void RequestStop(const TaskRow& task, bool withholds_lease,
+                 EntryChanges* changes) {
+  changes->Add(SendMessage{
+      task.link, StopRun{{task.key, task.run_number}, withholds_lease}});
+  TaskRow stopping = task;
+  stopping.state = TaskState::kStopping;
+  changes->Add(Put<TaskRow>{stopping});
+}
+
 void StopRuns(const EntryBoard& board, const JobRow& job,
               EntryChanges* changes) {
   EraseUnstartedTasks(board, job.id, changes);
@@ -56,14 +65,21 @@
       changes->Add(Erase<TaskRow>{task.key});
     }
     if (task.state != TaskState::kPlaced) continue;
-    changes->Add(SendMessage{
-        task.link, StopRun{{task.key, task.run_number}, job.is_from_peer}});
-    TaskRow stopping = task;
-    stopping.state = TaskState::kStopping;
-    changes->Add(Put<TaskRow>{stopping});
+    RequestStop(task, job.is_from_peer, changes);
   }
 }
 
+bool IsOutcome(ReplyKind kind) {
+  return kind == ReplyKind::kCompleted || kind == ReplyKind::kFailed ||
+         kind == ReplyKind::kCancelled;
+}
+
+bool IsUnannounced(const EntryBoard& board, std::uint64_t job) {
+  const auto& digests = board.accepted_jobs.unannounced;
+  return std::find(digests.begin(), digests.end(), DigestOf(job)) !=
+         digests.end();
+}
+
 // Returns what is remembered of a job that ends with this reply.
 std::optional<JobEnd> EndOf(const JobRow& job, ReplyKind kind) {
   switch (kind) {
@@ -86,6 +102,9 @@
   ReplyToWaiters(job, kind, retry_after, changes);
   StopRuns(board, job, changes);
   changes->Append(WithdrawJob(board, job, kind, now));
+  if (IsOutcome(kind) && IsUnannounced(board, job.id)) {
+    changes->Add(SetAnnouncementDue{});
+  }
   const auto end = EndOf(job, kind);
   if (!end) {
     // The job was refused and has not run, so nothing of it needs to be known.
@@ -93,6 +112,7 @@
     return;
   }
   job.forwarded_to.reset();
+  job.asked_to_take_over.reset();
   job.waiters.clear();
   job.state = state;
   job.ended_at = now.boot;
@@ -221,6 +241,23 @@
 
 }  // namespace
 
+EntryChanges StopPlacedRuns(const EntryBoard& board, const JobRow& job) {
+  EntryChanges changes;
+  const auto [begin, end] = TasksOf(board, job.id);
+  for (auto it = begin; it != end; ++it) {
+    if (it->second.state != TaskState::kPlaced) continue;
+    RequestStop(it->second, true, &changes);
+  }
+  return changes;
+}
+
+bool MayHaveRuns(const EntryBoard& board, std::uint64_t job) {
+  const auto [begin, end] = UnstartedTasksOf(board, job);
+  return HasLiveRuns(board, job) || std::any_of(begin, end, [](const auto& it) {
+           return it.second.IsBlocked();
+         });
+}
+
 bool HasAcceptingAgent(const EntryBoard& board, const std::string& service) {
   return std::any_of(board.agents.begin(), board.agents.end(),
                      [&](const auto& it) {
@@ -333,8 +370,11 @@
                                       const Now& now) {
   const auto found = board.job_by_call.find(call);
   if (found == board.job_by_call.end()) return {};
-  return RemoveWaiter(board, *board.jobs.Find(found->second), call,
-                      "the caller closed its connection", now);
+  const JobRow* job = board.jobs.Find(found->second);
+  // The submission may be held.
+  if (job == nullptr) return {};
+  return RemoveWaiter(board, *job, call, "the caller closed its connection",
+                      now);
 }
 
 EntryChanges CheckTimeLimits(const EntryBoard& board, const Now& now) {
--- a/src/core/pool/entry/outcomes.h
+++ b/src/core/pool/entry/outcomes.h
@@ -48,6 +48,13 @@
 // and removes ended jobs after the retention period.
 EntryChanges CheckTimeLimits(const EntryBoard& board, const Now& now);
 
+// Stops the runs of a job that another entry is to run. The tasks stay.
+EntryChanges StopPlacedRuns(const EntryBoard& board, const JobRow& job);
+
+// Whether runs of a job may go on that this entry or the owner of a forwarded
+// job has started.
+bool MayHaveRuns(const EntryBoard& board, std::uint64_t job);
+
 // Whether some agent of the service accepts new runs.
 bool HasAcceptingAgent(const EntryBoard& board, const std::string& service);
 
--- a/src/core/pool/entry/submission.cpp
+++ b/src/core/pool/entry/submission.cpp
@@ -11,6 +11,7 @@
 #include "core/pool/entry/locality.h"
 #include "core/pool/entry/outcomes.h"
 #include "core/pool/entry/past_jobs.h"
+#include "core/pool/entry/pending_submissions.h"
 #include "core/pool/entry/refusal.h"
 #include "core/pool/entry/unstarted_tasks.h"
 
@@ -18,10 +19,10 @@
 namespace {
 
 EntryChanges RefuseJob(const EntryBoard& board, const JobSubmitted& e,
-                       ReplyKind kind, milliseconds retry_after,
-                       Decision reason) {
+                       const PeerAnswers& answers, ReplyKind kind,
+                       milliseconds retry_after, Decision reason) {
   EntryChanges changes;
-  if (MayHaveRunBefore(board, e.job.id)) {
+  if (answers.may_have_run || MayHaveRunBefore(board, e.job.id)) {
     kind = ReplyKind::kGivenUp;
     retry_after = milliseconds{0};
   }
@@ -34,6 +35,20 @@
   return changes;
 }
 
+EntryChanges RefuseForMemory(const EntryBoard& board, const JobSubmitted& e,
+                             PeerAnswers answers, const std::string& shortage,
+                             const std::string& service, const Now& now) {
+  // There is no memory to hold the submission while peers are asked.
+  if (!answers.are_complete) {
+    answers.may_have_run = IsKnownToPeers(board, e.job.id);
+  }
+  const auto bytes = static_cast<std::int64_t>(board.accepted.bytes);
+  return RefuseJob(board, e, answers, ReplyKind::kOverloaded,
+                   DelayOfRetry(board, service, e.job.id, now),
+                   {.texts = {{"reason", shortage}, {"source", e.source}},
+                    .numbers = {{"accepted_bytes", bytes}}});
+}
+
 // Replies to a job that another entry may have run that it has failed.
 EntryChanges FailAtOnce(const JobSubmitted& e, const QueueConfig& queue) {
   EntryChanges changes;
@@ -114,15 +129,16 @@
 // tasks of the step have not ended.
 std::uint32_t AddTasksOfStep(const EntryBoard& board, const JobRow& job,
                              std::uint32_t step, const StepSpec& spec,
-                             EntryChanges* changes) {
+                             BootTime blocked_until, EntryChanges* changes) {
   const KnownTasks known = FindKnownTasks(board, job.id, step);
   std::uint32_t done = 0;
   std::uint32_t index = 0;
   const auto add_until = [&](std::uint32_t end) {
-    if (end > index) {
-      changes->Add(Put<UnstartedTasks>{
-          MakeUnstartedTasks(job, step, index, end - index, spec)});
-    }
+    if (end <= index) return;
+    UnstartedTasks tasks =
+        MakeUnstartedTasks(job, step, index, end - index, spec);
+    tasks.blocked_until = blocked_until;
+    changes->Add(Put<UnstartedTasks>{std::move(tasks)});
   };
   for (const auto& [first, tasks] : known) {
     if (first >= spec.count) break;
@@ -138,14 +154,19 @@
 // submission of the job are kept: they are done, or their runs may not have
 // ended yet.
 EntryChanges AcceptJob(const EntryBoard& board, const JobSubmitted& e,
-                       const QueueConfig& queue, const Now& now) {
+                       const QueueConfig& queue, const PeerAnswers& answers,
+                       const Now& now) {
   EntryChanges changes;
   JobRow job = MakeJobRow(e, queue, now);
-  job.may_have_run_before = MayHaveRunBefore(board, e.job.id);
-  for (std::uint32_t step = 0; step < e.job.steps.size(); ++step) {
-    job.open_tasks +=
-        AddTasksOfStep(board, job, step, e.job.steps[step], &changes);
-  }
+  job.may_have_run_before =
+      answers.may_have_run || MayHaveRunBefore(board, e.job.id);
+  const bool has_runs = answers.runs_end_by > now.boot;
+  job.open_tasks =
+      AddMissingTasks(board, job, e.job.steps,
+                      has_runs ? answers.runs_end_by : BootTime{0}, &changes);
+  // The first entry of a forwarded job has announced it.
+  job.is_announced = !e.is_from_peer;
+  if (job.is_announced) changes.Add(AddAcceptedJob{DigestOf(job.id)});
   changes.Add(Put<JobRow>{job});
   return changes;
 }
@@ -161,10 +182,8 @@
   } else if (known.state == JobState::kFailed) {
     changes.Add(Reply{e.call, ReplyKind::kFailed});
   } else {
-    JobRow job = known;
-    job.waiters.push_back(e.call);
+    JobRow job = WithWaiter(known, e.call, e.client_timeout, now);
     job.is_from_peer = job.is_from_peer || e.is_from_peer;
-    job.deadline_at = std::max(job.deadline_at, now.boot + e.client_timeout);
     changes.Add(Put<JobRow>{job});
   }
   changes.Add(Decision{Severity::kFailure,
@@ -190,8 +209,54 @@
 
 }  // namespace
 
+JobRow WithWaiter(const JobRow& known, CallId call, milliseconds client_timeout,
+                  const Now& now) {
+  JobRow job = known;
+  job.waiters.push_back(call);
+  job.deadline_at = std::max(job.deadline_at, now.boot + client_timeout);
+  return job;
+}
+
+std::uint32_t AddMissingTasks(const EntryBoard& board, const JobRow& job,
+                              const std::vector<StepSpec>& steps,
+                              BootTime blocked_until, EntryChanges* changes) {
+  std::uint32_t open_tasks = 0;
+  for (std::uint32_t step = 0; step < steps.size(); ++step) {
+    open_tasks +=
+        AddTasksOfStep(board, job, step, steps[step], blocked_until, changes);
+  }
+  return open_tasks;
+}
+
+EntryChanges AcceptFollowedJob(const EntryBoard& board,
+                               const std::vector<JobSubmitted>& submissions,
+                               LinkId owner, const Now& now) {
+  EntryChanges changes;
+  const JobSubmitted& first = submissions.front();
+  const QueueConfig* queue = FindQueue(board.config, first.host, first.path);
+  if (queue == nullptr) {
+    for (const JobSubmitted& e : submissions) {
+      changes.Add(Reply{e.call, ReplyKind::kGivenUp});
+    }
+    changes.Add(SendMessage{owner, CancelJob{0, first.job.id, false}});
+    return changes;
+  }
+  JobRow job = MakeJobRow(first, *queue, now);
+  job.waiters.clear();
+  for (const JobSubmitted& e : submissions) {
+    job = WithWaiter(job, e.call, e.client_timeout, now);
+    job.is_from_peer = job.is_from_peer || e.is_from_peer;
+  }
+  job.forwarded_to = owner;
+  job.forwarded_steps = first.job.steps;
+  job.may_have_started = true;
+  for (const StepSpec& step : first.job.steps) job.open_tasks += step.count;
+  changes.Add(Put<JobRow>{std::move(job)});
+  return changes;
+}
+
 EntryChanges HandleSubmission(const EntryBoard& board, const JobSubmitted& e,
-                              const Now& now) {
+                              const Now& now, const PeerAnswers& answers) {
   const JobRow* known = board.jobs.Find(e.job.id);
   if (known != nullptr && known->state != JobState::kAbandoned) {
     return HandleRepeatedSubmission(*known, e, now);
@@ -199,51 +264,52 @@
   const auto past_reply = FindReplyToPastJob(board, e.job.id);
   if (past_reply) return ReplyToPastJob(e, *past_reply);
   if (board.config.version == 0) {
-    return RefuseJob(board, e, ReplyKind::kNoConfig, kRetryAfter,
+    return RefuseJob(board, e, answers, ReplyKind::kNoConfig, kRetryAfter,
                      {.texts = {{"reason", "no configuration has been read"}}});
   }
   const QueueConfig* queue = FindQueue(board.config, e.host, e.path);
   const auto version = static_cast<std::int64_t>(board.config.version);
   if (queue == nullptr) {
-    return RefuseJob(board, e, ReplyKind::kNoQueue, milliseconds{0},
+    return RefuseJob(board, e, answers, ReplyKind::kNoQueue, milliseconds{0},
                      {.texts = {{"reason", "no queue for this host and path"}},
                       .numbers = {{"config_version", version}}});
   }
   if (!e.job.unsupported.empty()) {
-    return RefuseJob(board, e, ReplyKind::kUnsupported, milliseconds{0},
+    return RefuseJob(board, e, answers, ReplyKind::kUnsupported,
+                     milliseconds{0},
                      {.texts = {{"reason", e.job.unsupported}}});
   }
   if (IsCrashingJob(board, e.job.id)) return FailAtOnce(e, *queue);
+  const auto shortage = FindMemoryShortage(board, e);
+  if (!shortage && !e.is_from_peer && !answers.are_complete) {
+    if (auto held = HoldForPeers(board, e, now)) return std::move(*held);
+  }
   if (board.stopping && !CanEndBeforeExit(board, e.job, now)) {
-    return RefuseJob(board, e, ReplyKind::kStopping, kRetryAfter,
+    return RefuseJob(board, e, answers, ReplyKind::kStopping, kRetryAfter,
                      {.texts = {{"reason", "this process is stopping"}}});
   }
-  if (const auto shortage = FindMemoryShortage(board, e)) {
-    const auto bytes = static_cast<std::int64_t>(board.accepted.bytes);
-    return RefuseJob(board, e, ReplyKind::kOverloaded,
-                     DelayOfRetry(board, queue->service, e.job.id, now),
-                     {.texts = {{"reason", *shortage}, {"source", e.source}},
-                      .numbers = {{"accepted_bytes", bytes}}});
+  if (shortage) {
+    return RefuseForMemory(board, e, answers, *shortage, queue->service, now);
   }
   const milliseconds backlog = EstimateBacklogDelay(board, queue->service, now);
   const bool is_warmed_up =
       now.boot >= board.started_at + board.settings.warm_up_time;
   if (HasOnlyEvacuatedMinions(board, queue->service, now)) {
-    return RefuseJob(board, e, ReplyKind::kNoMinions, kRetryAfter,
+    return RefuseJob(board, e, answers, ReplyKind::kNoMinions, kRetryAfter,
                      {.texts = {{"reason", kOnlyEvacuatedMinions}}});
   }
   if (is_warmed_up && !HasRequiredMinions(board, queue->service, e.job)) {
-    return RefuseJob(board, e, ReplyKind::kNoMinions, kRetryAfter,
+    return RefuseJob(board, e, answers, ReplyKind::kNoMinions, kRetryAfter,
                      {.texts = {{"reason", "no minion has a required label"}}});
   }
   if (is_warmed_up && backlog + LongestEstimate(e.job) > e.client_timeout) {
-    return RefuseJob(board, e, ReplyKind::kOverloaded,
+    return RefuseJob(board, e, answers, ReplyKind::kOverloaded,
                      DelayOfRetry(board, queue->service, e.job.id, now),
                      {.texts = {{"reason", "the backlog exceeds the deadline"}},
                       .numbers = {{"backlog_ms", backlog.count()},
                                   {"patience_ms", e.client_timeout.count()}}});
   }
-  return AcceptJob(board, e, *queue, now);
+  return AcceptJob(board, e, *queue, answers, now);
 }
 
 }  // namespace dottereltrack::pool
--- a/src/core/pool/entry/waiting_tasks.cpp
+++ b/src/core/pool/entry/waiting_tasks.cpp
@@ -20,6 +20,12 @@
   return urgency;
 }
 
+// Another entry may have taken over a job whose tasks have rows here.
+bool MayStart(const JobRow* job) {
+  return job != nullptr && job->state == JobState::kActive &&
+         !job->forwarded_to;
+}
+
 }  // namespace
 
 TaskRow FirstRowOf(const WaitingTasks& tasks) {
@@ -31,7 +37,7 @@
   std::vector<WaitingTasks> waiting;
   for (const TaskKey& key : board.waiting_tasks) {
     const JobRow* job = board.jobs.Find(key.job);
-    if (job == nullptr || job->state != JobState::kActive) continue;
+    if (!MayStart(job)) continue;
     const TaskRow& task = *board.tasks.Find(key);
     StartUrgency urgency =
         MakeUrgency(*job, key, task.estimate, WorkOf(task), now);
@@ -40,8 +46,7 @@
   }
   for (const auto& [first, tasks] : board.unstarted_tasks) {
     const JobRow* job = board.jobs.Find(first.job);
-    if (job == nullptr || job->state != JobState::kActive) continue;
-    if (tasks.IsBlocked()) continue;
+    if (!MayStart(job) || tasks.IsBlocked()) continue;
     const double work = WorkOf(tasks) / tasks.count;
     waiting.push_back({nullptr, &tasks, job,
                        MakeUrgency(*job, first, tasks.estimate, work, now)});
--- a/src/core/pool/messages.h
+++ b/src/core/pool/messages.h
@@ -26,6 +26,9 @@
   // Shortest interval between two load reports that the entry wants from an
   // agent; 0 leaves it to the agent's settings.
   milliseconds report_interval{0};
+  // Asks the receiving entry to announce the jobs that it accepts over this
+  // link.
+  bool wants_accepted_jobs = false;
   friend bool operator==(const EntryHello&, const EntryHello&) = default;
 };
 
@@ -199,12 +202,19 @@
   kGivenUp,
   // Another caller has cancelled the job.
   kCancelled,
+  // The two below answer FollowJob only. The sender does not have the job and
+  // knows no outcome of it.
+  kUnknown,
+  // The sender has the job, or is about to run it; another message follows when
+  // it ends.
+  kAtWork,
 };
 
 struct ForwardedJobEnded {
   std::uint64_t job = 0;
   ForwardedOutcome outcome = ForwardedOutcome::kGivenUp;
-  // Delay after which a refused client should try again.
+  // Delay after which a refused client should try again, or after which a job
+  // that was given up may be run again.
   milliseconds retry_after{0};
   friend bool operator==(const ForwardedJobEnded&,
                          const ForwardedJobEnded&) = default;
@@ -230,10 +240,31 @@
   friend bool operator==(const JobCancelled&, const JobCancelled&) = default;
 };
 
+// Digests of jobs that the sender has accepted from clients since its last
+// message of this kind; in the first one on a link, of all recent ones.
+struct AcceptedJobs {
+  std::vector<std::uint32_t> digests;
+  friend bool operator==(const AcceptedJobs&, const AcceptedJobs&) = default;
+};
+
+// Asks another entry, on behalf of a client that has submitted the job, what it
+// knows of the job, and to tell its end if it has the job. Answered with
+// ForwardedJobEnded at once, and when the job ends; withdrawn with CancelJob.
+struct FollowJob {
+  std::uint64_t job = 0;
+  // Where the sender listens. Of two entries that are about to run the same
+  // job, the one with the lower address does.
+  Endpoint address;
+  // How long the client still waits for the reply.
+  milliseconds client_timeout{0};
+  friend bool operator==(const FollowJob&, const FollowJob&) = default;
+};
+
 using Message =
     std::variant<EntryHello, StartRun, StopRun, Ping, ConfigOffer, KnownEntries,
                  AgentHello, LoadReport, StartRefused, RunEnded, EvacuationList,
                  ConfigAnnouncement, ConfigRequest, EntryLoad, ForwardJob,
-                 ForwardedJobEnded, CancelJob, JobCancelled>;
+                 ForwardedJobEnded, CancelJob, JobCancelled, AcceptedJobs,
+                 FollowJob>;
 
 }  // namespace dottereltrack::pool
--- a/src/pool_wire/codec.cpp
+++ b/src/pool_wire/codec.cpp
@@ -160,10 +160,11 @@
 Body Write(Builder* builder, const EntryHello& it) {
   const auto known = WriteEndpoints(builder, it.known_entries);
   const auto crashes = WriteCrashReports(builder, it.crashes);
-  return {wire::Body::EntryHello,
-          wire::CreateEntryHello(*builder, it.entry, known, crashes,
-                                 it.report_interval.count())
-              .Union()};
+  return {
+      wire::Body::EntryHello,
+      wire::CreateEntryHello(*builder, it.entry, known, crashes,
+                             it.report_interval.count(), it.wants_accepted_jobs)
+          .Union()};
 }
 
 Body Write(Builder* builder, const StartRun& it) {
@@ -315,10 +316,25 @@
               .Union()};
 }
 
+Body Write(Builder* builder, const AcceptedJobs& it) {
+  const auto digests = builder->CreateVector(it.digests);
+  return {wire::Body::AcceptedJobs,
+          wire::CreateAcceptedJobs(*builder, digests).Union()};
+}
+
+Body Write(Builder* builder, const FollowJob& it) {
+  const auto address = wire::CreateEndpoint(
+      *builder, builder->CreateString(it.address.host), it.address.port);
+  return {wire::Body::FollowJob,
+          wire::CreateFollowJob(*builder, it.job, address,
+                                it.client_timeout.count())
+              .Union()};
+}
+
 Message Read(const wire::EntryHello& it) {
-  return EntryHello{it.entry(), FromWire(it.known_entries()),
-                    FromWire(it.crashes()),
-                    milliseconds{it.report_interval_ms()}};
+  return EntryHello{
+      it.entry(), FromWire(it.known_entries()), FromWire(it.crashes()),
+      milliseconds{it.report_interval_ms()}, it.wants_accepted_jobs()};
 }
 
 Message Read(const wire::StartRun& it) {
@@ -430,6 +446,22 @@
   return JobCancelled{it.request(), it.job(), it.was_known()};
 }
 
+Message Read(const wire::AcceptedJobs& it) {
+  AcceptedJobs accepted;
+  if (const auto* digests = it.digests()) {
+    accepted.digests.assign(digests->begin(), digests->end());
+  }
+  return accepted;
+}
+
+Message Read(const wire::FollowJob& it) {
+  FollowJob follow{it.job(), {}, milliseconds{it.client_timeout_ms()}};
+  if (const auto* address = it.address()) {
+    follow.address = {address->host()->str(), address->port()};
+  }
+  return follow;
+}
+
 // Returns false if an enum value is unknown to this release, which means that
 // the sender runs a newer one.
 bool HasKnownEnums(const wire::Frame& frame) {
@@ -512,6 +544,10 @@
       return Read(*frame.body_as_CancelJob());
     case wire::Body::JobCancelled:
       return Read(*frame.body_as_JobCancelled());
+    case wire::Body::AcceptedJobs:
+      return Read(*frame.body_as_AcceptedJobs());
+    case wire::Body::FollowJob:
+      return Read(*frame.body_as_FollowJob());
     case wire::Body::NONE:
       break;
   }
--- a/tests/mutations/mutate.py
+++ b/tests/mutations/mutate.py
@@ -149,6 +149,16 @@
          "constexpr double kMinEstimateShare = 1.0;")]),
     ("pool_spread_retries", POOL_ENTRY + "refusal.cpp", [
         ("MixBits(job + kMixIncrement) % (spread + 1)", "0")]),
+    ("pool_held_submissions", POOL_ENTRY + "submission.cpp", [
+        ("if (!shortage && !e.is_from_peer && !answers.are_complete) {",
+         "if (false) {")]),
+    ("pool_runs_of_lost_peers", POOL_ENTRY + "submission.cpp", [
+        ("has_runs ? answers.runs_end_by : BootTime{0}", "BootTime{0}")]),
+    ("pool_takeover_by_the_lower_address", POOL_ENTRY + "accepted_jobs.cpp", [
+        ("if (*link.dialed_address >= board.settings.address) return;", "return;")]),
+    ("pool_announcements_after_a_start", POOL_ENTRY + "accepted_jobs.cpp", [
+        ("const BootTime since = std::max(board.started_at, board.paused_until);",
+         "return true; const BootTime since{0};")]),
     ("pool_backlog_of_slow_minions", POOL_ENTRY + "backlog.cpp", [
         ("total / std::exp(agent.load.log_slowness)", "total")]),
     ("pool_margin_of_the_slowness", POOL_ENTRY + "placement.cpp", [
@@ -263,14 +273,15 @@
         ("std::clamp((settings.offer_limit_share - pressure) / range, 0.0, 1.0);",
          "1.0 + 0 * range;")]),
     ("pool_no_second_forwarding", POOL_ENTRY + "forwarding.cpp", [
-        ("!job.forwarded_to && !job.is_from_peer && !job.is_kept;",
+        ("!job.forwarded_to && !job.asked_to_take_over && !job.is_from_peer && "
+         "!job.is_kept;",
          "!job.forwarded_to && !job.is_kept;")]),
     ("pool_withdrawal_of_forwarded_jobs", POOL_ENTRY + "forwarding.cpp", [
         ("if (!job.forwarded_to) return changes;", "return changes;")]),
     ("pool_runs_of_a_lost_owner", POOL_ENTRY + "forwarding.cpp", [
-        ("AddTasks(job, now.boot + board.settings.max_forwarded_run_time, "
-         "changes);",
-         "(void)board;\n  AddTasks(job, now.boot, changes);")]),
+        ("AddMissingTasks(board, job, job.forwarded_steps, "
+         "now.boot + board.settings.max_forwarded_run_time, changes);",
+         "AddMissingTasks(board, job, job.forwarded_steps, now.boot, changes);")]),
     ("pool_jobs_of_a_lost_owner", POOL_ENTRY + "forwarding.cpp", [
         ("if (job.forwarded_to != link) continue;", "continue;")]),
     ("pool_jobs_of_a_lost_first_entry", POOL_ENTRY + "forwarded_jobs.cpp", [
@@ -279,7 +290,8 @@
     ("pool_jobs_of_a_silent_first_entry", POOL_ENTRY + "forwarded_jobs.cpp", [
         ("board.settings.forwarded_job_timeout) {", "seconds{60}) {")]),
     ("pool_refused_jobs_are_taken_back", POOL_ENTRY + "forwarding.cpp", [
-        ("AddTasks(job, BootTime{0}, &changes);", "")]),
+        ("AddMissingTasks(board, job, job.forwarded_steps, BootTime{0}, &changes);",
+         "")]),
     ("pool_older_configuration_of_an_owner", POOL_ENTRY + "forwarded_jobs.cpp", [
         ("if (message.config_version > board.config.version) {", "if (false) {")]),
     ("pool_fewer_load_reports", POOL_AGENT + "links.cpp", [
--- a/tests/pool/codec_test.cpp
+++ b/tests/pool/codec_test.cpp
@@ -35,7 +35,8 @@
       return EntryHello{7,
                         {{"10.0.0.1", 7000}, {"10.0.0.2", 7001}},
                         SampleCrashes(),
-                        milliseconds{50}};
+                        milliseconds{50},
+                        true};
     case 1:
       return StartRun{
           3,    kRun, std::string("payload"), {6'200, 64, 1}, milliseconds{99},
@@ -79,8 +80,12 @@
                                milliseconds{1'500}};
     case 16:
       return CancelJob{4, 3, true};
-    default:
+    case 17:
       return JobCancelled{4, 3, true};
+    case 18:
+      return AcceptedJobs{{7, 0xffffffff}};
+    default:
+      return FollowJob{3, {"10.0.0.2", 7001}, milliseconds{1'400}};
   }
 }
 
--- a/tests/pool_properties/review_test.cpp
+++ b/tests/pool_properties/review_test.cpp
@@ -96,4 +96,21 @@
                  4'000, 4, {20});
 }
 
+// Guards against a copy that runs at one entry while the client's next attempt
+// is at work at another one (review/11), also beside faults of the entries.
+TEST_CASE("a late copy does not run beside a later attempt",
+          "[property][pool][review]") {
+  const auto faults = GENERATE(values<std::vector<Kind>>({
+      {},
+      {Kind::kKill, Kind::kRestart},
+      {Kind::kStop, Kind::kRestart, Kind::kOverload},
+      {Kind::kFreeze, Kind::kThaw},
+      {Kind::kResetLinks, Kind::kLeaveCall, Kind::kOverload},
+  }));
+  std::vector<Kind> kinds = {Kind::kSubmitLosingAnswer, Kind::kSubmitLateCopy,
+                             Kind::kSubmitLateCopy, Kind::kSubmitLateCopy};
+  kinds.insert(kinds.end(), faults.begin(), faults.end());
+  CheckSchedules("lost answers and late copies", kinds, 1'000, 30);
+}
+
 }  // namespace dottereltrack::testing
--- a/tests/process/pool/soak.py
+++ b/tests/process/pool/soak.py
@@ -6,7 +6,8 @@
 minions and the entries that delay traffic, block one or both directions or reset
 connections, and crowds of clients that leave requests and frames unfinished or submit
 jobs that fill memory and minions. Signals also come in series. Some clients submit jobs
-over one connection each and keep using it until the process is gone. The stand-ins check
+over one connection each and keep using it until the process is gone. The Answers of some
+jobs are lost, and copies of them arrive while the client's next attempt is at work. The stand-ins check
 throughout that no task has two runs at once, that no minion exceeds its capacity, that no
 refused job has run and that no task crashes minion after minion. No process may exit by
 itself or exceed its memory, and after the faults all jobs must complete. Equal seeds give equal faults; the
@@ -23,7 +24,7 @@
 import job_crowd
 import odd_input
 from cell import (CLIENT_PORT, LINK_PORT, METRICS_PORT, READINESS_PORT, REPORT_PORT,
-                  LoadGenerator, Cell)
+                  RESEND_DELAY_S, LoadGenerator, Cell)
 from proxy import FROM_TARGET, TO_TARGET
 from web import call_json, read_message
 
@@ -64,6 +65,16 @@
 RECONNECT_PAUSE_S = 0.1
 REFUSALS = (404, 429, 503)
 
+# Jobs whose first answer is lost: mean time between two, their tasks, and when copies
+# arrive after that answer. The next attempt takes 1.3 to 2.8 s after it.
+LOST_ANSWER_INTERVAL_S = 0.3
+LOST_ANSWER_TASKS = 2
+LOST_ANSWER_TASK_S = 1.5
+LOST_ANSWER_TASK_CPU_MILLIS = 600
+LOST_ANSWER_DEADLINE_S = 4.0
+COPY_DELAY_RANGE_S = (1.0, 3.0)
+MAX_COPIES = 2
+
 
 class FaultInjector:
     """Injects random faults and waits for them to end."""
@@ -289,6 +300,61 @@
         await asyncio.gather(*running)
 
 
+class LostAnswerClients:
+    """Submit jobs whose first answer is lost, and again 1.3 s later. Copies of the
+    submission arrive at any entry. Has a generator of its own."""
+
+    def __init__(self, cell, seed):
+        self.cell = cell
+        self.random = random.Random(f"lost answers {seed}")
+        self.lost_answers = 0
+
+    async def submit(self, job, entry):
+        step = {
+            "count": LOST_ANSWER_TASKS, "cpu": LOST_ANSWER_TASK_CPU_MILLIS,
+            "task_memory_mb": 10, "estimated_ms": int(1000 * LOST_ANSWER_TASK_S)
+        }
+        spec = f"{LOST_ANSWER_TASK_S} {LOST_ANSWER_TASK_CPU_MILLIS} done"
+        body = {"best_effort": True, "spec": spec, "steps": [step]}
+        headers = {
+            "Host": "h",
+            "X-Dottereltrack-Deadline-Ms": str(int(1000 * LOST_ANSWER_DEADLINE_S)),
+        }
+        status, _ = await call_json(
+            self.cell.client_addresses[entry], "POST", f"/q/{job}", body, headers,
+            timeout=LOST_ANSWER_DEADLINE_S
+        )
+        return status
+
+    async def submit_later(self, job, entry, delay_s):
+        await asyncio.sleep(delay_s)
+        return await self.submit(job, entry)
+
+    async def play(self, job, attempts, copies):
+        if await self.submit(job, attempts[0]) != 200:
+            return
+        self.lost_answers += 1
+        await asyncio.gather(
+            self.submit_later(job, attempts[1], RESEND_DELAY_S),
+            *(self.submit_later(job, entry, delay_s) for entry, delay_s in copies)
+        )
+
+    async def run(self, seconds):
+        end = time.monotonic() + seconds
+        running = []
+        entries = range(len(self.cell.entries))
+        while time.monotonic() < end:
+            job = f"{self.random.getrandbits(64):016x}"
+            attempts = self.random.sample(entries, 2)
+            copies = [
+                (self.random.choice(entries), self.random.uniform(*COPY_DELAY_RANGE_S))
+                for _ in range(self.random.randint(1, MAX_COPIES))
+            ]
+            running.append(asyncio.create_task(self.play(job, attempts, copies)))
+            await asyncio.sleep(self.random.expovariate(1 / LOST_ANSWER_INTERVAL_S))
+        await asyncio.gather(*running)
+
+
 class LastingClient:
     """Submits jobs to one entry, one after the other, and keeps its connection until the
     entry ends it."""
@@ -434,6 +500,7 @@
     fault_injector = FaultInjector(cell, seed)
     crowd_injector = CrowdInjector(cell, seed)
     signal_injector = SignalInjector(fault_injector, seed)
+    lost_answer_clients = LostAnswerClients(cell, seed)
     clients = [
         LastingClient(cell, n, number)
         for n in range(len(cell.entries)) for number in range(LASTING_CLIENTS)
@@ -452,6 +519,7 @@
             fault_injector.run(seconds),
             crowd_injector.run(seconds),
             signal_injector.run(seconds),
+            lost_answer_clients.run(seconds),
         )
         fault_injector.fault_log += crowd_injector.crowd_log
         await asyncio.sleep(RECOVERY_S)
@@ -464,6 +532,7 @@
         load_generator.stop()
         await load_task
         problems = find_problems(cell, load_generator, recovered_at)
+        print(f"{lost_answer_clients.lost_answers} answers were lost")
         for client in clients:
             problems += client.find_problems()
             if client.answers == 0:
@@ -480,7 +549,7 @@
     seconds = float(sys.argv[3]) if len(sys.argv) > 3 else DEFAULT_SECONDS
     # Cells of different seeds use different addresses, so that they can run side by
     # side.
-    entries, agents = (int(it) for it in sys.argv[4:6] or (3, 4))
+    entries, agents = (int(it) for it in sys.argv[4:6] or (4, 4))
     cell = Cell(
         sys.argv[1], 20 + seed % 100, entries, agents, use_proxies=True,
         overloaded_entries=(0,)
--- a/tests/support/pool_schedule.cpp
+++ b/tests/support/pool_schedule.cpp
@@ -32,6 +32,12 @@
 // A long job takes 6 to 30 s on idle minions, more than the bound of a cancel.
 constexpr std::uint32_t kLongJobTasks = 150;
 constexpr milliseconds kLongTaskDuration{500};
+// Long enough for a copy to arrive while a later attempt is at work.
+constexpr milliseconds kLostAnswerTaskDuration{1'000};
+constexpr milliseconds kLostAnswerClientTimeout{8'000};
+constexpr std::int64_t kLostAnswerTaskCpuMillis = 600;
+// "Occasionally, such a request also arrives seconds after the 2xx response."
+constexpr seconds kMinCopyDelay{1};
 
 // A job from the view of its client.
 struct ClientJob {
@@ -46,8 +52,17 @@
   // Its only call was refused.
   bool is_refused = false;
   std::optional<BootTime> answered_at;
+  // The first answer with success does not reach the client.
+  bool loses_answer = false;
+  // When that answer was sent.
+  std::optional<BootTime> lost_answer_at;
 };
 
+bool IsSuccess(ReplyKind kind) {
+  return kind == ReplyKind::kCompleted || kind == ReplyKind::kFailed ||
+         kind == ReplyKind::kCancelled;
+}
+
 class Runner {
  public:
   explicit Runner(const PoolSchedule& schedule)
@@ -118,6 +133,13 @@
   void HandleReply(ClientJob* job) {
     job->ended = true;
     const ReplyKind kind = pool_.ReplyOf(job->call)->kind;
+    if (job->loses_answer && IsSuccess(kind)) {
+      job->loses_answer = false;
+      job->lost_answer_at = pool_.now();
+      job->ended = false;
+      job->resend_at = pool_.now() + kResendAfter;
+      return;
+    }
     if (kind == ReplyKind::kGivenUp && job->calls < 3) {
       job->ended = false;
       job->resend_at = pool_.now() + kResendAfter;
@@ -186,6 +208,31 @@
     cancelling_clients_.SubmitCopy(job.spec, job.entry, kClientTimeout);
   }
 
+  void SubmitLosingAnswer(int entry) {
+    ClientJob job;
+    job.spec = MakeJob(jobs_.size() + 1, 2, kLostAnswerTaskDuration,
+                       kLostAnswerTaskCpuMillis);
+    job.entry = entry;
+    job.loses_answer = true;
+    job.gives_up_at = pool_.now() + kLostAnswerClientTimeout;
+    job.call = pool_.Submit(entry, job.spec, kLostAnswerClientTimeout);
+    jobs_.push_back(std::move(job));
+  }
+
+  // The copy may arrive while a later attempt of the client is at work.
+  void SubmitLateCopy(std::uint32_t n, int entry) {
+    std::vector<pool::JobSpec> jobs;
+    for (const ClientJob& job : jobs_) {
+      if (!job.lost_answer_at) continue;
+      if (pool_.now() < *job.lost_answer_at + kMinCopyDelay) continue;
+      if (pool_.now() > *job.lost_answer_at + kMaxCopyDelay) continue;
+      jobs.push_back(job.spec);
+    }
+    if (jobs.empty()) return;
+    pool_.Submit(entry, jobs[jobs.size() - 1 - n % jobs.size()],
+                 kClientTimeout);
+  }
+
   void StopUnderLoad(int entry) {
     for (int n = 0; n < kJobsUnderLoad; ++n) {
       Submit(entry, 6, false, kTimeoutUnderLoad);
@@ -257,6 +304,10 @@
         return StopUnderLoad(entry);
       case PoolStepKind::kPassMinute:
         return RunFor(kMinute);
+      case PoolStepKind::kSubmitLosingAnswer:
+        return SubmitLosingAnswer(entry);
+      case PoolStepKind::kSubmitLateCopy:
+        return SubmitLateCopy(step.operand_a, other_entry);
       default:
         return ApplyMinionStep(step, &MinionOf(step.operand_a));
     }
--- a/tests/support/pool_schedule.h
+++ b/tests/support/pool_schedule.h
@@ -45,10 +45,15 @@
   kPassMinute,
   // The entry forwards all jobs that its peers take, or stops forwarding.
   kOverload,
+  // The first answer with success is lost on its way to the client.
+  kSubmitLosingAnswer,
+  // A copy of such a submission arrives at any entry, seconds after that
+  // answer.
+  kSubmitLateCopy,
 };
 
 inline constexpr int kPoolStepKinds =
-    static_cast<int>(PoolStepKind::kOverload) + 1;
+    static_cast<int>(PoolStepKind::kSubmitLateCopy) + 1;
 
 // One step. `operand_a` and `operand_b` select processes, minions, jobs and
 // sizes, modulo their number.
