Let the clients of a restart test use the platform's ingress

Traced by the review: a job came 1 ms after an entry's start, before it had adopted a configuration, and was answered 503. The test wants every job completed, but its clients chose entries that were not ready; the platform's ingress gives such a node no new connections after two misses of its readiness check, until it answers 200 again.

The check is as strict as before: every job must complete, before, during and after the fault.

--- a/tests/process/pool/cell.py
+++ b/tests/process/pool/cell.py
@@ -354,15 +354,41 @@
         )
 
 
+class Ingress:
+    """Chooses entries for new connections like the platform: checks each one's readiness
+    once a second and takes it out of rotation after two misses, until it is ready again.
+    Uses all entries if fewer than half are in rotation."""
+
+    CHECK_INTERVAL_S = 1.0
+    MAX_MISSES = 2
+
+    def __init__(self, cell):
+        self.cell = cell
+        self.misses = [0] * len(cell.entries)
+
+    async def check(self, n):
+        while True:
+            self.misses[n] = 0 if await self.cell.is_ready(n) else self.misses[n] + 1
+            await asyncio.sleep(self.CHECK_INTERVAL_S)
+
+    async def run(self):
+        await asyncio.gather(*(self.check(n) for n in range(len(self.misses))))
+
+    def in_rotation(self):
+        ready = [n for n, it in enumerate(self.misses) if it < self.MAX_MISSES]
+        return ready if 2 * len(ready) >= len(self.misses) else range(len(self.misses))
+
+
 class LoadGenerator:
     """Submits jobs at a steady rate. Like the platform's clients, resends a job without
-    a response to another entry."""
+    a response to another entry. With an ingress, it uses the entries in rotation."""
 
     def __init__(
         self, cell, seed, jobs_per_s=15,
-        tasks_per_job=3, task_duration_s=0.1, task_outcome="done"
+        tasks_per_job=3, task_duration_s=0.1, task_outcome="done", ingress=None
     ):
         self.cell = cell
+        self.ingress = ingress
         self.random = random.Random(seed)
         self.interval_s = 1 / jobs_per_s
         self.tasks_per_job = tasks_per_job
@@ -400,7 +426,8 @@
     async def submit(self, submitted_at, timeout_s=3.0):
         job = f"{self.random.getrandbits(64):016x}"
         body = self.make_job()
-        order = list(range(len(self.cell.entries)))
+        entries = range(len(self.cell.entries))
+        order = list(self.ingress.in_rotation() if self.ingress else entries)
         self.random.shuffle(order)
         started = time.monotonic()
         statuses = []
--- a/tests/process/pool/run_scenario.py
+++ b/tests/process/pool/run_scenario.py
@@ -4,8 +4,8 @@
 import sys
 import time
 
-from cell import LoadGenerator, Cell
-from scenarios import OVERLOADED_ENTRIES, SCENARIOS
+from cell import Cell, Ingress, LoadGenerator
+from scenarios import INGRESS_SCENARIOS, OVERLOADED_ENTRIES, SCENARIOS
 
 # Number of the first scenario's cell. The soak uses the numbers below, so that both can
 # run at the same time.
@@ -53,11 +53,15 @@
 
 async def run(cell, name):
     fault, min_share = SCENARIOS[name]
+    ingress = Ingress(cell) if name in INGRESS_SCENARIOS else None
+    ingress_tasks = []
     try:
         await cell.start()
         if not await cell.wait_ready():
             return ["the entries are not ready after 10 s"]
-        load_generator = LoadGenerator(cell, seed=1)
+        if ingress is not None:
+            ingress_tasks.append(asyncio.create_task(ingress.run()))
+        load_generator = LoadGenerator(cell, seed=1, ingress=ingress)
         begin = time.monotonic()
         end, _ = await asyncio.gather(
             inject_fault(cell, fault, begin, load_generator), load_generator.run(
@@ -69,6 +73,8 @@
             load_generator, cell.run_checker, end, min_share
         )
     finally:
+        for task in ingress_tasks:
+            task.cancel()
         await cell.stop()
 
 
--- a/tests/process/pool/scenarios.py
+++ b/tests/process/pool/scenarios.py
@@ -419,5 +419,10 @@
     "overloaded entry": (forward_and_kill_owner, 0.8),
 }
 
+# Scenarios whose clients reach the entries through the platform's ingress, as every job
+# must complete: an entry that has just started answers 503 until it has a configuration,
+# and is not in rotation until then.
+INGRESS_SCENARIOS = {"entries stopped in turn"}
+
 if __name__ == "__main__":
     print("\n".join(SCENARIOS))
