Separate answers to peers from questions, and ask again after a lost link

And a job that had asked a peer to take it over asked no other one after the link to that peer was lost; the question now counts only while its link exists.

--- a/src/core/pool/entry/accepted_jobs.cpp
+++ b/src/core/pool/entry/accepted_jobs.cpp
@@ -28,10 +28,9 @@
   auto it = board.active_jobs_by_digest.lower_bound({digest, 0});
   for (; it != board.active_jobs_by_digest.end() && it->first == digest; ++it) {
     JobRow job = *board.jobs.Find(it->second);
-    if (!job.is_announced || job.asked_to_take_over ||
-        job.forwarded_to == link.id) {
-      continue;
-    }
+    const bool is_asked =
+        job.asked_to_take_over && board.links.Contains(*job.asked_to_take_over);
+    if (!job.is_announced || is_asked || job.forwarded_to == link.id) continue;
     const auto time_left =
         std::chrono::duration_cast<milliseconds>(job.deadline_at - now.boot);
     job.asked_to_take_over = link.id;
--- a/src/core/pool/entry/advance.cpp
+++ b/src/core/pool/entry/advance.cpp
@@ -8,6 +8,7 @@
 #include "core/pool/entry/crashes.h"
 #include "core/pool/entry/entry_load.h"
 #include "core/pool/entry/evacuation.h"
+#include "core/pool/entry/followers.h"
 #include "core/pool/entry/forwarded_jobs.h"
 #include "core/pool/entry/forwarding.h"
 #include "core/pool/entry/links.h"
--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -280,6 +280,11 @@
   BootTime stopping_since{0};
 };
 
+inline bool IsActiveJob(const EntryBoard& board, std::uint64_t job) {
+  const JobRow* row = board.jobs.Find(job);
+  return row != nullptr && row->state == JobState::kActive;
+}
+
 // The tasks of a job as a range [begin, end) of the table.
 inline auto TasksOf(const EntryBoard& board, std::uint64_t job) {
   return std::pair(board.tasks.LowerBound(FirstTaskOf(job)),
--- a/src/core/pool/entry/pending_submissions.cpp
+++ b/src/core/pool/entry/pending_submissions.cpp
@@ -2,48 +2,23 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 #include <set>
 #include <string>
 #include <utility>
 
 #include "core/pool/entry/accepted_jobs.h"
 #include "core/pool/entry/outcomes.h"
-#include "core/pool/entry/past_jobs.h"
 #include "core/pool/entry/submission.h"
-#include "core/pool/entry/unstarted_tasks.h"
 
 namespace dottereltrack::pool {
 namespace {
 
-// The held submissions of a job as a range [begin, end) of the table.
-auto SubmissionsOf(const EntryBoard& board, std::uint64_t job) {
-  constexpr CallId last_call{std::numeric_limits<std::uint64_t>::max()};
-  return std::pair(board.pending_submissions.LowerBound({job, CallId{0}}),
-                   board.pending_submissions.UpperBound({job, last_call}));
-}
-
-bool HasSubmissions(const EntryBoard& board, std::uint64_t job) {
-  const auto [begin, end] = SubmissionsOf(board, job);
-  return begin != end;
-}
-
-bool IsAsked(const PendingSubmission& held, LinkId link) {
-  const auto& asked = held.unanswered;
-  return std::find(asked.begin(), asked.end(), link) != asked.end();
-}
-
 // Submissions of one job share the questions to the peers.
 bool IsAsked(const EntryBoard& board, std::uint64_t job, LinkId link) {
   const auto [begin, end] = SubmissionsOf(board, job);
   return begin != end && IsAsked(begin->second, link);
 }
 
-bool IsActive(const EntryBoard& board, std::uint64_t job) {
-  const JobRow* row = board.jobs.Find(job);
-  return row != nullptr && row->state == JobState::kActive;
-}
-
 // What the peers have announced about a job.
 struct Announcements {
   bool has_job = false;
@@ -208,12 +183,10 @@
 
 EntryChanges HandleAtWork(const EntryBoard& board, LinkId link,
                           std::uint64_t job, const Now& now) {
-  const JobRow* row = board.jobs.Find(job);
-  if (row != nullptr && row->state == JobState::kActive) {
-    if (row->forwarded_to == link) return {};
-    if (row->asked_to_take_over == link) {
-      return YieldJob(board, *row, link, now);
-    }
+  if (IsActiveJob(board, job)) {
+    const JobRow& row = *board.jobs.Find(job);
+    if (row.forwarded_to == link) return {};
+    if (row.asked_to_take_over == link) return YieldJob(board, row, link, now);
   } else if (HasSubmissions(board, job)) {
     return FollowOwner(board, link, job, now);
   }
@@ -222,77 +195,18 @@
   return changes;
 }
 
-// Lets a peer wait for a job that this entry has or is about to run.
-EntryChanges AddFollower(const EntryBoard& board, LinkId link,
-                         const FollowJob& message, const Now& now) {
-  EntryChanges changes;
-  const CallId call{board.next_forwarded_call};
-  changes.Add(Put<ForwardedCall>{{call, link, message.job}});
-  changes.Add(SendMessage{
-      link, ForwardedJobEnded{message.job, ForwardedOutcome::kAtWork}});
-  if (IsActive(board, message.job)) {
-    JobRow row = WithWaiter(*board.jobs.Find(message.job), call,
-                            message.client_timeout, now);
-    row.is_from_peer = true;
-    changes.Add(Put<JobRow>{std::move(row)});
-    changes.Add(Decision{Severity::kFailure,
-                         "job_repeated",
-                         message.job,
-                         {{"reason", "another entry waits for the job"},
-                          {"entry", message.address.host}},
-                         {}});
-    return changes;
-  }
-  PendingSubmission held = SubmissionsOf(board, message.job).first->second;
-  held.submission.call = call;
-  held.submission.client_timeout = message.client_timeout;
-  held.submission.is_from_peer = true;
-  held.submission.source = "link " + std::to_string(link.value);
-  held.received_at = now.boot;
-  changes.Add(Put<PendingSubmission>{std::move(held)});
-  return changes;
-}
+}  // namespace
 
-// Lets the peer run a job of held submissions, which are to follow it. The peer
-// is asked unless it has been before, over this entry's own link to it.
-EntryChanges LetPeerRun(const EntryBoard& board, LinkId link,
-                        std::optional<LinkId> own_link,
-                        const FollowJob& message) {
-  EntryChanges changes;
-  const auto [begin, end] = SubmissionsOf(board, message.job);
-  if (begin == end) return changes;
-  if (own_link && IsAsked(begin->second, *own_link)) return changes;
-  changes.Add(
-      SendMessage{link, FollowJob{message.job, board.settings.address,
-                                  begin->second.submission.client_timeout}});
-  for (auto it = begin; it != end; ++it) {
-    PendingSubmission held = it->second;
-    held.unanswered.push_back(link);
-    changes.Add(Put<PendingSubmission>{std::move(held)});
-  }
-  return changes;
+bool HasSubmissions(const EntryBoard& board, std::uint64_t job) {
+  const auto [begin, end] = SubmissionsOf(board, job);
+  return begin != end;
 }
 
-ForwardedJobEnded AnswerOfPastJob(const EntryBoard& board, std::uint64_t job) {
-  const PastJob* past = board.past_jobs.Find(job);
-  if (past == nullptr) return {job, ForwardedOutcome::kUnknown};
-  switch (past->end) {
-    case JobEnd::kCompleted:
-      return {job, ForwardedOutcome::kCompleted};
-    case JobEnd::kFailed:
-      return {job, ForwardedOutcome::kFailed};
-    case JobEnd::kCancelled:
-      return {job, ForwardedOutcome::kCancelled};
-    case JobEnd::kGivenUp:
-      break;
-  }
-  return {job, ForwardedOutcome::kGivenUp,
-          MayHaveRuns(board, job) ? board.settings.max_forwarded_run_time
-                                  : milliseconds{0}};
+bool IsAsked(const PendingSubmission& held, LinkId link) {
+  const auto& asked = held.unanswered;
+  return std::find(asked.begin(), asked.end(), link) != asked.end();
 }
 
-}  // namespace
-
 bool IsKnownToPeers(const EntryBoard& board, std::uint64_t job) {
   return FindAnnouncements(board, job).has_job;
 }
@@ -322,31 +236,6 @@
   return changes;
 }
 
-EntryChanges HandleFollowJob(const EntryBoard& board, LinkId link,
-                             const FollowJob& message, const Now& now) {
-  const KnownEntry* asker = board.peers.Find(message.address);
-  const auto own_link = asker == nullptr ? std::nullopt : asker->link;
-  const JobRow* row = board.jobs.Find(message.job);
-  if (row != nullptr && row->state == JobState::kActive) {
-    // Otherwise the asker has ended the job, and its message is on its way.
-    const bool is_owned_by_asker =
-        row->forwarded_to &&
-        (row->forwarded_to == own_link || row->forwarded_to == link);
-    if (!is_owned_by_asker) return AddFollower(board, link, message, now);
-  } else if (HasSubmissions(board, message.job) &&
-             board.settings.address < message.address) {
-    return AddFollower(board, link, message, now);
-  }
-  EntryChanges changes;
-  const ForwardedJobEnded answer = AnswerOfPastJob(board, message.job);
-  changes.Add(SendMessage{link, answer});
-  if (!OutcomeOf(answer.outcome)) {
-    changes.Append(LetPeerRun(board, link, own_link, message));
-    changes.Append(RecordPeerJob(board, message.address, message.job, now));
-  }
-  return changes;
-}
-
 EntryChanges HandlePeerAnswer(const EntryBoard& board, LinkId link,
                               const ForwardedJobEnded& message,
                               const Now& now) {
@@ -399,7 +288,7 @@
   for (const auto& [id, held] : board.pending_submissions) {
     const bool is_answered = held.unanswered.empty() &&
                              (has_heard_peers || !held.awaits_announcements);
-    if (is_answered || IsActive(board, id.job)) found.push_back(held);
+    if (is_answered || IsActiveJob(board, id.job)) found.push_back(held);
   }
   return found;
 }
--- a/src/core/pool/entry/pending_submissions.h
+++ b/src/core/pool/entry/pending_submissions.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
+#include <limits>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "core/pool/entry/changes.h"
@@ -8,6 +11,18 @@
 
 namespace dottereltrack::pool {
 
+// The held submissions of a job as a range [begin, end) of the table. They
+// share the questions to the peers.
+inline auto SubmissionsOf(const EntryBoard& board, std::uint64_t job) {
+  constexpr CallId last_call{std::numeric_limits<std::uint64_t>::max()};
+  return std::pair(board.pending_submissions.LowerBound({job, CallId{0}}),
+                   board.pending_submissions.UpperBound({job, last_call}));
+}
+bool HasSubmissions(const EntryBoard& board, std::uint64_t job);
+
+// Whether the peer at this link has been asked and has not answered.
+bool IsAsked(const PendingSubmission& held, LinkId link);
+
 // Whether a peer has announced the job, or one with the same digest.
 bool IsKnownToPeers(const EntryBoard& board, std::uint64_t job);
 
@@ -18,13 +33,6 @@
 std::optional<EntryChanges> HoldForPeers(const EntryBoard& board,
                                          const JobSubmitted& e, const Now& now);
 
-// Answers a peer that has a submission of the job: with the outcome if it is
-// known, and with kAtWork if this entry has the job, whose end it tells later.
-// Of two entries that ask each other, the one with the lower address runs the
-// job.
-EntryChanges HandleFollowJob(const EntryBoard& board, LinkId link,
-                             const FollowJob& message, const Now& now);
-
 // Handles a peer's answer about a job of held submissions. Nothing is changed
 // if the peer was not asked.
 EntryChanges HandlePeerAnswer(const EntryBoard& board, LinkId link,
