Accept plain-text refusals in the soak's clients

Change: a body that is not application/json counts as none; the status decides, as for the platform's clients. An answer with 200 and no JSON still isn't 'completed' for the checks.

--- a/tests/process/pool/web.py
+++ b/tests/process/pool/web.py
@@ -106,7 +106,8 @@
 async def call_json(
     address, method, path, value, headers=None, timeout=10.0, source=None
 ):
-    """Returns the status and the JSON of the response; status 0 if there was none."""
+    """Returns the status and the JSON of the response, or None in place of another
+    body; status 0 if there was no response."""
     host, port = address
     writer = None
     try:
@@ -121,8 +122,10 @@
             message = await read_message(reader)
             if message is None:
                 return 0, None
-            body = message[2]
-            return int(message[0][1]), json.loads(body) if body else None
+            _, headers, body = message
+            # Refusals of requests that a process has not read whole are plain text.
+            is_json = headers.get("content-type", "").startswith("application/json")
+            return int(message[0][1]), json.loads(body) if body and is_json else None
     except (OSError, TimeoutError, asyncio.IncompleteReadError):
         return 0, None
     finally:
