Count done tasks when a followed job is taken back

Seen by callers: a job whose earlier submission here had completed some tasks, and whose owner then refuses it without a start, was answered at its deadline only, though all tasks were done.

Cause: the row of a followed job counts all tasks of the submission as open; when it is taken back, tasks that the board has as done are not started again, and the count never reaches 0. Change: TakeJobBack takes the count from AddMissingTasks, as AcceptJob does. The table 'A followed job that is taken back counts its earlier tasks as done' fails without it (no reply). pool_tests passes whole.

--- a/src/core/pool/entry/board.h
+++ b/src/core/pool/entry/board.h
@@ -70,7 +70,7 @@
   bool is_from_peer = false;
   // The job is not to be forwarded, or not again.
   bool is_kept = false;
-  // This entry has announced the job to its peers.
+  // This entry announces the job to its peers.
   bool is_announced = false;
   // Link to an entry that has accepted the job, too, and is to run it for both.
   std::optional<LinkId> asked_to_take_over;
--- a/src/core/pool/entry/forwarding.cpp
+++ b/src/core/pool/entry/forwarding.cpp
@@ -189,7 +189,11 @@
   EntryChanges changes;
   changes.Add(ForwardDecision(job, Severity::kFailure, "forward_refused",
                               "this entry runs the job", now));
-  AddMissingTasks(board, job, job.forwarded_steps, BootTime{0}, &changes);
+  if (!job.forwarded_steps.empty()) {
+    // An earlier submission at this entry may have completed some tasks.
+    row.open_tasks =
+        AddMissingTasks(board, job, job.forwarded_steps, BootTime{0}, &changes);
+  }
   row.forwarded_steps.clear();
   changes.Add(Put<JobRow>{std::move(row)});
   return changes;
